--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench: stand-ins, fault proxy, measurements. Not part of the product."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of bulrushdrum; nothing here is public."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The side that faces callers and operators: HTTP."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Contract edits, their log and their spread to all entries."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Concurrency permits and fair shares."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Log events, metrics and state dumps."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -0,0 +1,61 @@
+"""Numbered log events.
+
+Every log line is one event of the `Event` enumeration, written as JSON by eliot to
+standard error. The number never changes meaning between releases; `docs/events.md`
+describes each one, and a test keeps that page and this module equal.
+
+>>> log_event(Event.ENTRY_READY, address="10.0.0.1:8080")
+"""
+
+import sys
+from enum import IntEnum
+
+import eliot
+
+
+class Event(IntEnum):
+    """All log events.
+
+    1xxx process, 2xxx peers, 3xxx requests, 4xxx platform and configuration, 5xxx
+    upstreams and orders, 6xxx limits, 7xxx records.
+    """
+
+    ENTRY_READY = 1001
+    SIDECAR_READY = 1002
+    DRAIN_STARTED = 1003
+    PROCESS_STOPPED = 1004
+    CLOCK_GAP = 1005
+    PEER_CONNECTED = 2001
+    PEER_LOST = 2002
+    PEER_REFUSED = 2003
+    ATTEMPT_FAILED = 3001
+    REQUEST_REFUSED = 3002
+    REQUEST_OUTCOME_UNKNOWN = 3003
+    SUSPECT_REPORTED = 3004
+    REQUEST_CONVICTED = 3005
+    INTERNAL_ERROR = 3006
+    STORE_UNAVAILABLE = 4001
+    STORE_AVAILABLE = 4002
+    CONFIGURATION_APPLIED = 4003
+    CONFIGURATION_UNCONFIRMED = 4004
+    ENGINE_LOST = 5001
+    ENGINE_AVAILABLE = 5002
+    ORDER_GIVEN = 5003
+    ORDER_NOT_TRUSTED = 5004
+    ENTRY_SET_ADOPTED = 6001
+    PERMITS_RECOVERED = 6002
+    RECORDS_FLUSHED = 7001
+    RECORDS_TAKEN_OVER = 7002
+
+
+def start_logging(process: str, stream=None):
+    """Send all events of `process` to `stream`, by default standard error."""
+    eliot.to_file(stream if stream is not None else sys.stderr)
+    eliot.add_global_fields(process=process)
+
+
+def log_event(event: Event, **fields):
+    """Write `event` with `fields`, which must be JSON values and never a secret."""
+    eliot.log_message(
+        message_type=f"bulrushdrum:{event.name.lower()}", event=int(event), **fields
+    )
--- /dev/null
+++ b/src/bulrushdrum/_internal/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes of bulrushdrum and the connections that carry them."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/peering/connections.py
@@ -0,0 +1,266 @@
+"""Connections between processes: one TCP connection and two greenlets for each peer.
+
+A `PeerConnection` reads frames in the greenlet that calls `serve` and writes them in a
+greenlet of its own. Messages queued while a write is under way leave together: steps
+and tokens are merged into one frame, so a busy peer costs one frame for a whole batch.
+"""
+
+import struct
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from bulrushdrum._internal.peering.errors import (
+    ConnectionLost,
+    FrameError,
+    HandshakeError,
+    PeeringError,
+)
+from bulrushdrum._internal.peering.handshake import (
+    PeerIdentity,
+    PeeringKeys,
+    accept_handshake,
+    dial_handshake,
+)
+from bulrushdrum._internal.peering.messages import (
+    Message,
+    Step,
+    Steps,
+    Token,
+    Tokens,
+    decode,
+    encode,
+)
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+# A peer that does not read must not make this process hold its frames without bound.
+MAX_QUEUED_MESSAGES = 20_000
+HANDSHAKE_TIMEOUT_SECONDS = 3.0
+WRITE_TIMEOUT_SECONDS = 10.0
+_LENGTH = struct.Struct("!I")
+
+
+class FrameStream:
+    """Length-prefixed frames on a socket.
+
+    `read_message` raises `ConnectionLost` at the end of the stream and `FrameError` for
+    a frame over `max_frame_bytes` or one that cannot be decoded.
+    """
+
+    def __init__(self, sock, max_frame_bytes=MAX_FRAME_BYTES):
+        self._sock = sock
+        self._max_frame_bytes = max_frame_bytes
+        self._reader = sock.makefile("rb")
+
+    def _read_exactly(self, size):
+        try:
+            data = self._reader.read(size)
+        except (OSError, ValueError) as error:
+            raise ConnectionLost(f"read failed: {error}") from error
+        if len(data) != size:
+            raise ConnectionLost("peer closed the connection")
+        return data
+
+    def read_message(self) -> Message:
+        (size,) = _LENGTH.unpack(self._read_exactly(_LENGTH.size))
+        if size > self._max_frame_bytes:
+            raise FrameError(
+                f"frame of {size} bytes is over the limit of {self._max_frame_bytes}"
+            )
+        return decode(self._read_exactly(size))
+
+    def write_message(self, message: Message) -> int:
+        """Write one frame and return its size in bytes."""
+        data = encode(message)
+        if len(data) > self._max_frame_bytes:
+            raise FrameError(
+                f"frame of {len(data)} bytes is over the limit of "
+                f"{self._max_frame_bytes}"
+            )
+        try:
+            self._sock.sendall(_LENGTH.pack(len(data)) + data)
+        except OSError as error:
+            raise ConnectionLost(f"write failed: {error}") from error
+        return len(data) + _LENGTH.size
+
+    def close(self):
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # already closed by the peer
+        self._sock.close()
+
+
+def merge_queued(messages: list[Message | Step | Token]) -> list[Message]:
+    """Merge runs of steps and runs of tokens into one frame each, keeping the order."""
+    merged = []
+    for message in messages:
+        last = merged[-1] if merged else None
+        match message:
+            case Step():
+                if isinstance(last, list) and isinstance(last[0], Step):
+                    last.append(message)
+                else:
+                    merged.append([message])
+            case Token():
+                if isinstance(last, list) and isinstance(last[0], Token):
+                    last.append(message)
+                else:
+                    merged.append([message])
+            case _:
+                merged.append(message)
+    return [
+        (Steps(tuple(item)) if isinstance(item[0], Step) else Tokens(tuple(item)))
+        if isinstance(item, list)
+        else item
+        for item in merged
+    ]
+
+
+class PeerConnection:
+    """An authenticated connection to one peer.
+
+    `send` queues a message (a `Step` or `Token` may be queued by itself) and returns at
+    once; it raises `ConnectionLost` when the connection is closed. `serve` calls
+    `handle(connection, message)` for each message until the connection ends, and
+    returns the error that ended it.
+    """
+
+    def __init__(self, stream: FrameStream, peer: PeerIdentity):
+        self._stream = stream
+        self._peer = peer
+        self._queue = []
+        self._queued = Event()
+        self._closed = False
+        self._sent_bytes = 0
+        self._writer = gevent.spawn(self._write_queued)
+
+    @property
+    def peer(self) -> PeerIdentity:
+        return self._peer
+
+    @property
+    def closed(self) -> bool:
+        return self._closed
+
+    @property
+    def sent_bytes(self) -> int:
+        return self._sent_bytes
+
+    def send(self, message):
+        if self._closed:
+            raise ConnectionLost(f"connection to {self._peer.node!r} is closed")
+        if len(self._queue) >= MAX_QUEUED_MESSAGES:
+            self.close()
+            raise ConnectionLost(f"{self._peer.node!r} does not read its messages")
+        self._queue.append(message)
+        self._queued.set()
+
+    def serve(self, handle) -> PeeringError:
+        try:
+            while True:
+                handle(self, self._stream.read_message())
+        except PeeringError as error:
+            return error
+        finally:
+            self.close()
+
+    def close(self):
+        if self._closed:
+            return
+        self._closed = True
+        self._queued.set()
+        self._stream.close()
+
+    def _write_queued(self):
+        try:
+            while not self._closed:
+                self._queued.wait()
+                self._queued.clear()
+                batch, self._queue = self._queue, []
+                with gevent.Timeout(
+                    WRITE_TIMEOUT_SECONDS, ConnectionLost("write timed out")
+                ):
+                    for message in merge_queued(batch):
+                        self._sent_bytes += self._stream.write_message(message)
+        except PeeringError:
+            pass  # the reader reports why the connection ended
+        finally:
+            self.close()
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Split `"10.0.0.7:7100"` into host and port; raises `ValueError` otherwise."""
+    host, separator, port = address.rpartition(":")
+    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{address!r} is not an address like '10.0.0.7:7100'")
+    return host, int(port)
+
+
+def dial(
+    address: str,
+    local: PeerIdentity,
+    keys: PeeringKeys,
+    address_map: dict[str, str] | None = None,
+) -> PeerConnection:
+    """Connect to the peer at `address` and authenticate.
+
+    `address_map` translates addresses of peers that are reached through another address
+    (a NAT, or a fault-injecting proxy in tests). Raises `ConnectionLost` or
+    `HandshakeError`.
+    """
+    target = (address_map or {}).get(address, address)
+    try:
+        sock = socket.create_connection(
+            parse_address(target), timeout=HANDSHAKE_TIMEOUT_SECONDS
+        )
+    except OSError as error:
+        raise ConnectionLost(f"cannot connect to {target}: {error}") from error
+    return _authenticate(sock, dial_handshake, local, keys)
+
+
+def _authenticate(sock, handshake, local, keys):
+    sock.settimeout(None)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    stream = FrameStream(sock)
+    try:
+        with gevent.Timeout(
+            HANDSHAKE_TIMEOUT_SECONDS, HandshakeError("handshake timed out")
+        ):
+            peer = handshake(stream, local, keys)
+    except PeeringError:
+        stream.close()
+        raise
+    return PeerConnection(stream, peer)
+
+
+class PeerServer:
+    """Accepts peers on one address and serves each in a greenlet.
+
+    `on_connect(connection)` is called after the handshake and runs until the connection
+    ends; `on_refused(address, error)` is called for a peer that fails the handshake.
+    """
+
+    def __init__(self, address, local, keys, on_connect, on_refused):
+        self._local = local
+        self._keys = keys
+        self._on_connect = on_connect
+        self._on_refused = on_refused
+        self._server = StreamServer(parse_address(address), self._accept)
+
+    def start(self):
+        """Listen; raises `OSError` if the address is in use."""
+        self._server.start()
+
+    def stop(self):
+        self._server.close()
+
+    def _accept(self, sock, remote):
+        try:
+            connection = _authenticate(sock, accept_handshake, self._local, self._keys)
+        except PeeringError as error:
+            self._on_refused(f"{remote[0]}:{remote[1]}", error)
+            return
+        self._on_connect(connection)
--- /dev/null
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -0,0 +1,247 @@
+@0xbf5147ad2e6d3b01;
+# Messages between the processes of bulrushdrum. One Frame is one length-prefixed
+# message on a connection. Fields are only ever added, never renumbered, so that
+# two releases can run side by side during a rolling upgrade.
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    welcome @1 :Welcome;
+    proof @2 :Proof;
+    describe @3 :Describe;
+    beat @4 :Beat;
+    open @5 :Open;
+    opened @6 :Opened;
+    steps @7 :Steps;
+    tokens @8 :Tokens;
+    close @9 :Close;
+    attemptFailed @10 :AttemptFailed;
+    call @11 :Call;
+    callResult @12 :CallResult;
+    resolve @13 :Resolve;
+    configEntries @14 :ConfigEntries;
+    configQuery @15 :ConfigQuery;
+    configConfirm @16 :ConfigConfirm;
+    permitBorrow @17 :PermitBorrow;
+    permitLoan @18 :PermitLoan;
+    permitReturn @19 :PermitReturn;
+    entrySetAck @20 :EntrySetAck;
+    recordCopies @21 :RecordCopies;
+    recordsAck @22 :RecordsAck;
+    recordsFlushed @23 :RecordsFlushed;
+    suspects @24 :Suspects;
+    orderLeaseRequest @25 :OrderLeaseRequest;
+    orderLease @26 :OrderLease;
+    desired @27 :Desired;
+    rejected @28 :Rejected;
+    resolved @29 :Resolved;
+    cacheEvents @30 :CacheEvents;
+    dumpQuery @31 :DumpQuery;
+    dump @32 :Dump;
+  }
+}
+
+struct Hello {
+  protocol @0 :UInt16;
+  kind @1 :Text;
+  node @2 :Text;
+  incarnation @3 :Text;
+  dataCentre @4 :Text;
+  address @5 :Text;
+  keyId @6 :Text;
+  nonce @7 :Data;
+}
+
+struct Welcome {
+  protocol @0 :UInt16;
+  kind @1 :Text;
+  node @2 :Text;
+  incarnation @3 :Text;
+  dataCentre @4 :Text;
+  address @5 :Text;
+  nonce @6 :Data;
+  mac @7 :Data;
+}
+
+struct Proof { mac @0 :Data; }
+
+struct Rejected { reason @0 :Text; }
+
+# What a sidecar says of its upstream; sent on connect and on each change.
+struct Describe {
+  upstream @0 :Text;
+  service @1 :Text;          # empty for a model engine
+  model @2 :Text;
+  modelVersion @3 :Text;
+  firstLayer @4 :UInt16;
+  endLayer @5 :UInt16;       # exclusive
+  modelLayers @6 :UInt16;
+  accelerator @7 :Text;
+  tokensPerSecond @8 :Float64;
+  slots @9 :UInt32;
+  state @10 :Text;           # serving, draining, stopped, lost
+  window @11 :UInt32;
+}
+
+struct Beat {
+  sequence @0 :UInt64;
+  echoed @1 :UInt64;         # highest sequence received from the peer
+  state @2 :Text;
+  window @3 :UInt32;
+  running @4 :UInt32;
+  queuedTokens @5 :UInt32;
+  configRevision @6 :UInt64;
+  entrySetVersion @7 :UInt64;
+}
+
+struct ChainStage {
+  upstream @0 :Text;
+  incarnation @1 :Text;
+  address @2 :Text;
+  firstLayer @3 :UInt16;
+  endLayer @4 :UInt16;
+}
+
+struct Open {
+  request @0 :Text;
+  attempt @1 :UInt32;
+  stage @2 :UInt16;
+  chain @3 :List(ChainStage);
+  customer @4 :Text;
+  weight @5 :Float64;
+  priority @6 :UInt8;
+  seed @7 :UInt64;
+  maxTokens @8 :UInt32;      # tokens still wanted in this attempt
+  promptTokens @9 :UInt32;   # length of the first step, delivered tokens included
+  model @10 :Text;
+  modelVersion @11 :Text;
+  fingerprint @12 :Text;
+  bindingKey @13 :Text;      # empty unless non-idempotent; stage 0 only
+  window @14 :UInt32;
+  generation @15 :UInt32;
+  solo @16 :Bool;            # suspect: must not share the upstream with a suspect
+}
+
+struct Opened {
+  request @0 :Text;
+  attempt @1 :UInt32;
+  stage @2 :UInt16;
+  accepted @3 :Bool;
+  reason @4 :Text;
+}
+
+struct Step {
+  request @0 :Text;
+  attempt @1 :UInt32;
+  position @2 :UInt32;
+  count @3 :UInt32;
+  tokens @4 :List(UInt32);   # input of stage 0
+  activation @5 :Data;       # input of the other stages
+}
+
+struct Steps { steps @0 :List(Step); }
+
+struct Token {
+  request @0 :Text;
+  attempt @1 :UInt32;
+  position @2 :UInt32;       # position of the new token
+  token @3 :UInt32;
+  text @4 :Text;
+  final @5 :Bool;
+  finishReason @6 :Text;
+}
+
+struct Tokens { tokens @0 :List(Token); }
+
+struct Close {
+  request @0 :Text;
+  attempt @1 :UInt32;
+  reason @2 :Text;
+}
+
+struct AttemptFailed {
+  request @0 :Text;
+  attempt @1 :UInt32;
+  upstream @2 :Text;         # the upstream that is at fault
+  cause @3 :Text;
+  ran @4 :Bool;              # false: this stage passed nothing to its engine
+  suspects @5 :List(Text);   # fingerprints in the engine call that died
+}
+
+struct Header { name @0 :Text; value @1 :Text; }
+
+struct Call {
+  call @0 :Text;
+  customer @1 :Text;
+  service @2 :Text;
+  method @3 :Text;
+  path @4 :Text;
+  headers @5 :List(Header);
+  body @6 :Data;
+  bindingKey @7 :Text;
+  window @8 :UInt32;
+  generation @9 :UInt32;
+  fingerprint @10 :Text;
+  timeoutMs @11 :UInt32;
+  weight @12 :Float64;
+  priority @13 :UInt8;
+}
+
+struct CallResult {
+  call @0 :Text;
+  outcome @1 :Text;          # answered, not_run, unknown
+  status @2 :UInt16;
+  headers @3 :List(Header);
+  body @4 :Data;
+  reason @5 :Text;
+}
+
+struct Resolve { call @0 :Text; customer @1 :Text; bindingKey @2 :Text; window @3 :UInt32; }
+
+struct Resolved {
+  call @0 :Text;
+  state @1 :Text;            # done, running, cancelled, unknown
+  result @2 :CallResult;     # set when done
+}
+
+struct ConfigEntry {
+  revision @0 :UInt64;
+  kind @1 :Text;             # contract, upstream
+  key @2 :Text;
+  value @3 :Text;            # JSON; empty means deleted
+  editId @4 :Text;
+}
+
+struct ConfigEntries { entries @0 :List(ConfigEntry); snapshot @1 :Bool; head @2 :UInt64; }
+struct ConfigQuery { after @0 :UInt64; }
+struct ConfigConfirm { revision @0 :UInt64; }
+
+struct PermitBorrow { loan @0 :Text; customer @1 :Text; }
+struct PermitLoan { loan @0 :Text; granted @1 :Bool; reason @2 :Text; }
+struct PermitReturn { loan @0 :Text; }
+struct BusyPermit { customer @0 :Text; number @1 :UInt32; }
+struct EntrySetAck { version @0 :UInt64; busy @1 :List(BusyPermit); }
+
+struct RecordCopies { batch @0 :UInt64; records @1 :List(Text); }
+struct RecordsAck { batch @0 :UInt64; }
+struct RecordsFlushed { ids @0 :List(Text); }
+
+struct Suspect { fingerprint @0 :Text; deaths @1 :UInt32; convicted @2 :Bool; }
+struct Suspects { suspects @0 :List(Suspect); }
+
+struct OrderLeaseRequest { token @0 :Text; upstream @1 :Text; epoch @2 :UInt64; }
+struct OrderLease {
+  token @0 :Text;
+  granted @1 :Bool;
+  epoch @2 :UInt64;
+  desiredRevision @3 :UInt64;
+  desired @4 :Text;          # JSON
+  reason @5 :Text;
+}
+struct Desired { upstream @0 :Text; revision @1 :UInt64; value @2 :Text; }
+
+struct CacheEvent { prefix @0 :Text; stored @1 :Bool; }
+struct CacheEvents { sequence @0 :UInt64; events @1 :List(CacheEvent); }
+
+struct DumpQuery { token @0 :Text; }
+struct Dump { token @0 :Text; state @1 :Text; }   # JSON
--- /dev/null
+++ b/src/bulrushdrum/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for the platform's table, object store and VM list."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings in JSON with comments, checked whole at start-up."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside an upstream."""
