--- /dev/null
+++ b/bench/standins/objects.py
@@ -0,0 +1,60 @@
+"""Stand-in for the platform's object store, in memory.
+
+Run as `python -m bench.standins.objects --address 127.0.0.1:21001`.
+"""
+
+import bisect
+
+import bottle
+
+from bench.standins.serving import MAX_BODY_BYTES, Faults, arguments, new_app, run
+
+_PAGE_NAMES = 1000
+
+
+def objects_app(faults: Faults) -> bottle.Bottle:
+    app = new_app(faults)
+    objects = {}
+    names = []
+
+    @app.put("/v1/objects/<name:path>")
+    def put(name):
+        data = bottle.request.body.read(MAX_BODY_BYTES)
+        faults.before(writes=True)
+        exists = name in objects
+        if not exists or bottle.request.get_header("If-None-Match") != "*":
+            if not exists:
+                bisect.insort(names, name)
+            objects[name] = data
+            exists = False
+        faults.after(writes=True)
+        bottle.response.status = 412 if exists else 201
+        return {}
+
+    @app.get("/v1/objects/<name:path>")
+    def get(name):
+        faults.before(writes=False)
+        if name not in objects:
+            bottle.abort(404, "no such object")
+        faults.after(writes=False)
+        bottle.response.content_type = "application/octet-stream"
+        return objects[name]
+
+    @app.get("/v1/objects")
+    def scan():
+        faults.before(writes=False)
+        prefix = bottle.request.query.getunicode("prefix", "")
+        after = bottle.request.query.getunicode("after", "")
+        start = max(
+            bisect.bisect_left(names, prefix), bisect.bisect_right(names, after)
+        )
+        page = names[start : start + _PAGE_NAMES]
+        faults.after(writes=False)
+        return {"names": [name for name in page if name.startswith(prefix)]}
+
+    return app
+
+
+if __name__ == "__main__":
+    options = arguments(__doc__.splitlines()[0])
+    run(objects_app(Faults(options.write_rate, options.read_rate)), options.address)
--- /dev/null
+++ b/bench/standins/vm_list.py
@@ -0,0 +1,71 @@
+"""Stand-in for the platform's VM list.
+
+Run as `python -m bench.standins.vm_list --address 127.0.0.1:21002 --lag-seconds 2`.
+`PUT /v1/vms` with `{"vms": [...], "lag_seconds": 2}` replaces the list after the lag.
+"""
+
+import hashlib
+import json
+
+import bottle
+import gevent
+
+from bench.standins.serving import Faults, arguments, json_body, new_app, run
+
+
+class VmListState:
+    """The list that readers see; changes become visible in order after the lag."""
+
+    def __init__(self, lag_seconds: float = 0.0):
+        self.lag_seconds = lag_seconds
+        self.vms = []
+        self._put = 0
+        self._visible = 0
+
+    def put(self, vms, lag_seconds):
+        self._put += 1
+        if lag_seconds > 0:
+            gevent.spawn_later(lag_seconds, self._show, self._put, vms)
+        else:
+            self._show(self._put, vms)
+
+    def _show(self, number, vms):
+        if number > self._visible:
+            self._visible = number
+            self.vms = vms
+
+
+def vm_list_app(state: VmListState, faults: Faults) -> bottle.Bottle:
+    app = new_app(faults)
+
+    @app.get("/v1/vms")
+    def get():
+        faults.before(writes=False)
+        body = json.dumps({"vms": state.vms})
+        etag = f'"{hashlib.sha256(body.encode()).hexdigest()[:16]}"'
+        faults.after(writes=False)
+        bottle.response.set_header("ETag", etag)
+        if bottle.request.get_header("If-None-Match") == etag:
+            bottle.response.status = 304
+            return ""
+        bottle.response.content_type = "application/json"
+        return body
+
+    @app.put("/v1/vms")
+    def put():
+        body = json_body()
+        state.put(body["vms"], float(body.get("lag_seconds", state.lag_seconds)))
+        return {}
+
+    return app
+
+
+if __name__ == "__main__":
+    options = arguments(__doc__.splitlines()[0], lag_seconds=0.0)
+    run(
+        vm_list_app(
+            VmListState(options.lag_seconds),
+            Faults(options.write_rate, options.read_rate),
+        ),
+        options.address,
+    )
--- /dev/null
+++ b/src/bulrushdrum/_internal/platform/table.py
@@ -0,0 +1,103 @@
+"""Client for the platform's transactional table.
+
+>>> table = Table("127.0.0.1:21000", timeout=2.0)  # doctest: +SKIP
+>>> table.transact([Condition("a", 0)], [Write("a", {"n": 1})])  # doctest: +SKIP
+[1]
+"""
+
+import json
+from typing import Any, NamedTuple
+from urllib.parse import quote, urlencode
+
+from bulrushdrum._internal.platform.errors import (
+    StoreUnavailable,
+    WriteConflict,
+    WriteOutcomeUnknown,
+)
+from bulrushdrum._internal.platform.service import PlatformService
+
+_JSON = {"Content-Type": "application/json"}
+
+
+class Row(NamedTuple):
+    """A row; its version starts at 1 and grows by 1 with each write."""
+
+    key: str
+    value: Any
+    version: int
+
+
+class Condition(NamedTuple):
+    """The transaction takes effect only if the row has this version; 0 is absent."""
+
+    key: str
+    version: int
+
+
+class Write(NamedTuple):
+    """A new value for a row; `None` deletes it."""
+
+    key: str
+    value: Any
+
+
+def _row(raw):
+    return Row(raw["key"], raw["value"], raw["version"])
+
+
+class Table:
+    """The table service at `address`; `timeout` bounds each request, in seconds."""
+
+    def __init__(self, address: str, timeout: float):
+        self._service = PlatformService("table", address, timeout)
+
+    def read(self, key: str) -> Row | None:
+        """Return the row, or `None` if absent; raises `StoreUnavailable`."""
+        path = f"/v1/rows/{quote(key, safe='')}"
+        response = self._service.read(path, (200, 404))
+        if response.status == 404:
+            return None
+        raw = self._service.json_of(response, StoreUnavailable)
+        try:
+            return _row(raw)
+        except KeyError as error:
+            raise StoreUnavailable(f"table: a row has no {error}") from error
+
+    def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        """Return up to `limit` rows in key order; raises `StoreUnavailable`.
+
+        The rows have keys that begin with `prefix` and are greater than `after`.
+        """
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        response = self._service.read(f"/v1/rows?{query}", (200,))
+        raw = self._service.json_of(response, StoreUnavailable)
+        try:
+            return [_row(row) for row in raw["rows"]]
+        except (KeyError, TypeError) as error:
+            raise StoreUnavailable(f"table: malformed rows: {error!r}") from error
+
+    def transact(self, conditions: list[Condition], writes: list[Write]) -> list[int]:
+        """Write all rows if all conditions hold; return the new versions.
+
+        Raises `WriteConflict` if a condition does not hold, `StoreUnavailable` if
+        nothing was written, and `WriteOutcomeUnknown` if that is not known.
+        """
+        body = {
+            "conditions": [condition._asdict() for condition in conditions],
+            "writes": [write._asdict() for write in writes],
+        }
+        response = self._service.write(
+            "POST", "/v1/transactions", json.dumps(body).encode(), (200, 409), _JSON
+        )
+        if response.status == 409:
+            raw = self._service.json_of(response, StoreUnavailable)
+            try:
+                conflicts = [_row(row) for row in raw["conflicts"]]
+            except (KeyError, TypeError) as error:
+                raise StoreUnavailable(f"table: malformed: {error!r}") from error
+            raise WriteConflict(conflicts)
+        raw = self._service.json_of(response, WriteOutcomeUnknown)
+        versions = raw.get("versions")
+        if not isinstance(versions, list) or len(versions) != len(writes):
+            raise WriteOutcomeUnknown("table: the answer lacks the versions")
+        return versions
