--- /dev/null
+++ b/src/bulrushdrum/_internal/configuration/replica.py
@@ -0,0 +1,365 @@
+"""This entry's copy of the configuration, kept up to date from the log.
+
+Entries of the log are applied strictly in the order of their revisions. They arrive as
+pushes from the entry that accepted an edit; gaps are filled from a peer or the table.
+Every few seconds the head of the log is read, so that a lost push does no harm.
+"""
+
+import random
+import time
+from collections import OrderedDict, deque
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event as Signal
+
+from bulrushdrum._internal.configuration.errors import LogPruned
+from bulrushdrum._internal.configuration.log import load_store, read_head, read_log
+from bulrushdrum._internal.configuration.peers import ConfigPeers
+from bulrushdrum._internal.configuration.store import ConfigStore, decode_value
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.peering.hub import PeerHub
+from bulrushdrum._internal.peering.messages import ConfigEntry
+from bulrushdrum._internal.platform.errors import StoreUnavailable
+from bulrushdrum._internal.platform.table import Table
+from bulrushdrum._internal.world.contracts import (
+    Contract,
+    hash_api_key,
+    parse_contract,
+)
+from bulrushdrum._internal.world.errors import InvalidContract, InvalidUpstreamState
+from bulrushdrum._internal.world.upstreams import DesiredState, parse_desired_state
+
+POLL_INTERVAL_SECONDS = 2.0
+PEER_WAIT_SECONDS = 2.0
+# Pushes of different entries often overtake each other by a few milliseconds.
+_GAP_DELAY_SECONDS = 0.1
+_RECENT_ENTRIES = 512
+_MAX_PENDING_ENTRIES = 4096
+_DECODED_CONTRACTS = 1024
+
+
+class ContractReplica:
+    """The configuration in force at this entry.
+
+    `start` begins to load it and returns at once; `ready` tells when it is loaded. All
+    reads are from memory. `settings.seed` seeds the jitter of the polls.
+    """
+
+    def __init__(
+        self,
+        hub: PeerHub,
+        table: Table,
+        settings,
+        *,
+        poll_interval: float = POLL_INTERVAL_SECONDS,
+        peer_wait: float = PEER_WAIT_SECONDS,
+    ):
+        self._table = table
+        self._poll_interval = poll_interval
+        self._random = random.Random(settings.seed or None)
+        self._store = ConfigStore()
+        self._ready = False
+        self._pending: dict[int, ConfigEntry] = {}
+        self._recent: deque[ConfigEntry] = deque(maxlen=_RECENT_ENTRIES)
+        self._contracts: OrderedDict[str, Contract | None] = OrderedDict()
+        self._subscribers: list[Callable[[ConfigEntry], None]] = []
+        self._known_head = 0
+        self._confirmed_at = float("-inf")
+        self._store_available = True
+        self._wake = Signal()
+        self._gap_filler = None
+        self._greenlets = []
+        self._peers = ConfigPeers(hub, self, peer_wait)
+
+    # What is in force.
+
+    @property
+    def revision(self) -> int:
+        return self._store.revision
+
+    @property
+    def ready(self) -> bool:
+        return self._ready
+
+    @property
+    def store(self) -> ConfigStore:
+        return self._store
+
+    @property
+    def recent(self) -> tuple[ConfigEntry, ...]:
+        """The entries applied last, oldest first and without gaps."""
+        return tuple(self._recent)
+
+    def contract(self, customer: str) -> Contract | None:
+        """Return the customer's contract, or `None` if there is none."""
+        if customer in self._contracts:
+            self._contracts.move_to_end(customer)
+            return self._contracts[customer]
+        row = self._store.get("contract", customer)
+        if row is None:
+            return None
+        contract = self._decode("contract", customer, row[1], _decode_contract)
+        self._contracts[customer] = contract
+        if len(self._contracts) > _DECODED_CONTRACTS:
+            self._contracts.popitem(last=False)
+        return contract
+
+    def customer_of_api_key(self, api_key: str) -> str | None:
+        """Return the customer whose contract lists the hash of `api_key`."""
+        try:
+            digest = hash_api_key(api_key)
+        except UnicodeEncodeError:
+            return None
+        for customer in self._store.customers_by_hash(digest):
+            contract = self.contract(customer)
+            if contract is not None and digest in contract.api_key_hashes:
+                return customer
+        return None
+
+    def customers(self) -> list[str]:
+        return self._store.keys("contract")
+
+    def desired(self, upstream: str) -> tuple[int, DesiredState] | None:
+        """Return the revision and the desired state of an upstream, or `None`."""
+        row = self._store.get("upstream", upstream)
+        if row is None:
+            return None
+        state = self._decode("upstream", upstream, row[1], _decode_desired)
+        return None if state is None else (row[0], state)
+
+    def _decode(self, kind, key, text, decode):
+        try:
+            return decode(decode_value(text))
+        except (ValueError, InvalidContract, InvalidUpstreamState) as error:
+            log_event(
+                Event.CONFIGURATION_INVALID, kind=kind, key=key, reason=str(error)
+            )
+            return None
+
+    # How recent it is.
+
+    def confirmed_seconds_ago(self) -> float:
+        """Return how long ago the store or a peer was asked and knew of nothing newer.
+
+        Counted from when the question was sent. Infinite before the first answer.
+        """
+        return time.monotonic() - self._confirmed_at
+
+    def confirm(self, timeout_seconds: float) -> bool:
+        """Ask the store and all peers now; true once one of them has confirmed."""
+        asked_at = time.monotonic()
+        self._wake.set()
+        gevent.spawn(self._peers.ask_heads)
+        while self._confirmed_at < asked_at:
+            if time.monotonic() - asked_at >= timeout_seconds:
+                return False
+            gevent.sleep(0.01)
+        return True
+
+    def note_confirmed(self, asked_at: float, head: int):
+        """Record that a source asked at `asked_at` knows nothing newer than `head`."""
+        if self._ready and self.revision >= head:
+            self._confirmed_at = max(self._confirmed_at, asked_at)
+
+    def observe_revision(self, incarnation: str, revision: int):
+        """Take note of the revision in a peer's heartbeat; a newer one is fetched."""
+        self._peers.note_revision(incarnation, revision)
+        self.note_head(revision)
+
+    def note_head(self, revision: int):
+        self._known_head = max(self._known_head, revision)
+        if self._ready and self._known_head > self.revision and not self._gap_filler:
+            self._gap_filler = gevent.spawn(self._fill_gap)
+
+    def confirmed_by(self, revision: int) -> set[str]:
+        """Return the names of the connected entries that have `revision` in force."""
+        return self._peers.confirmed_by(revision)
+
+    def wait_for(self, revision: int, timeout_seconds: float) -> bool:
+        """Wait until `revision` is in force here; false if it is not in time."""
+        deadline = time.monotonic() + timeout_seconds
+        self.note_head(revision)
+        while not self._ready or self.revision < revision:
+            if time.monotonic() >= deadline:
+                return False
+            gevent.sleep(0.01)
+        return True
+
+    # Changes.
+
+    def subscribe(self, callback: Callable[[ConfigEntry], None]):
+        """Call `callback` with each entry after it has been applied."""
+        self._subscribers.append(callback)
+
+    def publish(self, entry: ConfigEntry):
+        """Apply an entry that has just become durable and push it to all entries."""
+        self.offer([entry])
+        self._peers.push(entry)
+
+    def offer(self, entries):
+        """Apply those entries that come next; keep later ones until the gap closes."""
+        for entry in entries:
+            if entry.revision > self.revision:
+                self._pending.setdefault(entry.revision, entry)
+        if len(self._pending) > _MAX_PENDING_ENTRIES:
+            for revision in sorted(self._pending)[_MAX_PENDING_ENTRIES:]:
+                del self._pending[revision]
+        while (entry := self._pending.pop(self.revision + 1, None)) is not None:
+            self._store.apply(entry)
+            self._recent.append(entry)
+            self._changed(entry)
+            log_event(
+                Event.CONFIGURATION_APPLIED,
+                revision=entry.revision,
+                kind=entry.kind,
+                key=entry.key,
+            )
+        if self._pending:
+            self.note_head(max(self._pending))
+
+    def install(self, store: ConfigStore, source: str) -> bool:
+        """Replace everything by a newer store; an older one is left unused."""
+        if store.revision < self.revision or (
+            self._ready and store.revision == self.revision
+        ):
+            return False
+        before, self._store = self._store, store
+        self._recent.clear()
+        for revision in [key for key in self._pending if key <= store.revision]:
+            del self._pending[revision]
+        self._ready = True
+        log_event(Event.CONFIGURATION_LOADED, revision=store.revision, source=source)
+        for entry in _differences(before, store):
+            self._changed(entry)
+        self.offer(())
+        return True
+
+    def _changed(self, entry):
+        self._contracts.pop(entry.key, None)
+        for callback in self._subscribers:
+            try:
+                callback(entry)
+            except Exception as error:  # one subscriber must not stop the others
+                log_event(Event.INTERNAL_ERROR, where="subscriber", reason=repr(error))
+
+    # Keeping up.
+
+    def start(self):
+        if not self._greenlets:
+            self._greenlets.append(gevent.spawn(self._poll))
+
+    def stop(self):
+        gevent.killall([*self._greenlets, *filter(None, [self._gap_filler])])
+        self._greenlets.clear()
+
+    def _poll(self):
+        first = True
+        while True:
+            self._wake.clear()
+            try:
+                self._poll_table()
+                self._note_store(True)
+            except StoreUnavailable as error:
+                self._note_store(False, str(error))
+                self._poll_peers(first)
+                first = False
+            except Exception as error:  # the poll must survive any single failure
+                log_event(Event.INTERNAL_ERROR, where="poll", reason=repr(error))
+            self._wake.wait(self._poll_interval * self._random.uniform(0.75, 1.25))
+
+    def _poll_table(self):
+        asked_at = time.monotonic()
+        if not self._ready:
+            self._load_table()
+        head = read_head(self._table)
+        self._follow_log(head)
+        self.note_confirmed(asked_at, head)
+
+    def _follow_log(self, head):
+        """Apply the log up to `head` from the table; scan the rows if it was pruned."""
+        try:
+            while self.revision < head:
+                before = self.revision
+                self.offer(read_log(self._table, before))
+                if self.revision == before:
+                    raise LogPruned(f"the log ends at {before}, the head is {head}")
+        except LogPruned:
+            if self.revision < head:
+                self._load_table()
+
+    def _load_table(self):
+        try:
+            self.install(load_store(self._table), "table")
+        except LogPruned as error:
+            raise StoreUnavailable(f"table: {error}") from error
+
+    def _poll_peers(self, first):
+        if self._ready:
+            self._peers.ask_heads()
+            return
+        if first:
+            # Connections to the other entries are still being made.
+            gevent.sleep(self._peers.wait_seconds)
+        self._peers.load_highest()
+
+    def _fill_gap(self):
+        try:
+            gevent.sleep(_GAP_DELAY_SECONDS)
+            if self.revision < self._known_head:
+                self._peers.fill(self.revision)
+            if self.revision < self._known_head:
+                # The peer could not help; the table decides whether there is a gap.
+                self._known_head = self.revision
+                self._wake.set()
+        finally:
+            self._gap_filler = None
+
+    def _note_store(self, available, reason=""):
+        if available != self._store_available:
+            event = Event.STORE_AVAILABLE if available else Event.STORE_UNAVAILABLE
+            log_event(event, service="table", reason=reason)
+        self._store_available = available
+
+    def dump(self) -> dict:
+        """Return the state for a state dump."""
+        return {
+            "revision": self.revision,
+            "ready": self._ready,
+            "known_head": self._known_head,
+            "confirmed_seconds_ago": (
+                round(self.confirmed_seconds_ago(), 3)
+                if self._confirmed_at > float("-inf")
+                else None
+            ),
+            "store_available": self._store_available,
+            "contracts": self._store.count("contract"),
+            "upstreams": self._store.count("upstream"),
+            "pending": len(self._pending),
+            "peers": self._peers.dump(),
+        }
+
+
+def _differences(before, after):
+    """Return an entry for each value that differs between two stores."""
+    for kind in {*before.kinds(), *after.kinds()}:
+        for key in before.keys(kind):
+            if not after.revision_of(kind, key):
+                yield ConfigEntry(after.revision, kind, key, "")
+        for key in after.keys(kind):
+            revision, value = after.get(kind, key)
+            if before.revision_of(kind, key) != revision:
+                yield ConfigEntry(revision, kind, key, value)
+
+
+def _decode_contract(raw):
+    # A newer release may have written fields that this one does not know.
+    if isinstance(raw, dict):
+        raw = {name: raw[name] for name in raw if name in Contract._fields}
+    return parse_contract(raw)
+
+
+def _decode_desired(raw):
+    if isinstance(raw, dict):
+        raw = {name: raw[name] for name in raw if name in DesiredState._fields}
+    return parse_desired_state(raw)
--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -249,17 +249,25 @@
 
 
 class ConfigEntries(NamedTuple):
-    """Entries of the configuration log, or a whole snapshot."""
+    """Entries of the configuration log, or one part of a snapshot.
+
+    `token` is that of the query, or 0 for a push; `head` is the sender's revision.
+    """
 
     entries: tuple[ConfigEntry, ...] = ()
     snapshot: bool = False
     head: int = 0
+    token: int = 0
+    part: int = 0
+    last: bool = False
+    ready: bool = False
 
 
 class ConfigQuery(NamedTuple):
     """Asks for the entries after a revision."""
 
     after: int = 0
+    token: int = 0
 
 
 class ConfigConfirm(NamedTuple):
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -212,8 +212,16 @@
   editId @4 :Text;
 }
 
-struct ConfigEntries { entries @0 :List(ConfigEntry); snapshot @1 :Bool; head @2 :UInt64; }
-struct ConfigQuery { after @0 :UInt64; }
+struct ConfigEntries {
+  entries @0 :List(ConfigEntry);
+  snapshot @1 :Bool;
+  head @2 :UInt64;           # highest revision in force at the sender
+  token @3 :UInt64;          # of the query that this answers; 0 for a push
+  part @4 :UInt32;           # a snapshot comes in parts 0, 1, 2...
+  last @5 :Bool;             # the answer is complete
+  ready @6 :Bool;            # false: the sender has not loaded its configuration
+}
+struct ConfigQuery { after @0 :UInt64; token @1 :UInt64; }
 struct ConfigConfirm { revision @0 :UInt64; }
 
 struct PermitBorrow { loan @0 :Text; customer @1 :Text; }
