Add membership, chain choice, attempts and suspects of the entry

Cause: the entry needs to know its upstreams, choose a chain and survive the loss of a stage. Change: routing package, entry settings, chat requests.

--- /dev/null
+++ b/src/bulrushdrum/_internal/caller/completions.py
@@ -0,0 +1,238 @@
+"""Chat completions: the checked request, its run, and the answer as the caller reads it.
+
+The request runs in a greenlet of its own, so that a non-idempotent one goes on to its
+end when the caller's connection breaks, and its result is there for the resend.
+"""
+
+import json
+import secrets
+import time
+from dataclasses import dataclass
+from typing import NamedTuple
+
+import gevent
+from gevent.queue import Queue
+
+from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
+from bulrushdrum._internal.routing.tokenizer import encode_prompt
+from bulrushdrum._internal.settings.entry import EntrySettings
+from bulrushdrum._internal.world.contracts import Contract
+from bulrushdrum._internal.world.requests import (
+    ChatRequest,
+    fingerprint_of,
+    new_request_id,
+)
+
+DEFAULT_ANSWER_TOKENS = 256
+MAX_KEY_CHARACTERS = 255
+
+
+def _invalid(message):
+    return CallerError("invalid_request", message)
+
+
+def _parse_messages(value):
+    if not isinstance(value, list) or not value:
+        raise _invalid(f"messages: {value!r:.100} is not a list with a message")
+    for index, message in enumerate(value):
+        valid = isinstance(message, dict) and isinstance(message.get("role"), str)
+        if not valid or not isinstance(message.get("content"), str):
+            raise _invalid(f"messages[{index}]: role and content must be strings")
+    return value
+
+
+def _parse_integer(body, name, default, low, high):
+    value = body.get(name, default)
+    if type(value) is not int or not low <= value <= high:
+        raise _invalid(f"{name}: {value!r:.100} is not an integer in {low}..{high}")
+    return value
+
+
+def parse_key(key: str) -> str:
+    """Check an `Idempotency-Key` header."""
+    if len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
+        raise _invalid(
+            f"Idempotency-Key has {len(key)} characters or is not printable; "
+            f"up to {MAX_KEY_CHARACTERS} printable characters are allowed"
+        )
+    return key
+
+
+class ParsedChat(NamedTuple):
+    request: ChatRequest
+    stream: bool
+
+
+def parse_chat(
+    raw: bytes, key: str, contract: Contract, settings: EntrySettings
+) -> ParsedChat:
+    """Check the body of a chat completion; raises `CallerError`."""
+    try:
+        body = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        raise _invalid(f"the body is not JSON: {error}") from error
+    if not isinstance(body, dict):
+        raise _invalid("the body is not a JSON object")
+    model = body.get("model")
+    if not isinstance(model, str) or not model:
+        raise _invalid(f"model: {model!r:.100} is not the name of a model")
+    try:
+        prompt = encode_prompt(_parse_messages(body.get("messages")))
+    except UnicodeEncodeError as error:
+        raise _invalid(f"messages: not valid Unicode text: {error}") from error
+    if len(prompt) > settings.max_prompt_tokens:
+        raise _invalid(
+            f"messages: {len(prompt)} tokens are over the limit of "
+            f"{settings.max_prompt_tokens}"
+        )
+    max_tokens = _parse_integer(
+        body, "max_tokens", DEFAULT_ANSWER_TOKENS, 1, settings.max_answer_tokens
+    )
+    seed = _parse_integer(body, "seed", secrets.randbits(62), 0, 2**63 - 1)
+    metadata = body.get("metadata") or {}
+    kind = metadata.get("kind", "") if isinstance(metadata, dict) else None
+    if not isinstance(kind, str):
+        raise _invalid("metadata: must be an object whose kind is a string")
+    stream = body.get("stream", False)
+    if not isinstance(stream, bool):
+        raise _invalid(f"stream: {stream!r:.100} is not true or false")
+    request = ChatRequest(
+        request_id=new_request_id(settings.node),
+        customer=contract.customer,
+        model=model,
+        prompt=prompt,
+        max_tokens=max_tokens,
+        seed=seed,
+        kind=kind,
+        idempotency_key=key,
+        non_idempotent=contract.is_non_idempotent_chat(kind),
+        fingerprint=fingerprint_of(contract.customer, raw),
+    )
+    return ParsedChat(request, stream)
+
+
+@dataclass(frozen=True)
+class TokenPart:
+    """A piece of the answer."""
+
+    text: str
+
+
+@dataclass(frozen=True)
+class EndPart:
+    """The end of a whole answer."""
+
+    finish_reason: str
+    answer_tokens: int
+    chain: tuple[str, ...]
+    attempts: int
+
+
+@dataclass(frozen=True)
+class ErrorPart:
+    """The end of a request without a whole answer."""
+
+    error: CallerError
+
+
+class ChatSession:
+    """One chat request from acceptance to its end, as parts for the caller.
+
+    `run(deliver)` runs the request, calling `deliver(token)` for each token, and
+    returns an `EndPart`; it is called in a greenlet of its own.
+    """
+
+    def __init__(self, request: ChatRequest, run):
+        self._request = request
+        self._parts = Queue()
+        self._greenlet = gevent.spawn(self._run, run)
+
+    @property
+    def request(self) -> ChatRequest:
+        return self._request
+
+    def parts(self):
+        """Yield the parts of the answer; the last is an `EndPart` or `ErrorPart`."""
+        while True:
+            part = self._parts.get()
+            yield part
+            if not isinstance(part, TokenPart):
+                return
+
+    def _run(self, run):
+        try:
+            end = run(lambda token: self._parts.put(TokenPart(token.text)))
+        except Exception as error:
+            self._parts.put(ErrorPart(to_caller_error(error)))
+            if to_caller_error(error).code == "internal_error":
+                raise
+        else:
+            self._parts.put(end)
+
+
+def _event(payload, name=""):
+    prefix = f"event: {name}\n" if name else ""
+    return f"{prefix}data: {json.dumps(payload)}\n\n".encode()
+
+
+def _chunk(request, created, delta, finish_reason=None):
+    return {
+        "id": request.request_id,
+        "object": "chat.completion.chunk",
+        "created": created,
+        "model": request.model,
+        "choices": [{"index": 0, "delta": delta, "finish_reason": finish_reason}],
+    }
+
+
+def stream_events(request: ChatRequest, parts):
+    """Yield the server-sent events of an answer."""
+    created = int(time.time())
+    for part in parts:
+        match part:
+            case TokenPart(text):
+                yield _event(_chunk(request, created, {"content": text}))
+            case EndPart():
+                last = _chunk(request, created, {}, part.finish_reason)
+                last["usage"] = _usage(request, part)
+                last["bulrushdrum"] = _extras(part)
+                yield _event(last)
+                yield b"data: [DONE]\n\n"
+            case ErrorPart(error):
+                yield _event({"error": error.body(request.request_id)}, "error")
+
+
+def whole_answer(request: ChatRequest, parts) -> dict:
+    """Return the answer as one JSON object; raises `CallerError`."""
+    texts = []
+    for part in parts:
+        match part:
+            case TokenPart(text):
+                texts.append(text)
+            case ErrorPart(error):
+                raise error
+            case EndPart():
+                end = part
+    message = {"role": "assistant", "content": "".join(texts)}
+    choice = {"index": 0, "message": message, "finish_reason": end.finish_reason}
+    return {
+        "id": request.request_id,
+        "object": "chat.completion",
+        "created": int(time.time()),
+        "model": request.model,
+        "choices": [choice],
+        "usage": _usage(request, end),
+        "bulrushdrum": _extras(end),
+    }
+
+
+def _usage(request, end):
+    return {
+        "prompt_tokens": len(request.prompt),
+        "completion_tokens": end.answer_tokens,
+        "total_tokens": len(request.prompt) + end.answer_tokens,
+    }
+
+
+def _extras(end):
+    return {"chain": list(end.chain), "attempts": end.attempts}
--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -182,6 +182,7 @@
     cause: str = ""
     ran: bool = False
     suspects: tuple[str, ...] = ()
+    incident: str = ""
 
 
 class Header(NamedTuple):
@@ -322,18 +323,17 @@
     ids: tuple[str, ...] = ()
 
 
-class Suspect(NamedTuple):
-    """A request that was on board when an engine died."""
+class Incident(NamedTuple):
+    """The death of an engine and the fingerprints in the call that it was running."""
 
-    fingerprint: str = ""
-    deaths: int = 0
-    convicted: bool = False
+    id: str = ""
+    fingerprints: tuple[str, ...] = ()
 
 
 class Suspects(NamedTuple):
-    """Suspects to share with all entries."""
+    """Incidents to share with all entries."""
 
-    suspects: tuple[Suspect, ...] = ()
+    incidents: tuple[Incident, ...] = ()
 
 
 class OrderLeaseRequest(NamedTuple):
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -166,6 +166,7 @@
   cause @3 :Text;
   ran @4 :Bool;              # false: this stage passed nothing to its engine
   suspects @5 :List(Text);   # fingerprints in the engine call that died
+  incident @6 :Text;         # id of the engine's death, the same for all on board
 }
 
 struct Header { name @0 :Text; value @1 :Text; }
@@ -226,8 +227,8 @@
 struct RecordsAck { batch @0 :UInt64; }
 struct RecordsFlushed { ids @0 :List(Text); }
 
-struct Suspect { fingerprint @0 :Text; deaths @1 :UInt32; convicted @2 :Bool; }
-struct Suspects { suspects @0 :List(Suspect); }
+struct Incident { id @0 :Text; fingerprints @1 :List(Text); }
+struct Suspects { incidents @0 :List(Incident); }
 
 struct OrderLeaseRequest { token @0 :Text; upstream @1 :Text; epoch @2 :UInt64; }
 struct OrderLease {
--- /dev/null
+++ b/src/bulrushdrum/_internal/routing/attempts.py
@@ -0,0 +1,527 @@
+"""Runs model requests: attempts over chains until the answer is whole.
+
+Each request has one greenlet, which owns its prompt, the delivered tokens and the
+attempt number. Sidecars hold soft state only, so any of them may die: the request goes
+on in a new attempt from the last delivered token.
+"""
+
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+from gevent.event import Event as Signal
+from gevent.queue import Empty, Queue
+
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.peering.errors import ConnectionLost
+from bulrushdrum._internal.peering.messages import (
+    AttemptFailed,
+    ChainStage,
+    Close,
+    Incident,
+    Open,
+    Opened,
+    Step,
+    Suspects,
+    Token,
+    Tokens,
+)
+from bulrushdrum._internal.routing.chains import ChainPlanner, ChainRequest
+from bulrushdrum._internal.routing.errors import (
+    AttemptAborted,
+    NoChain,
+    RequestNotRun,
+    RequestOutcomeUnknown,
+)
+from bulrushdrum._internal.routing.membership import Membership, Upstream
+from bulrushdrum._internal.routing.retries import RetryBudget
+from bulrushdrum._internal.routing.suspects import SuspectRegistry
+from bulrushdrum._internal.settings.entry import EntrySettings
+from bulrushdrum._internal.world.contracts import Contract
+from bulrushdrum._internal.world.requests import ChatRequest
+
+_RETRY_POLL_SECONDS = 0.05
+
+
+class DeliveredToken(NamedTuple):
+    """A token of the answer; `position` counts from the first prompt token."""
+
+    position: int
+    token: int
+    text: str
+
+
+class UpstreamLost(NamedTuple):
+    """Event: the sidecar of an upstream in the chain is lost."""
+
+    upstream: Upstream
+
+
+class ReportedFailure(NamedTuple):
+    """Event: a stage reports that the attempt cannot go on."""
+
+    failed: AttemptFailed
+    reporter: str  # incarnation of the sidecar
+
+
+class BoundStage(NamedTuple):
+    """The first stage of a non-idempotent request, fixed by its binding."""
+
+    incarnation: str
+    key: str
+    window: int
+    generation: int
+
+
+class AttemptNote(NamedTuple):
+    """One attempt as the entry saw it; `cause` is empty for the last one."""
+
+    number: int
+    chain: tuple[str, ...]
+    cause: str
+    ran: bool
+
+
+class RunningRequest:
+    """A model request in progress at this entry."""
+
+    def __init__(self, request: ChatRequest, contract: Contract, deliver, bound=None):
+        self._request = request
+        self._contract = contract
+        self._deliver = deliver
+        self._bound = bound
+        self._events = Queue()
+        self._tokens: list[DeliveredToken] = []
+        self._attempt = 0
+        self._notes: list[AttemptNote] = []
+        self._avoid: set[str] = set()
+        self._cancelled = False
+        self._may_have_run = False
+        self._deadline = 0.0
+
+    @property
+    def request(self) -> ChatRequest:
+        return self._request
+
+    @property
+    def contract(self) -> Contract:
+        return self._contract
+
+    @property
+    def bound(self) -> BoundStage | None:
+        return self._bound
+
+    @property
+    def tokens(self) -> list[DeliveredToken]:
+        return self._tokens
+
+    @property
+    def attempt(self) -> int:
+        return self._attempt
+
+    @property
+    def notes(self) -> list[AttemptNote]:
+        return self._notes
+
+    @property
+    def avoid(self) -> set[str]:
+        return self._avoid
+
+    @property
+    def deadline(self) -> float:
+        return self._deadline
+
+    @property
+    def next_position(self) -> int:
+        return len(self._request.prompt) + len(self._tokens)
+
+    @property
+    def cancelled(self) -> bool:
+        return self._cancelled
+
+    @property
+    def may_have_run(self) -> bool:
+        """False only while it is known that no upstream ran any of the request."""
+        return self._may_have_run
+
+    def set_may_have_run(self, value: bool):
+        self._may_have_run = value
+
+    def begin(self, deadline: float):
+        self._deadline = deadline
+
+    def begin_attempt(self) -> int:
+        self._attempt += 1
+        return self._attempt
+
+    def post(self, event):
+        """Queue an event of the current attempt for the request's greenlet."""
+        self._events.put(event)
+
+    def next_event(self, timeout: float):
+        try:
+            return self._events.get(timeout=max(timeout, 0))
+        except Empty:
+            return None
+
+    def cancel(self):
+        """Let the greenlet end the request; the caller has gone away."""
+        self._cancelled = True
+        self._events.put(None)
+
+    def deliver(self, token: Token):
+        delivered = DeliveredToken(token.position, token.token, token.text)
+        self._tokens.append(delivered)
+        self._deliver(delivered)
+
+    def dump(self) -> dict:
+        return {
+            "customer": self._request.customer,
+            "attempt": self._attempt,
+            "delivered_tokens": len(self._tokens),
+            "attempts": [note._asdict() for note in self._notes],
+        }
+
+
+class ModelRunner:
+    """Runs chat requests of this entry on the pool."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        planner: ChainPlanner,
+        budget: RetryBudget,
+        suspects: SuspectRegistry,
+        settings: EntrySettings,
+    ):
+        self._membership = membership
+        self._hub = membership.hub
+        self._planner = planner
+        self._budget = budget
+        self._suspects = suspects
+        self._settings = settings
+        self._running: dict[str, RunningRequest] = {}
+        self._pool_changed = Signal()
+        membership.on_upstream_lost(self._handle_upstream_lost)
+        membership.on_change(self._pool_changed.set)
+        self._hub.register(Opened, self._handle_opened)
+        self._hub.register(Tokens, self._handle_tokens)
+        self._hub.register(AttemptFailed, self._handle_failed)
+        self._hub.register(Suspects, self._handle_suspects)
+        self._hub.on_connected(self._share_incidents)
+
+    @property
+    def running(self) -> dict[str, RunningRequest]:
+        return self._running
+
+    def run(
+        self,
+        request: ChatRequest,
+        contract: Contract,
+        deliver: Callable[[DeliveredToken], None],
+        bound: BoundStage | None = None,
+        on_start: Callable[[RunningRequest], None] = lambda running: None,
+    ) -> str:
+        """Run a request to its end and return the finish reason, "stop" or "length".
+
+        `deliver` is called once for each token in order. Raises `RequestNotRun` or
+        `RequestOutcomeUnknown`.
+        """
+        running = RunningRequest(request, contract, deliver, bound)
+        running.begin(time.monotonic() + self._settings.request_timeout)
+        self._running[request.request_id] = running
+        on_start(running)
+        try:
+            return self._run_attempts(running)
+        finally:
+            del self._running[request.request_id]
+
+    def dump(self) -> dict:
+        return {
+            "running": {
+                request_id: running.dump()
+                for request_id, running in list(self._running.items())
+            },
+            "retry_budget": self._budget.dump(),
+            "suspects": self._suspects.dump(),
+        }
+
+    def _run_attempts(self, running):
+        while True:
+            self._refuse_convicted(running)
+            chain = self._wait_for_chain(running)
+            number = running.begin_attempt()
+            ran_before = running.may_have_run
+            try:
+                reason = self._run_attempt(running, chain, number)
+            except AttemptAborted as error:
+                running.set_may_have_run(ran_before or error.ran)
+                self._note_failure(running, chain, number, error)
+                self._check_retry(running, error)
+            else:
+                names = tuple(upstream.id for upstream in chain)
+                running.notes.append(AttemptNote(number, names, "", True))
+                return reason
+
+    # Before an attempt.
+
+    def _refuse_convicted(self, running):
+        if self._suspects.is_convicted(running.request.fingerprint):
+            log_event(Event.REQUEST_CONVICTED, request=running.request.request_id)
+            message = "this request has crashed the upstreams that ran it"
+            self._end(running, "request_crashes_upstreams", message)
+
+    def _end(self, running, code, message):
+        if running.may_have_run:
+            raise RequestOutcomeUnknown(code, message)
+        raise RequestNotRun(code, message)
+
+    def _wait_for_chain(self, running):
+        request = running.request
+        suspect = self._suspects.is_suspect(request.fingerprint)
+        wait_until = min(
+            running.deadline, time.monotonic() + self._settings.queue_timeout
+        )
+        if running.may_have_run:
+            wait_until = running.deadline
+        while True:
+            self._check_cancelled(running)
+            wanted = ChainRequest(
+                model=request.model,
+                prompt=request.prompt,
+                answer_tokens=request.max_tokens - len(running.tokens),
+                entry_data_centre=self._settings.data_centre,
+                avoid=frozenset(running.avoid),
+                suspect=request.fingerprint if suspect else "",
+                first=running.bound.incarnation if running.bound else "",
+            )
+            self._pool_changed.clear()
+            try:
+                return self._planner.choose(wanted)
+            except NoChain as error:
+                left = wait_until - time.monotonic()
+                if left <= 0:
+                    self._end(running, error.code, str(error))
+                self._pool_changed.wait(min(left, 1.0))
+
+    def _check_cancelled(self, running):
+        if running.cancelled:
+            self._end(running, "caller_gone", "the caller closed the connection")
+
+    # One attempt.
+
+    def _run_attempt(self, running, chain, number):
+        request = running.request
+        repeated = len(request.prompt) + len(running.tokens)
+        work = repeated + request.max_tokens - len(running.tokens)
+        suspect = self._suspects.is_suspect(request.fingerprint)
+        for upstream in chain:
+            upstream.assign(work)
+            if suspect:
+                upstream.solo_fingerprints.add(request.fingerprint)
+        progressed = 0
+        try:
+            self._open_stages(running, chain, number, suspect)
+            first = Step(
+                request=request.request_id,
+                attempt=number,
+                position=0,
+                count=repeated,
+                tokens=request.prompt + tuple(t.token for t in running.tokens),
+            )
+            self._send(chain[0], first)
+            running.set_may_have_run(True)
+            self._budget.record_tokens(repeated)
+            while True:
+                token = self._next_token(running, chain, number)
+                done = repeated if not progressed else 1
+                progressed += done
+                for upstream in chain:
+                    upstream.progress(done)
+                self._budget.record_tokens(1)
+                running.deliver(token)
+                if token.final:
+                    return token.finish_reason
+        finally:
+            for upstream in chain:
+                upstream.unassign(work - progressed)
+                upstream.solo_fingerprints.discard(request.fingerprint)
+            self._close_stages(running, chain, number)
+
+    def _open_stages(self, running, chain, number, suspect):
+        request = running.request
+        stages = tuple(
+            ChainStage(u.id, u.incarnation, u.address, u.layers.first, u.layers.end)
+            for u in chain
+        )
+        for index, upstream in enumerate(chain):
+            bound = running.bound if index == 0 else None
+            message = Open(
+                request=request.request_id,
+                attempt=number,
+                stage=index,
+                chain=stages,
+                customer=request.customer,
+                weight=running.contract.share,
+                priority=running.contract.priority,
+                seed=request.seed,
+                max_tokens=request.max_tokens - len(running.tokens),
+                prompt_tokens=running.next_position,
+                model=request.model,
+                model_version=upstream.description.model_version,
+                fingerprint=request.fingerprint,
+                binding_key=bound.key if bound else "",
+                window=bound.window if bound else 0,
+                generation=bound.generation if bound else 0,
+                solo=suspect,
+            )
+            self._send(upstream, message)
+        self._await_opened(running, chain, number)
+
+    def _await_opened(self, running, chain, number):
+        waiting = set(range(len(chain)))
+        until = time.monotonic() + self._settings.open_timeout
+        while waiting:
+            event = self._next_event(running, chain, number, until, ran=False)
+            match event:
+                case None:
+                    silent = chain[min(waiting)]
+                    raise AttemptAborted("open timed out", False, silent.incarnation)
+                case Opened(accepted=True):
+                    waiting.discard(event.stage)
+                case Opened():
+                    refuser = chain[event.stage].incarnation
+                    raise AttemptAborted(f"refused: {event.reason}", False, refuser)
+
+    def _next_token(self, running, chain, number):
+        until = time.monotonic() + self._settings.token_timeout
+        until = min(until, running.deadline)
+        while True:
+            event = self._next_event(running, chain, number, until, ran=True)
+            match event:
+                case None if time.monotonic() >= running.deadline:
+                    raise RequestOutcomeUnknown(
+                        "deadline_exceeded", "the answer took longer than allowed"
+                    )
+                case None:
+                    raise AttemptAborted("token timed out", True)
+                case Token() if event.position == running.next_position:
+                    return event
+                case Token() if event.position > running.next_position:
+                    raise AttemptAborted("token out of order", True)
+
+    def _next_event(self, running, chain, number, until, ran):
+        """Return the next event of this attempt, or None at the time `until`."""
+        while True:
+            event = running.next_event(until - time.monotonic())
+            self._check_cancelled(running)
+            match event:
+                case None:
+                    return None
+                case UpstreamLost(upstream):
+                    if upstream in chain:
+                        raise AttemptAborted("stage lost", ran, upstream.incarnation)
+                case ReportedFailure(failed, reporter) if failed.attempt == number:
+                    # The first stage alone can know that no layer ran.
+                    first = reporter == chain[0].incarnation and not running.tokens
+                    raise AttemptAborted(
+                        failed.cause,
+                        ran and (failed.ran or not first),
+                        self._incarnation_of(chain, failed.upstream),
+                    )
+                case Opened() | Token() if event.attempt == number:
+                    return event
+
+    def _incarnation_of(self, chain, name):
+        return next((u.incarnation for u in chain if u.id == name), "")
+
+    def _send(self, upstream, message):
+        try:
+            upstream.connection.send(message)
+        except ConnectionLost as error:
+            cause = f"stage lost: {error}"
+            raise AttemptAborted(cause, False, upstream.incarnation) from error
+
+    def _close_stages(self, running, chain, number):
+        message = Close(running.request.request_id, number, "finished")
+        for upstream in chain:
+            try:
+                upstream.connection.send(message)
+            except ConnectionLost:
+                pass  # a lost sidecar frees the attempt by itself
+
+    # After a failed attempt.
+
+    def _note_failure(self, running, chain, number, error):
+        names = tuple(upstream.id for upstream in chain)
+        running.notes.append(AttemptNote(number, names, error.cause, error.ran))
+        if error.upstream:
+            running.avoid.add(error.upstream)
+        elif error.ran:
+            running.avoid.update(upstream.incarnation for upstream in chain)
+        log_event(
+            Event.ATTEMPT_FAILED,
+            request=running.request.request_id,
+            attempt=number,
+            cause=error.cause,
+            upstream=error.upstream,
+            chain=list(names),
+        )
+
+    def _check_retry(self, running, error):
+        """Return if another attempt may be made, after waiting for the retry budget."""
+        if running.bound is not None:
+            message = f"the attempt failed and must not be repeated: {error.cause}"
+            self._end(running, "attempt_failed", message)
+        repeated = running.next_position
+        while error.ran and not self._budget.try_spend(repeated):
+            if time.monotonic() >= running.deadline:
+                message = "the retry budget was used up until the deadline"
+                self._end(running, "retry_budget_exhausted", message)
+            self._check_cancelled(running)
+            gevent.sleep(_RETRY_POLL_SECONDS)
+        if not error.ran:
+            gevent.sleep(_RETRY_POLL_SECONDS)
+            if time.monotonic() >= running.deadline or len(running.notes) > 50:
+                self._end(running, "overloaded", f"no chain accepted it: {error.cause}")
+
+    # Messages from sidecars and other entries.
+
+    def _handle_opened(self, connection, opened):
+        running = self._running.get(opened.request)
+        if running is not None and running.attempt == opened.attempt:
+            running.post(opened)
+
+    def _handle_tokens(self, connection, tokens):
+        for token in tokens.tokens:
+            running = self._running.get(token.request)
+            if running is not None and running.attempt == token.attempt:
+                running.post(token)
+
+    def _handle_failed(self, connection, failed):
+        if failed.incident:
+            incident = Incident(failed.incident, failed.suspects)
+            if self._suspects.add(incident):
+                log_event(
+                    Event.SUSPECT_REPORTED,
+                    incident=failed.incident,
+                    fingerprints=list(failed.suspects),
+                )
+                self._hub.broadcast("entry", Suspects((incident,)))
+        running = self._running.get(failed.request)
+        if running is not None and running.attempt == failed.attempt:
+            running.post(ReportedFailure(failed, connection.peer.incarnation))
+
+    def _handle_suspects(self, connection, suspects):
+        for incident in suspects.incidents:
+            self._suspects.add(incident)
+
+    def _share_incidents(self, connection):
+        incidents = self._suspects.incidents()
+        if connection.peer.kind == "entry" and incidents:
+            connection.send(Suspects(incidents))
+
+    def _handle_upstream_lost(self, upstream):
+        for running in list(self._running.values()):
+            running.post(UpstreamLost(upstream))
--- /dev/null
+++ b/src/bulrushdrum/_internal/routing/membership.py
@@ -0,0 +1,398 @@
+"""Which entries and upstreams exist and can be reached.
+
+The platform's VM list says which VMs to dial; it lags, so whether a peer can be used is
+decided by its connection and its heartbeats alone. What a sidecar says of its own
+upstream goes before what the list says. One greenlet keeps the connection to one VM.
+"""
+
+import random
+import time
+
+import gevent
+
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.peering.connections import dial
+from bulrushdrum._internal.peering.errors import ConnectionLost, PeeringError
+from bulrushdrum._internal.peering.handshake import PeeringKeys
+from bulrushdrum._internal.peering.hub import PeerHub
+from bulrushdrum._internal.peering.messages import Beat, Describe
+from bulrushdrum._internal.platform.errors import PlatformError
+from bulrushdrum._internal.settings.entry import EntrySettings
+from bulrushdrum._internal.world.upstreams import LayerRange, UpstreamState
+from bulrushdrum._internal.world.vms import Vm, VmState
+
+MISSED_BEATS = 3
+CLOCK_GAP_SECONDS = 2.0
+_MAX_REDIAL_SECONDS = 5.0
+
+
+class Upstream:
+    """One upstream as this entry sees it through its sidecar."""
+
+    def __init__(self, connection, description: Describe):
+        self._connection = connection
+        self._description = description
+        self._reported_tokens = 0
+        self._reported_running = 0
+        self._assigned_tokens = 0
+        self._assigned_requests = 0
+        self._solo_fingerprints: set[str] = set()
+        self._listed_leaving = False
+
+    @property
+    def id(self) -> str:
+        return self._description.upstream
+
+    @property
+    def description(self) -> Describe:
+        return self._description
+
+    @property
+    def incarnation(self) -> str:
+        return self._connection.peer.incarnation
+
+    @property
+    def address(self) -> str:
+        return self._connection.peer.address
+
+    @property
+    def data_centre(self) -> str:
+        return self._connection.peer.data_centre
+
+    @property
+    def connection(self):
+        return self._connection
+
+    @property
+    def layers(self) -> LayerRange:
+        return LayerRange(self._description.first_layer, self._description.end_layer)
+
+    @property
+    def window(self) -> int:
+        return self._description.window
+
+    @property
+    def serving(self) -> bool:
+        return (
+            self._description.state == UpstreamState.SERVING
+            and not self._listed_leaving
+            and not self._connection.closed
+        )
+
+    @property
+    def assigned_tokens(self) -> int:
+        """Tokens of this entry's requests on the upstream that are still to run."""
+        return self._assigned_tokens
+
+    @property
+    def assigned_requests(self) -> int:
+        return self._assigned_requests
+
+    @property
+    def reported_tokens(self) -> int:
+        return self._reported_tokens
+
+    @property
+    def reported_running(self) -> int:
+        return self._reported_running
+
+    @property
+    def solo_fingerprints(self) -> set[str]:
+        """Suspects that this entry runs here; see `routing.suspects`."""
+        return self._solo_fingerprints
+
+    def assign(self, tokens: int):
+        self._assigned_tokens += tokens
+        self._assigned_requests += 1
+
+    def progress(self, tokens: int):
+        self._assigned_tokens -= tokens
+
+    def unassign(self, tokens: int):
+        self._assigned_tokens -= tokens
+        self._assigned_requests -= 1
+
+    def update_description(self, description: Describe):
+        self._description = description
+
+    def update_load(self, beat: Beat):
+        self._reported_tokens = beat.queued_tokens
+        self._reported_running = beat.running
+        self._description = self._description._replace(
+            state=beat.state, window=beat.window
+        )
+
+    def mark_listed_leaving(self, leaving: bool):
+        self._listed_leaving = leaving
+
+    def dump(self) -> dict:
+        return {
+            "incarnation": self.incarnation,
+            "data_centre": self.data_centre,
+            "state": self._description.state,
+            "listed_leaving": self._listed_leaving,
+            "service": self._description.service,
+            "model": self._description.model,
+            "model_version": self._description.model_version,
+            "layers": list(self.layers),
+            "assigned_requests": self._assigned_requests,
+            "assigned_tokens": self._assigned_tokens,
+            "reported_running": self._reported_running,
+            "reported_tokens": self._reported_tokens,
+            "window": self.window,
+        }
+
+
+class _BeatState:
+    """Heartbeat numbers of one connection."""
+
+    def __init__(self):
+        self.sent = 0
+        self.received = 0
+        self.echoed = 0
+        self.last_heard = time.monotonic()
+
+
+class Membership:
+    """Dials peers, exchanges heartbeats and holds the upstreams that answered.
+
+    `beat_fields()` returns the configuration revision and the entry-set version for
+    outgoing beats; `on_entry_beat(connection, beat)` is called for each beat of another
+    entry; `on_clock_gap(seconds)` after this process was paused.
+    """
+
+    def __init__(
+        self, hub: PeerHub, settings: EntrySettings, keys: PeeringKeys, vm_list
+    ):
+        self._hub = hub
+        self._settings = settings
+        self._keys = keys
+        self._vm_list = vm_list
+        self._random = random.Random(settings.seed or None)
+        self._listed: dict[str, Vm] = {}
+        self._last_listed: dict[str, float] = {}
+        self._list_read_at = 0.0
+        self._started_at = time.monotonic()
+        self._dialers: dict[str, gevent.Greenlet] = {}
+        self._upstreams: dict[str, Upstream] = {}
+        self._beats: dict[str, _BeatState] = {}
+        self._incarnation_at: dict[str, str] = {}
+        self._upstream_lost_callbacks = []
+        self._change_callbacks = []
+        self.beat_fields = lambda: (0, 0)
+        self.on_entry_beat = lambda connection, beat: None
+        self.on_clock_gap = lambda seconds: None
+        self.state = UpstreamState.SERVING
+        hub.register(Describe, self._handle_describe)
+        hub.register(Beat, self._handle_beat)
+        hub.on_connected(self._handle_connected)
+        hub.on_lost(self._handle_lost)
+
+    @property
+    def hub(self) -> PeerHub:
+        return self._hub
+
+    def start(self):
+        gevent.spawn(self._read_vm_list)
+        gevent.spawn(self._send_beats)
+
+    def upstreams(self) -> list[Upstream]:
+        return list(self._upstreams.values())
+
+    def upstream_by_incarnation(self, incarnation: str) -> Upstream | None:
+        return self._upstreams.get(incarnation)
+
+    def on_upstream_lost(self, callback):
+        """Call `callback(upstream)` when an upstream's sidecar is lost."""
+        self._upstream_lost_callbacks.append(callback)
+
+    def on_change(self, callback):
+        """Call `callback()` when upstreams appear, change state or disappear."""
+        self._change_callbacks.append(callback)
+
+    def is_known_dead(self, node: str, address: str, incarnation: str) -> bool:
+        """Return whether the entry incarnation is certainly not running any more.
+
+        That is so if another incarnation answered at its address, or if the platform
+        does not list its VM any more. Silence alone proves nothing: the process may be
+        paused or cut off.
+        """
+        if incarnation == self._hub.local.incarnation:
+            return False
+        if self._hub.connection_to(incarnation) is not None:
+            return False
+        successor = self._incarnation_at.get(address)
+        if successor not in (None, incarnation):
+            return True
+        if address == self._hub.local.address:
+            return True
+        if not self._list_read_at:
+            return False
+        listed = self._listed.get(node)
+        if listed is not None:
+            return listed.address != address
+        if node in self._last_listed:
+            return True
+        # Never listed since this process started: it may be too new for the list.
+        return time.monotonic() - self._started_at > self._settings.vm_list_max_lag
+
+    def dump(self) -> dict:
+        now = time.monotonic()
+        return {
+            "listed_vms": len(self._listed),
+            "list_age_seconds": round(now - self._list_read_at, 1)
+            if self._list_read_at
+            else None,
+            "entries": [
+                {
+                    "node": connection.peer.node,
+                    "incarnation": connection.peer.incarnation,
+                }
+                for connection in self._hub.connections("entry")
+            ],
+            "upstreams": {
+                upstream.id: upstream.dump() for upstream in self._upstreams.values()
+            },
+        }
+
+    # The VM list and dialling.
+
+    def _read_vm_list(self):
+        while True:
+            try:
+                listed = self._vm_list.fetch()
+            except PlatformError:
+                pass  # the last list stays in use; connections decide anyway
+            else:
+                self._apply_vm_list(listed)
+            pause = self._settings.vm_list_interval
+            gevent.sleep(pause * self._random.uniform(0.8, 1.2))
+
+    def _apply_vm_list(self, listed):
+        now = time.monotonic()
+        self._list_read_at = now
+        self._listed = {vm.name: vm for vm in listed}
+        for vm in listed:
+            self._last_listed[vm.name] = now
+            if self._should_dial(vm) and vm.address not in self._dialers:
+                self._dialers[vm.address] = gevent.spawn(self._keep_connected, vm)
+        for upstream in self._upstreams.values():
+            vm = self._listed.get(upstream.connection.peer.node)
+            leaving = vm is not None and vm.state == VmState.LEAVING
+            upstream.mark_listed_leaving(leaving)
+
+    def _should_dial(self, vm):
+        if vm.name == self._settings.node:
+            return False
+        if vm.role == "entry":
+            # One side of each pair dials, so that both keep the same connection.
+            return self._settings.node < vm.name
+        watched = self._settings.watched_data_centres
+        if watched:
+            return vm.data_centre in watched
+        return vm.region == self._settings.region
+
+    def _keep_connected(self, vm):
+        pause = self._settings.heartbeat_interval / 2
+        while self._listed.get(vm.name, vm).address == vm.address:
+            try:
+                connection = dial(
+                    vm.address, self._hub.local, self._keys, self._settings.address_map
+                )
+            except PeeringError:
+                if vm.name not in self._listed:
+                    break
+                gevent.sleep(pause * self._random.uniform(0.5, 1.0))
+                pause = min(pause * 2, _MAX_REDIAL_SECONDS)
+                continue
+            pause = self._settings.heartbeat_interval / 2
+            self._hub.serve(connection)
+            gevent.sleep(pause * self._random.uniform(0.5, 1.0))
+        self._dialers.pop(vm.address, None)
+
+    # Heartbeats.
+
+    def _send_beats(self):
+        interval = self._settings.heartbeat_interval
+        last = time.monotonic()
+        while True:
+            gevent.sleep(interval)
+            now = time.monotonic()
+            gap = now - last - interval
+            last = now
+            if gap > CLOCK_GAP_SECONDS:
+                log_event(Event.CLOCK_GAP, seconds=round(gap, 3))
+                # Messages that arrived during the pause are still unread.
+                for state in self._beats.values():
+                    state.last_heard = now
+                self.on_clock_gap(gap)
+            self._beat_once(now, interval)
+
+    def _beat_once(self, now, interval):
+        revision, version = self.beat_fields()
+        for connection in self._hub.connections():
+            state = self._beats.get(connection.peer.incarnation)
+            if state is None:
+                continue
+            if now - state.last_heard > MISSED_BEATS * interval:
+                connection.close()
+                continue
+            state.sent += 1
+            beat = Beat(
+                sequence=state.sent,
+                echoed=state.received,
+                state=self.state,
+                config_revision=revision,
+                entry_set_version=version,
+            )
+            try:
+                connection.send(beat)
+            except ConnectionLost:
+                pass  # the reader greenlet reports the loss
+
+    def _handle_connected(self, connection):
+        peer = connection.peer
+        self._beats[peer.incarnation] = _BeatState()
+        self._incarnation_at[peer.address] = peer.incarnation
+
+    def _handle_beat(self, connection, beat):
+        state = self._beats.get(connection.peer.incarnation)
+        if state is None:
+            return
+        state.received = max(state.received, beat.sequence)
+        # A beat proves both directions only when it echoes what was sent since the last
+        # one; a peer that hears nothing from here must not count as reachable.
+        if beat.echoed > state.echoed or state.sent <= MISSED_BEATS:
+            state.echoed = beat.echoed
+            state.last_heard = time.monotonic()
+        if connection.peer.kind == "entry":
+            self.on_entry_beat(connection, beat)
+            return
+        upstream = self._upstreams.get(connection.peer.incarnation)
+        if upstream is not None:
+            before = upstream.serving
+            upstream.update_load(beat)
+            if upstream.serving != before:
+                self._changed()
+
+    def _handle_describe(self, connection, description):
+        upstream = self._upstreams.get(connection.peer.incarnation)
+        if upstream is None or upstream.connection is not connection:
+            upstream = Upstream(connection, description)
+            self._upstreams[connection.peer.incarnation] = upstream
+        else:
+            upstream.update_description(description)
+        self._changed()
+
+    def _handle_lost(self, connection):
+        incarnation = connection.peer.incarnation
+        self._beats.pop(incarnation, None)
+        upstream = self._upstreams.pop(incarnation, None)
+        if upstream is not None:
+            for callback in self._upstream_lost_callbacks:
+                callback(upstream)
+            self._changed()
+
+    def _changed(self):
+        for callback in self._change_callbacks:
+            callback()
--- /dev/null
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -0,0 +1,87 @@
+"""Settings of an entry."""
+
+from dataclasses import dataclass
+
+from bulrushdrum._internal.peering.connections import parse_address
+from bulrushdrum._internal.settings.reading import setting
+
+
+def _is_url(value):
+    if not value.startswith("http://"):
+        raise ValueError(f"{value!r} is not a URL like 'http://10.0.0.9:9000'")
+
+
+def _is_policy(value):
+    policies = (
+        "least_delay",
+        "random",
+        "round_robin",
+        "least_reported",
+        "two_choices",
+    )
+    if value not in policies:
+        raise ValueError(f"{value!r} is not one of {', '.join(policies)}")
+
+
+@dataclass(frozen=True)
+class EntrySettings:
+    """All settings of `bulrushdrum entry`; times are in seconds."""
+
+    node: str = setting(help="name of this VM, unique over all VMs")
+    data_centre: str = setting(help="name of the data centre of this VM")
+    region: str = setting(help="region of the data centre")
+    listen: str = setting(check=parse_address, help="address for other processes")
+    http_listen: str = setting(check=parse_address, help="address for callers")
+    operator_listen: str = setting(check=parse_address, help="address for operators")
+    operator_key: str = setting(secret=True, help="bearer token of operators")
+    keys: dict[str, str] = setting(secret=True, help="shared peer keys by key id")
+    current_key: str = setting(help="id of the key used when dialling")
+    table_url: str = setting(check=_is_url, help="the platform's table service")
+    objects_url: str = setting(check=_is_url, help="the platform's object store")
+    vm_list_url: str = setting(check=_is_url, help="the platform's VM list")
+    advertised: str = setting("", help="address that peers dial; listen if empty")
+    watched_data_centres: list[str] = setting(
+        [], help="data centres whose sidecars are dialled; empty means the whole region"
+    )
+    regions: dict[str, str] = setting({}, help="region of each data centre")
+    link_delays: dict[str, float] = setting(
+        {}, unit="s", help="one-way delay between data centres as {'a|b': 0.02}"
+    )
+    local_delay: float = setting(0.0002, unit="s", low=0, high=1)
+    default_delay: float = setting(0.001, unit="s", low=0, high=10)
+    address_map: dict[str, str] = setting(
+        {}, help="addresses to dial in place of others"
+    )
+    heartbeat_interval: float = setting(0.5, unit="s", low=0.05, high=60)
+    vm_list_interval: float = setting(2.0, unit="s", low=0.1, high=300)
+    vm_list_max_lag: float = setting(
+        300.0, unit="s", low=1, high=86400, help="a VM unlisted for so long is dead"
+    )
+    store_timeout: float = setting(2.0, unit="s", low=0.05, high=60)
+    request_timeout: float = setting(120.0, unit="s", low=1, high=3600)
+    queue_timeout: float = setting(5.0, unit="s", low=0, high=600)
+    open_timeout: float = setting(2.0, unit="s", low=0.05, high=60)
+    token_timeout: float = setting(
+        5.0, unit="s", low=0.1, high=600, help="longest wait for the next token"
+    )
+    service_timeout: float = setting(10.0, unit="s", low=0.1, high=600)
+    retry_ratio: float = setting(
+        0.1, low=0, high=1, help="repeated tokens as a part of all tokens"
+    )
+    retry_reserve: int = setting(
+        20_000, unit="tokens", low=0, high=10_000_000, help="retry budget at the start"
+    )
+    max_body_bytes: int = setting(1_048_576, unit="bytes", low=1024, high=16_777_216)
+    max_header_bytes: int = setting(16_384, unit="bytes", low=1024, high=1_048_576)
+    max_prompt_tokens: int = setting(32_768, unit="tokens", low=1, high=1_000_000)
+    max_answer_tokens: int = setting(8_192, unit="tokens", low=1, high=1_000_000)
+    max_connections: int = setting(2_000, low=1, high=100_000)
+    max_running: int = setting(
+        500, low=1, high=100_000, help="requests in progress and waiting at this entry"
+    )
+    routing_policy: str = setting("least_delay", check=_is_policy)
+    seed: int = setting(0, low=0, high=2**63 - 1, help="0 takes a fresh seed")
+
+    @property
+    def advertised_address(self) -> str:
+        return self.advertised or self.listen
