Add permits, the entry set and the record keeper

Permits follow from the entry set by rendezvous hashing; loans are reconciled after a lost connection.

--- /dev/null
+++ b/src/bulrushdrum/_internal/limits/acknowledgements.py
@@ -0,0 +1,161 @@
+"""Acknowledgements of entry-set versions, and the rights that follow from them.
+
+A permit moves to a new owner when the entry set or its customer's home region changes.
+The new owner may use it only when every other member, and every guest, has acknowledged
+exactly the same version and at least the revision of the home region, and none of them
+lists the permit as busy. An owner that had the right before, under an unbroken chain of
+versions, keeps it: nobody else can have gained it without this entry's acknowledgement.
+
+A guest is an entry that is not a member, for example because it started while the table
+was down. It may hold loans, so its acknowledgement is needed like a member's. It
+borrows only once every member has confirmed that it knows the guest.
+"""
+
+from collections import deque
+
+from bulrushdrum._internal.limits.ownership import Ownership
+from bulrushdrum._internal.peering.messages import EntryMember, EntrySetAck
+
+# Versions through which a kept right is traced back. Forgetting older ones costs a wait
+# for acknowledgements and is always safe.
+_MAX_HISTORY = 16
+
+
+class Acknowledgements:
+    """What the peers have acknowledged, as seen by one entry."""
+
+    def __init__(self, entry_set):
+        self._entry_set = entry_set
+        self._acks: dict[str, EntrySetAck] = {}
+        self._guests: dict[str, EntryMember] = {}
+        self._identities: dict[str, EntryMember] = {}
+        self._settled_revision = -1
+        self._history: deque[tuple[Ownership, int]] = deque(maxlen=_MAX_HISTORY)
+        self._busy: dict[str, set[int]] = {}
+        self._generation = 0
+        self._settle()
+
+    @property
+    def guests(self) -> tuple[EntryMember, ...]:
+        return tuple(self._guests.values())
+
+    @property
+    def generation(self) -> int:
+        """Grows whenever the rights that follow may have changed."""
+        return self._generation
+
+    def busy(self, customer: str) -> set[int]:
+        """Return the permits that peers list as busy."""
+        return self._busy.get(customer, set())
+
+    def missing(self) -> list[str]:
+        """Return the nodes that have not acknowledged the version in force."""
+        version = self._entry_set.version
+        return [
+            member.node
+            for incarnation, member in self._required().items()
+            if incarnation not in self._acks
+            or self._acks[incarnation].version != version
+        ]
+
+    def adopted(self, previous: Ownership, own_revision: int):
+        """Note that the entry set has changed from `previous`."""
+        self._history.append((previous, min(self._settled_revision, own_revision)))
+        self._settled_revision = -1
+        for incarnation, ack in self._acks.items():
+            self._note_guests(incarnation, ack)
+        self._settle()
+
+    def receive(self, identity: EntryMember, ack: EntrySetAck) -> bool:
+        """Note an acknowledgement; return whether its sender is a new guest."""
+        incarnation = identity.incarnation
+        earlier = self._acks.get(incarnation)
+        if earlier is not None and earlier.sequence >= ack.sequence:
+            return False
+        self._acks[incarnation] = ack
+        self._identities[incarnation] = identity
+        was_guest = incarnation in self._guests
+        self._note_guests(incarnation, ack)
+        self._settle()
+        return incarnation in self._guests and not was_guest
+
+    def settled(self, home_revision: int) -> bool:
+        """Whether all peers have left every earlier owner behind."""
+        return self._settled_revision >= home_revision
+
+    def was_owner(self, customer, number, home, home_revision) -> bool:
+        """Whether this entry's right has lasted since an earlier, settled version."""
+        local = self._entry_set.local.incarnation
+        for ownership, settled_revision in reversed(self._history):
+            if ownership.owner(customer, number, home) != local:
+                return False
+            if settled_revision >= home_revision:
+                return True
+        return False
+
+    def confirms_guest(self) -> bool:
+        """Whether every member knows this entry as a guest of the version in force."""
+        version = self._entry_set.version
+        local = self._entry_set.local.incarnation
+        acks = [
+            self._acks.get(member.incarnation) for member in self._entry_set.members
+        ]
+        return bool(acks) and all(
+            ack is not None
+            and ack.version == version
+            and any(guest.incarnation == local for guest in ack.guests)
+            for ack in acks
+        )
+
+    def forget_dead(self):
+        """Stop waiting for guests that are known dead."""
+        dead = [
+            incarnation
+            for incarnation, guest in self._guests.items()
+            if self._entry_set.is_known_dead(guest)
+        ]
+        for incarnation in dead:
+            del self._guests[incarnation]
+        if dead:
+            self._settle()
+
+    def _required(self):
+        required = {member.incarnation: member for member in self._entry_set.members}
+        required.update(self._guests)
+        required.pop(self._entry_set.local.incarnation, None)
+        return required
+
+    def _note_guests(self, incarnation, ack):
+        version = self._entry_set.version
+        members = {member.incarnation for member in self._entry_set.members}
+        listed = list(ack.guests)
+        # An older version of the sender does not tell whether it is a guest of ours: a
+        # member that has left may have sent it before.
+        if ack.version == version:
+            listed.append(self._identities[incarnation])
+        for guest in listed:
+            if guest.incarnation != self._entry_set.local.incarnation:
+                if not self._entry_set.is_known_dead(guest):
+                    self._guests.setdefault(guest.incarnation, guest)
+        for member in members & self._guests.keys():
+            del self._guests[member]
+
+    def _settle(self):
+        self._generation += 1
+        version = self._entry_set.version
+        required = self._required()
+        acks = [self._acks.get(incarnation) for incarnation in required]
+        if version and all(ack and ack.version == version for ack in acks):
+            revision = min((ack.config_revision for ack in acks), default=1 << 63)
+            # The right outlasts an acknowledgement of a later version by a peer: it
+            # ends only when this entry itself adopts that version.
+            self._settled_revision = max(self._settled_revision, revision)
+            # A former member's list counts until here: what it had lent is from now on
+            # listed by the borrowers.
+            for incarnation in self._acks.keys() - required.keys():
+                del self._acks[incarnation]
+                self._identities.pop(incarnation, None)
+        self._busy = {}
+        for ack in self._acks.values():
+            for permit in ack.busy:
+                self._busy.setdefault(permit.customer, set()).add(permit.number)
--- /dev/null
+++ b/src/bulrushdrum/_internal/limits/entry_set.py
@@ -0,0 +1,287 @@
+"""The entry set: the entries among which the permits are divided.
+
+Its row in the table changes by compare-and-set. An entry adopts versions upward only,
+and learns of a new one from acknowledgements and heartbeats of its peers
+(`observe_version`) and by reading a small row with the version every few seconds.
+While the table is down, it takes the newest version from a peer.
+"""
+
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event as Signal
+
+from bulrushdrum._internal.limits.errors import EntrySetInvalid
+from bulrushdrum._internal.limits.ownership import EntrySetVersion, Ownership, _hash
+from bulrushdrum._internal.limits.settings import LimitSettings
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.peering.errors import ConnectionLost
+from bulrushdrum._internal.peering.messages import (
+    EntryMember,
+    EntrySetQuery,
+    EntrySetValue,
+)
+from bulrushdrum._internal.platform.errors import (
+    StoreUnavailable,
+    WriteConflict,
+    WriteOutcomeUnknown,
+)
+from bulrushdrum._internal.platform.table import Condition, Write
+
+ENTRY_SET_KEY = "entry-set"
+# A row of its own, because 380 entries that read the whole set every few seconds would
+# use most of their 14 KB/s for it.
+VERSION_KEY = "entry-set-version"
+# Polls after which any member removes a dead one, if the responsible member has not.
+_REMOVAL_POLLS = 3
+_MAX_CONFLICTS = 20
+
+
+def parse_entry_set(value) -> EntrySetVersion:
+    """Check the value of the row; raises `EntrySetInvalid`."""
+    try:
+        members = tuple(EntryMember(**member) for member in value["members"])
+        version = value["version"]
+    except (TypeError, KeyError) as error:
+        raise EntrySetInvalid(f"row {ENTRY_SET_KEY!r} is malformed: {error}") from error
+    strings = all(isinstance(part, str) for member in members for part in member)
+    if not isinstance(version, int) or version < 1 or not strings:
+        raise EntrySetInvalid(f"row {ENTRY_SET_KEY!r} has fields of the wrong type")
+    return EntrySetVersion(version, members)
+
+
+class EntrySet:
+    """This entry's view of the entry set, and its membership.
+
+    `is_known_dead(member)` says whether an `EntryMember` is known dead; time alone must
+    never make it so.
+    """
+
+    def __init__(
+        self,
+        hub,
+        table,
+        settings: LimitSettings,
+        is_known_dead: Callable[[EntryMember], bool],
+    ):
+        self._hub = hub
+        self._table = table
+        self._settings = settings
+        self._is_known_dead = is_known_dead
+        identity = hub.local
+        self._local = EntryMember(
+            identity.node,
+            identity.incarnation,
+            identity.address,
+            identity.data_centre,
+            settings.region,
+        )
+        self._ownership = Ownership(EntrySetVersion())
+        self._newest_seen = 0
+        self._callbacks = []
+        self._dead_polls: dict[str, int] = {}
+        self._leaving = False
+        self._wake = Signal()
+        self._loop = None
+        self._random = random.Random(identity.incarnation)
+        hub.register(EntrySetQuery, self._on_query)
+        hub.register(EntrySetValue, self._on_value)
+
+    @property
+    def local(self) -> EntryMember:
+        return self._local
+
+    @property
+    def ownership(self) -> Ownership:
+        return self._ownership
+
+    @property
+    def version(self) -> int:
+        return self._ownership.entry_set.version
+
+    @property
+    def members(self) -> tuple[EntryMember, ...]:
+        return self._ownership.entry_set.members
+
+    @property
+    def is_member(self) -> bool:
+        return self._ownership.entry_set.includes(self._local.incarnation)
+
+    def is_known_dead(self, member: EntryMember) -> bool:
+        return self._is_known_dead(member)
+
+    def subscribe(self, callback: Callable[[Ownership, Ownership], None]):
+        """Call `callback(previous, current)` after each adoption."""
+        self._callbacks.append(callback)
+
+    def observe_version(self, version: int):
+        """Note a version that a peer has; a newer one is fetched at once."""
+        if version > max(self._newest_seen, self.version):
+            self._newest_seen = version
+            self._wake.set()
+
+    def start(self):
+        """Join the set and keep it up to date in a greenlet."""
+        self._loop = gevent.spawn(self._run)
+
+    def stop(self):
+        if self._loop is not None:
+            self._loop.kill()
+
+    def leave(self):
+        """Leave the set; call it when no permit is in use here any more.
+
+        While the table is down the entry stays a member, until it is known dead.
+        """
+        self._leaving = True
+        return self._propose(
+            lambda members: [
+                member
+                for member in members
+                if member.incarnation != self._local.incarnation
+            ]
+        )
+
+    def poll(self):
+        """Adopt the newest version, then join and remove dead members as needed."""
+        try:
+            self._read_newest()
+        except StoreUnavailable:
+            self._ask_peers()
+            return
+        except EntrySetInvalid as error:
+            log_event(Event.INTERNAL_ERROR, error=str(error))
+            return
+        if not self._leaving and not self.is_member:
+            self._propose(self._with_local)
+        dead = self._dead_members()
+        if dead and not self._leaving:
+            self._propose(
+                lambda members: [
+                    member for member in members if member.incarnation not in dead
+                ]
+            )
+
+    def dump(self) -> dict:
+        return {
+            "version": self.version,
+            "newest_seen": self._newest_seen,
+            "member": self.is_member,
+            "members": [member.node for member in self.members],
+        }
+
+    def _run(self):
+        while True:
+            self._wake.clear()
+            try:
+                self.poll()
+            except Exception as error:  # the loop must outlive any fault of one round
+                log_event(Event.INTERNAL_ERROR, error=repr(error))
+            pause = self._settings.entry_set_poll * self._random.uniform(0.8, 1.2)
+            deadline = time.monotonic() + pause
+            if self._wake.wait(pause):
+                # A version seen while the table is down must not make a busy loop.
+                gevent.sleep(min(0.05, max(0.0, deadline - time.monotonic())))
+
+    def _read_newest(self):
+        row = self._table.read(VERSION_KEY)
+        if row is not None and row.value == self.version:
+            return
+        row = self._table.read(ENTRY_SET_KEY)
+        if row is not None:
+            self._adopt(parse_entry_set(row.value))
+
+    def _ask_peers(self):
+        if self.version and self._newest_seen <= self.version:
+            return
+        connections = self._hub.connections("entry")
+        for connection in self._random.sample(connections, min(3, len(connections))):
+            try:
+                connection.send(EntrySetQuery(self.version))
+            except ConnectionLost:
+                pass  # the next poll asks another peer
+
+    def _with_local(self, members):
+        # An earlier incarnation at this address has ended: this process has its port.
+        kept = [member for member in members if member.address != self._local.address]
+        return [*kept, self._local]
+
+    def _dead_members(self):
+        dead = {
+            member.incarnation
+            for member in self.members
+            if member != self._local and self._is_known_dead(member)
+        }
+        self._dead_polls = {
+            incarnation: self._dead_polls.get(incarnation, 0) + 1
+            for incarnation in dead
+        }
+        return {
+            incarnation
+            for incarnation, polls in self._dead_polls.items()
+            if polls > _REMOVAL_POLLS or self._is_responsible_for(incarnation, dead)
+        }
+
+    def _is_responsible_for(self, incarnation, dead):
+        """Whether this entry is to remove a dead member, so that not all try."""
+        alive = [
+            member.incarnation
+            for member in self.members
+            if member.incarnation not in dead
+        ]
+        chosen = min(alive, key=lambda other: _hash(incarnation + other), default="")
+        return chosen == self._local.incarnation
+
+    def _propose(self, change) -> bool:
+        """Write the next version; return whether the set is now as wanted."""
+        for _ in range(_MAX_CONFLICTS):
+            try:
+                row = self._table.read(ENTRY_SET_KEY)
+                current = parse_entry_set(row.value) if row else EntrySetVersion()
+                self._adopt(current)
+                members = tuple(change(list(current.members)))
+                if members == current.members:
+                    return True
+                proposed = EntrySetVersion(current.version + 1, members)
+                self._write(row.version if row else 0, proposed)
+            except WriteConflict:
+                gevent.sleep(self._random.uniform(0.0, 0.05))
+            except (StoreUnavailable, WriteOutcomeUnknown, EntrySetInvalid):
+                # The next poll reads what the row has become.
+                return False
+            else:
+                self._adopt(proposed)
+                return True
+        return False
+
+    def _write(self, row_version, proposed):
+        value = {
+            "version": proposed.version,
+            "members": [member._asdict() for member in proposed.members],
+        }
+        self._table.transact(
+            [Condition(ENTRY_SET_KEY, row_version)],
+            [Write(ENTRY_SET_KEY, value), Write(VERSION_KEY, proposed.version)],
+        )
+
+    def _adopt(self, entry_set: EntrySetVersion):
+        if entry_set.version <= self.version:
+            return
+        previous, self._ownership = self._ownership, Ownership(entry_set)
+        log_event(
+            Event.ENTRY_SET_ADOPTED,
+            version=entry_set.version,
+            members=len(entry_set.members),
+        )
+        for callback in self._callbacks:
+            callback(previous, self._ownership)
+
+    def _on_query(self, connection, query):
+        if self.version > query.version:
+            connection.send(EntrySetValue(self.version, self.members))
+
+    def _on_value(self, connection, value):
+        if connection.peer.kind == "entry":
+            self._adopt(EntrySetVersion(value.version, value.members))
--- /dev/null
+++ b/src/bulrushdrum/_internal/limits/errors.py
@@ -0,0 +1,17 @@
+"""Errors of the limits layer."""
+
+
+class LimitsError(Exception):
+    """Base class of every error raised by this package."""
+
+
+class ConcurrencyExceeded(LimitsError):
+    """No permit of the customer became free in time; the request did not run."""
+
+
+class UnknownCustomer(LimitsError):
+    """The customer has no contract, so there is no limit to grant permits from."""
+
+
+class EntrySetInvalid(LimitsError):
+    """The row of the entry set in the table does not have the form of one."""
--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -282,6 +282,7 @@
     loan: str = ""
     granted: bool = False
     reason: str = ""
+    number: int = 0
 
 
 class PermitReturn(NamedTuple):
@@ -297,11 +298,53 @@
     number: int = 0
 
 
+class EntryMember(NamedTuple):
+    """An entry as a member of the entry set."""
+
+    node: str = ""
+    incarnation: str = ""
+    address: str = ""
+    data_centre: str = ""
+    region: str = ""
+
+
 class EntrySetAck(NamedTuple):
-    """The sender has adopted a version of the entry set."""
+    """The sender has adopted a version of the entry set.
+
+    `guests` are entries known to the sender that are not members of that version.
+    """
 
     version: int = 0
     busy: tuple[BusyPermit, ...] = ()
+    sequence: int = 0
+    config_revision: int = 0
+    guests: tuple[EntryMember, ...] = ()
+
+
+class EntrySetQuery(NamedTuple):
+    """Asks a peer for the entry set; `version` is the one the sender has."""
+
+    version: int = 0
+
+
+class EntrySetValue(NamedTuple):
+    """A version of the entry set as the table holds it."""
+
+    version: int = 0
+    members: tuple[EntryMember, ...] = ()
+
+
+class LoansQuery(NamedTuple):
+    """A lender asks which of these loans the peer still holds."""
+
+    loans: tuple[str, ...] = ()
+
+
+class LoansHeld(NamedTuple):
+    """Answer to `LoansQuery`; the loans that are not held will never be used."""
+
+    queried: tuple[str, ...] = ()
+    held: tuple[str, ...] = ()
 
 
 class RecordCopies(NamedTuple):
@@ -318,9 +361,13 @@
 
 
 class RecordsFlushed(NamedTuple):
-    """These records are in the object store; the partner may drop them."""
+    """These records are in the object store; the partner may drop them.
+
+    `all` lets a former partner drop all it holds, because another one holds them now.
+    """
 
     ids: tuple[str, ...] = ()
+    all: bool = False
 
 
 class Incident(NamedTuple):
@@ -424,6 +471,10 @@
     | CacheEvents
     | DumpQuery
     | Dump
+    | EntrySetQuery
+    | EntrySetValue
+    | LoansQuery
+    | LoansHeld
 )
 
 _UNION_NAMES: dict[type, str] = {
@@ -460,6 +511,10 @@
     CacheEvents: "cacheEvents",
     DumpQuery: "dumpQuery",
     Dump: "dump",
+    EntrySetQuery: "entrySetQuery",
+    EntrySetValue: "entrySetValue",
+    LoansQuery: "loansQuery",
+    LoansHeld: "loansHeld",
 }
 _MESSAGE_TYPES = {name: kind for kind, name in _UNION_NAMES.items()}
 
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -38,6 +38,10 @@
     cacheEvents @30 :CacheEvents;
     dumpQuery @31 :DumpQuery;
     dump @32 :Dump;
+    entrySetQuery @33 :EntrySetQuery;
+    entrySetValue @34 :EntrySetValue;
+    loansQuery @35 :LoansQuery;
+    loansHeld @36 :LoansHeld;
   }
 }
 
@@ -218,14 +222,36 @@
 struct ConfigConfirm { revision @0 :UInt64; }
 
 struct PermitBorrow { loan @0 :Text; customer @1 :Text; }
-struct PermitLoan { loan @0 :Text; granted @1 :Bool; reason @2 :Text; }
+struct PermitLoan {
+  loan @0 :Text;
+  granted @1 :Bool;
+  reason @2 :Text;
+  number @3 :UInt32;         # the permit, when granted
+}
 struct PermitReturn { loan @0 :Text; }
 struct BusyPermit { customer @0 :Text; number @1 :UInt32; }
-struct EntrySetAck { version @0 :UInt64; busy @1 :List(BusyPermit); }
+struct EntrySetAck {
+  version @0 :UInt64;
+  busy @1 :List(BusyPermit);
+  sequence @2 :UInt64;       # a later acknowledgement replaces an earlier one
+  configRevision @3 :UInt64;
+  guests @4 :List(EntryMember);  # entries known to the sender that are not members
+}
+struct EntryMember {
+  node @0 :Text;
+  incarnation @1 :Text;
+  address @2 :Text;
+  dataCentre @3 :Text;
+  region @4 :Text;
+}
+struct EntrySetQuery { version @0 :UInt64; }
+struct EntrySetValue { version @0 :UInt64; members @1 :List(EntryMember); }
+struct LoansQuery { loans @0 :List(Text); }
+struct LoansHeld { queried @0 :List(Text); held @1 :List(Text); }
 
 struct RecordCopies { batch @0 :UInt64; records @1 :List(Text); }
 struct RecordsAck { batch @0 :UInt64; }
-struct RecordsFlushed { ids @0 :List(Text); }
+struct RecordsFlushed { ids @0 :List(Text); all @1 :Bool; }
 
 struct Incident { id @0 :Text; fingerprints @1 :List(Text); }
 struct Suspects { incidents @0 :List(Incident); }
--- /dev/null
+++ b/tests/unit/test_records.py
@@ -0,0 +1,145 @@
+"""Records kept at an entry and its partner, and flushed to the object store."""
+
+import gevent
+import pytest
+from simulated_peers import Network
+
+from bulrushdrum._internal.platform.errors import StoreUnavailable, WriteOutcomeUnknown
+from bulrushdrum._internal.records.errors import NoRoomForRecords
+from bulrushdrum._internal.records.record import RequestRecord, decode_record
+from bulrushdrum._internal.records.replication import RecordKeeper
+from bulrushdrum._internal.records.settings import RecordSettings
+
+SETTINGS = RecordSettings(close_wait=0.0, max_unflushed=10)
+
+
+class SimulatedObjects:
+    """`fault` is `""`, `"down"`, `"lost"` (written) or `"refused"` (not written)."""
+
+    def __init__(self):
+        self.objects, self.fault, self.attempts = {}, "", 0
+
+    def put_if_absent(self, name, data):
+        self.attempts += 1
+        if self.fault == "down":
+            raise StoreUnavailable("down")
+        if self.fault == "refused":
+            raise WriteOutcomeUnknown("no answer")
+        if name in self.objects:
+            # A repeated flush that differs would lose or change records.
+            assert self.objects[name] == data
+            return False
+        self.objects[name] = data
+        if self.fault == "lost":
+            raise WriteOutcomeUnknown("no answer")
+        return True
+
+    def get(self, name):
+        return self.objects[name]
+
+    def names(self, prefix, after=""):
+        return sorted(n for n in self.objects if n.startswith(prefix) and n > after)
+
+    def records(self):
+        return [
+            decode_record(line)
+            for data in self.objects.values()
+            for line in data.splitlines()
+        ]
+
+
+class World:
+    def __init__(self, *entries, settings=SETTINGS):
+        self.network, self.objects, self.dead = Network(), SimulatedObjects(), set()
+        self.keepers = {}
+        for name, data_centre in entries:
+            self.keepers[name] = RecordKeeper(
+                self.network.hub(name, data_centre),
+                self.objects,
+                settings,
+                lambda member: member.incarnation in self.dead,
+            )
+            for other in list(self.keepers)[:-1]:
+                self.network.connect(name, other)
+
+    def settle(self):
+        for _ in range(3):
+            for name, keeper in self.keepers.items():
+                if name not in self.dead:
+                    keeper.tick()
+                    keeper.send_copies()
+            self.network.deliver_all()
+
+    def kill(self, name):
+        self.dead.add(name)
+        for other in self.keepers:
+            if other != name:
+                self.network.cut(name, other)
+
+
+def record(name, outcome="", entry="a", **fields):
+    return RequestRecord(
+        name, "warwick", "chat", outcome, entry=entry, arrival=1.7e9, **fields
+    )
+
+
+def test_partner_in_another_data_centre_is_chosen_over_a_near_one():
+    # Guards against losing both copies with one data centre.
+    world = World(("a", "d1"), ("b", "d1"), ("c", "d2"))
+    assert world.keepers["a"].partner == "c"
+    assert world.keepers["b"].partner == "c"
+
+
+def test_full_buffer_refuses_new_records_and_loses_none():
+    # Guards against records that are dropped in a long outage of the store.
+    world = World(("a", "d1"), ("b", "d2"))
+    world.objects.fault = "down"
+    keeper = world.keepers["a"]
+    for index in range(10):
+        keeper.open(record(f"r{index}"))
+        keeper.close(record(f"r{index}", "answered"))
+        keeper.flush()
+    assert not keeper.has_room()
+    with pytest.raises(NoRoomForRecords, match="limit is 10"):
+        keeper.open(record("late"))
+    for index in range(5):
+        keeper.close(record(f"refused{index}", "not_run", reason="no_room"))
+    world.objects.fault = ""
+    keeper.flush()
+    keeper.flush()
+    written = world.objects.records()
+    assert {r.request_id for r in written if r.outcome == "answered"} == {
+        f"r{index}" for index in range(10)
+    }
+    assert sum(r.count for r in written if r.outcome == "not_run") == 5
+    assert keeper.has_room()
+
+
+def test_partner_closes_open_records_of_a_dead_entry_as_unknown():
+    world = World(("a", "d1"), ("b", "d2"))
+    world.keepers["a"].open(record("open"))
+    world.keepers["a"].open(record("closed"))
+    world.keepers["a"].close(record("closed", "answered"))
+    world.settle()
+    world.kill("a")
+    world.settle()
+    world.keepers["b"].flush()
+    outcomes = {r.request_id: r.outcome for r in world.objects.records()}
+    assert outcomes == {"open": "unknown", "closed": "answered"}
+
+
+def test_acknowledged_open_copy_does_not_confirm_the_closed_record():
+    # Guards against an answer that ends before the partner has the closed record.
+    world = World(("a", "d1"), ("b", "d2"), settings=RecordSettings(close_wait=2.0))
+    keeper = world.keepers["a"]
+    keeper.open(record("r"))
+    keeper.send_copies()
+    closing = gevent.spawn(keeper.close, record("r", "answered"))
+    gevent.sleep(0)
+    keeper.send_copies()
+    for confirmed in (False, True):
+        world.network.deliver("a", "b")
+        world.network.deliver("b", "a")
+        gevent.sleep(0.01)
+        assert closing.ready() is confirmed
+    assert closing.value is True
