--- a/src/bulrushdrum/_internal/caller/completions.py
+++ b/src/bulrushdrum/_internal/caller/completions.py
@@ -1,4 +1,4 @@
-"""Chat completions: the checked request, its run, and the answer as the caller reads it.
+"""Chat completions: the checked request, its run and the answer for the caller.
 
 The request runs in a greenlet of its own, so that a non-idempotent one goes on to its
 end when the caller's connection breaks, and its result is there for the resend.
@@ -14,6 +14,7 @@
 from gevent.queue import Queue
 
 from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
+from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.routing.tokenizer import encode_prompt
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.contracts import Contract
@@ -135,22 +136,30 @@
     error: CallerError
 
 
+Part = TokenPart | EndPart | ErrorPart
+
+
 class ChatSession:
     """One chat request from acceptance to its end, as parts for the caller.
 
     `run(deliver)` runs the request, calling `deliver(token)` for each token, and
-    returns an `EndPart`; it is called in a greenlet of its own.
+    returns an `EndPart`; it is called in a greenlet of its own. `abandon()` tells it
+    that nobody reads the answer any more.
     """
 
-    def __init__(self, request: ChatRequest, run):
+    def __init__(self, request: ChatRequest, run, abandon):
         self._request = request
         self._parts = Queue()
+        self._abandon = abandon
         self._greenlet = gevent.spawn(self._run, run)
 
     @property
     def request(self) -> ChatRequest:
         return self._request
 
+    def abandon(self):
+        self._abandon()
+
     def parts(self):
         """Yield the parts of the answer; the last is an `EndPart` or `ErrorPart`."""
         while True:
@@ -159,13 +168,25 @@
             if not isinstance(part, TokenPart):
                 return
 
+    @staticmethod
+    def is_error(part: Part) -> bool:
+        return isinstance(part, ErrorPart)
+
+    @staticmethod
+    def replay(first: Part, rest):
+        """Yield `first`, then the parts that follow it."""
+        yield first
+        if isinstance(first, TokenPart):
+            yield from rest
+
     def _run(self, run):
         try:
             end = run(lambda token: self._parts.put(TokenPart(token.text)))
         except Exception as error:
-            self._parts.put(ErrorPart(to_caller_error(error)))
-            if to_caller_error(error).code == "internal_error":
-                raise
+            caller_error = to_caller_error(error)
+            self._parts.put(ErrorPart(caller_error))
+            if caller_error.code == "internal_error":
+                log_event(Event.INTERNAL_ERROR, error=repr(error))
         else:
             self._parts.put(end)
 
--- /dev/null
+++ b/src/bulrushdrum/_internal/caller/frontend.py
@@ -0,0 +1,277 @@
+"""The way of a request through this entry: contract, record, permit, run, record.
+
+Every request of a known customer gets a record, the refused ones too. The closed record
+is with the partner entry before the answer ends, so that what was delivered is also
+reported.
+"""
+
+import time
+from contextlib import contextmanager
+
+from bulrushdrum._internal.caller.completions import ChatSession, EndPart
+from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
+from bulrushdrum._internal.configuration.replica import ContractReplica
+from bulrushdrum._internal.limits.permits import Permits
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.observability.metrics import Metrics
+from bulrushdrum._internal.peering.messages import Call, CallResult, Header
+from bulrushdrum._internal.records.record import RequestRecord
+from bulrushdrum._internal.records.replication import RecordKeeper
+from bulrushdrum._internal.routing.attempts import ModelRunner
+from bulrushdrum._internal.routing.calls import CallRunner
+from bulrushdrum._internal.routing.chains import ChainPlanner
+from bulrushdrum._internal.settings.entry import EntrySettings
+from bulrushdrum._internal.world.contracts import Contract
+from bulrushdrum._internal.world.requests import (
+    ChatRequest,
+    Outcome,
+    fingerprint_of,
+    new_request_id,
+)
+
+_OUTCOMES = {"no": Outcome.NOT_RUN, "unknown": Outcome.UNKNOWN}
+
+
+class Frontend:
+    """Serves callers of one entry."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        replica: ContractReplica,
+        permits: Permits,
+        records: RecordKeeper,
+        planner: ChainPlanner,
+        runner: ModelRunner,
+        calls: CallRunner,
+        metrics: Metrics,
+        incarnation: str,
+    ):
+        self._settings = settings
+        self._replica = replica
+        self._permits = permits
+        self._records = records
+        self._planner = planner
+        self._runner = runner
+        self._calls = calls
+        self._metrics = metrics
+        self._incarnation = incarnation
+        self._draining = False
+        self._confirming = False
+        self._in_progress = 0
+
+    @property
+    def in_progress(self) -> int:
+        return self._in_progress
+
+    def start_draining(self):
+        self._draining = True
+
+    def set_confirming(self, confirming: bool):
+        """While set, no request is admitted: the configuration may be out of date."""
+        self._confirming = confirming
+
+    def not_ready_reasons(self) -> list[str]:
+        reasons = []
+        if self._draining:
+            reasons.append("draining")
+        if not self._replica.ready:
+            reasons.append("configuration not read")
+        if self._confirming:
+            reasons.append("configuration not confirmed since a pause")
+        if not self._records.has_room():
+            reasons.append("record buffer full")
+        return reasons
+
+    def authenticate(self, header: str) -> Contract:
+        """Return the contract of the API key in an `Authorization` header."""
+        scheme, _, api_key = header.partition(" ")
+        if not self._replica.ready:
+            message = "this entry has not read its configuration yet"
+            raise CallerError("not_ready", message)
+        customer = None
+        if scheme.lower() == "bearer" and api_key:
+            customer = self._replica.customer_of_api_key(api_key.strip())
+        contract = self._replica.contract(customer) if customer else None
+        if contract is None:
+            message = "the Authorization header has no API key of a customer"
+            raise CallerError("unauthenticated", message)
+        return contract
+
+    def models(self) -> set[str]:
+        return self._planner.models()
+
+    def start_chat(self, contract: Contract, request: ChatRequest) -> ChatSession:
+        """Run a chat request in a greenlet of its own."""
+        return ChatSession(
+            request,
+            lambda deliver: self._run_chat(contract, request, deliver),
+            lambda: self._abandon(request),
+        )
+
+    def issue_key(self, contract: Contract, service: str) -> str:
+        raise CallerError("not_found", "issued keys are not available")
+
+    def call(self, contract, service, method, path, headers, body, key):
+        """Run a call to a plain service; returns (request id, `CallResult`)."""
+        request_id = new_request_id(self._settings.node)
+        once = contract.is_non_idempotent_call(service, method, path.partition("?")[0])
+        message = Call(
+            call=request_id,
+            customer=contract.customer,
+            service=service,
+            method=method,
+            path=path,
+            headers=tuple(Header(name, value) for name, value in headers),
+            body=body,
+            fingerprint=fingerprint_of(
+                contract.customer, f"{method} {path}\n".encode() + body
+            ),
+            timeout_ms=int(self._settings.service_timeout * 1000),
+            weight=contract.share,
+            priority=contract.priority,
+        )
+        kind = f"{service}:{method}"
+        with self._recorded(contract, request_id, kind) as entry:
+            if service not in self._calls.services():
+                message = f"service {service!r} has no upstream now"
+                raise CallerError("service_not_found", message)
+            if once and not key:
+                raise CallerError(
+                    "idempotency_key_required",
+                    f"{kind} runs at most once by contract; send an Idempotency-Key",
+                )
+            result = self._run_call(message, key if once else "")
+            entry.finish(0, 1)
+        return request_id, result
+
+    def dump(self) -> dict:
+        return {
+            "in_progress": self._in_progress,
+            "not_ready": self.not_ready_reasons(),
+            **self._runner.dump(),
+        }
+
+    def _run_call(self, message: Call, key: str) -> CallResult:
+        return self._calls.run(message)
+
+    def _abandon(self, request):
+        running = self._runner.running.get(request.request_id)
+        if running is not None and not request.non_idempotent:
+            running.cancel()
+
+    def _run_chat(self, contract, request, deliver):
+        kind = f"chat:{request.kind}"
+        with self._recorded(contract, request.request_id, kind) as entry:
+            if request.non_idempotent and not request.idempotency_key:
+                raise CallerError(
+                    "idempotency_key_required",
+                    f"chat:{request.kind} runs at most once by contract; "
+                    "send an Idempotency-Key",
+                )
+            running_requests = []
+
+            def deliver_timed(token):
+                entry.note_token()
+                deliver(token)
+
+            reason = self._runner.run(
+                request, contract, deliver_timed, on_start=running_requests.append
+            )
+            running = running_requests[0]
+            last = running.notes[-1]
+            entry.finish(len(request.prompt), len(running.tokens), len(running.notes))
+            end = EndPart(reason, len(running.tokens), last.chain, len(running.notes))
+        return end
+
+    @contextmanager
+    def _recorded(self, contract, request_id, kind):
+        """Admit a request: open its record, hold a permit, close the record."""
+        entry = _RecordedRequest(
+            contract, request_id, kind, self._incarnation, self._metrics
+        )
+        self._in_progress += 1
+        try:
+            self._check_admission()
+            self._records.open(entry.opened())
+            permit = self._permits.acquire(
+                contract.customer, request_id, self._settings.queue_timeout
+            )
+            entry.note_started()
+            try:
+                yield entry
+            finally:
+                self._permits.release(permit)
+            self._records.close(entry.closed(Outcome.ANSWERED, ""))
+        except Exception as error:
+            caller_error = to_caller_error(error)
+            outcome = _OUTCOMES[caller_error.ran]
+            self._records.close(entry.closed(outcome, caller_error.code))
+            event = (
+                Event.REQUEST_REFUSED
+                if outcome == Outcome.NOT_RUN
+                else Event.REQUEST_OUTCOME_UNKNOWN
+            )
+            log_event(event, request=request_id, code=caller_error.code)
+            error.request_id = request_id
+            raise
+        finally:
+            self._in_progress -= 1
+
+    def _check_admission(self):
+        if self._draining:
+            raise CallerError("draining", "this entry is stopping; use another one")
+        if self._confirming:
+            message = "this entry is confirming its configuration after a pause"
+            raise CallerError("not_ready", message)
+        if not self._records.has_room():
+            message = "the record buffer is full while the object store is down"
+            raise CallerError("records_full", message)
+        if self._in_progress > self._settings.max_running:
+            message = f"over {self._settings.max_running} requests at this entry"
+            raise CallerError("overloaded", message)
+
+
+class _RecordedRequest:
+    """Times and counts of one request for its record."""
+
+    def __init__(self, contract, request_id, kind, incarnation, metrics):
+        self._metrics = metrics
+        self._arrived = time.monotonic()
+        self._last_token = 0.0
+        self._record = RequestRecord(
+            id=request_id,
+            customer=contract.customer,
+            kind=kind,
+            entry=incarnation,
+            arrival=time.time(),
+        )
+
+    def opened(self) -> RequestRecord:
+        return self._record
+
+    def note_started(self):
+        wait = time.monotonic() - self._arrived
+        self._record = self._record._replace(wait=wait)
+
+    def note_token(self):
+        now = time.monotonic()
+        if not self._last_token:
+            first = now - self._arrived
+            self._record = self._record._replace(first_token=first)
+            self._metrics.record("first_token", first)
+        else:
+            self._metrics.record("between_tokens", now - self._last_token)
+        self._last_token = now
+
+    def finish(self, prompt_tokens, answer_tokens, attempts=1):
+        self._record = self._record._replace(
+            prompt_tokens=prompt_tokens, answer_tokens=answer_tokens, attempts=attempts
+        )
+
+    def closed(self, outcome, reason) -> RequestRecord:
+        duration = time.monotonic() - self._arrived
+        self._metrics.record("request", duration)
+        return self._record._replace(
+            outcome=str(outcome), reason=reason, end=self._record.arrival + duration
+        )
--- /dev/null
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -0,0 +1,237 @@
+"""The HTTP side for callers and for the platform's balancer."""
+
+import json
+import os
+
+import bottle
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from bulrushdrum._internal.caller.completions import (
+    parse_chat,
+    parse_key,
+    stream_events,
+    whole_answer,
+)
+from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.peering.connections import parse_address
+from bulrushdrum._internal.settings.entry import EntrySettings
+
+REQUEST_READ_TIMEOUT_SECONDS = 30.0
+_HOP_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "te", "upgrade", "content-length"}
+)
+_SERVICE_METHODS = ["GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH"]
+
+
+class _Handler(WSGIHandler):
+    """Reads one request; slow or oversized request heads end the connection."""
+
+    MAX_REQUEST_LINE = 8192
+
+    def read_requestline(self):
+        self.socket.settimeout(REQUEST_READ_TIMEOUT_SECONDS)
+        return super().read_requestline()
+
+    def log_request(self):
+        pass  # requests are recorded by the record keeper
+
+
+def make_server(app, address: str, max_connections: int) -> WSGIServer:
+    """Return an HTTP server for `app` with at most `max_connections` at a time."""
+    return WSGIServer(
+        parse_address(address),
+        app,
+        log=None,
+        error_log=None,
+        handler_class=_Handler,
+        spawn=Pool(max_connections),
+    )
+
+
+def error_response(error: CallerError, request_id: str = "") -> bottle.HTTPResponse:
+    """Return the JSON response for an error."""
+    headers = {"Content-Type": "application/json"}
+    if request_id:
+        headers["X-Request-Id"] = request_id
+    if error.status in (429, 503):
+        headers["Retry-After"] = "1"
+    body = json.dumps({"error": error.body(request_id)})
+    return bottle.HTTPResponse(body, status=error.status, headers=headers)
+
+
+def read_body(limit: int) -> bytes:
+    """Return the body of the current request; raises `CallerError` over the limit."""
+    request = bottle.request
+    if request.content_length > limit:
+        raise CallerError(
+            "request_too_large",
+            f"the body has {request.content_length} bytes, the limit is {limit}",
+        )
+    try:
+        data = request.environ["wsgi.input"].read(limit + 1)
+    except OSError as error:
+        message = f"the body was cut off: {error}"
+        raise CallerError("invalid_request", message) from error
+    if len(data) > limit:
+        message = f"the body is over the limit of {limit} bytes"
+        raise CallerError("request_too_large", message)
+    if 0 <= request.content_length > len(data):
+        raise CallerError("invalid_request", "the body is shorter than announced")
+    return data
+
+
+class CallerApp:
+    """The routes for callers; `frontend` does the work (see `caller.frontend`)."""
+
+    def __init__(self, frontend, settings: EntrySettings):
+        self._frontend = frontend
+        self._settings = settings
+        self._app = bottle.Bottle(catchall=True)
+        self._app.default_error_handler = self._default_error
+        route = self._app.route
+        route("/healthz", "GET", lambda: {"status": "ok"})
+        route("/readyz", "GET", self._ready)
+        route("/v1/models", "GET", self._guard(self._models))
+        route("/v1/chat/completions", "POST", self._guard(self._chat))
+        route("/v1/idempotency-keys", "POST", self._guard(self._issue_key))
+        route(
+            "/services/<service>/<path:path>", _SERVICE_METHODS, self._guard(self._call)
+        )
+
+    @property
+    def wsgi(self):
+        return self._app
+
+    def _default_error(self, response):
+        code = {404: "not_found", 405: "method_not_allowed"}.get(response.status_code)
+        if code is None:
+            if response.status_code >= 500:
+                log_event(Event.INTERNAL_ERROR, error=repr(response.exception))
+            code = "invalid_request" if response.status_code < 500 else "internal_error"
+        ran = "unknown" if code == "internal_error" else "no"
+        error = CallerError(code, str(response.body), ran)
+        bottle.response.content_type = "application/json"
+        return json.dumps({"error": error.body()})
+
+    def _guard(self, handler):
+        """Return `handler` with its errors turned into responses."""
+
+        def guarded(**arguments):
+            try:
+                self._check_head()
+                return handler(**arguments)
+            except bottle.HTTPResponse:
+                raise
+            except Exception as error:
+                caller_error = to_caller_error(error)
+                if caller_error.code == "internal_error":
+                    log_event(Event.INTERNAL_ERROR, error=repr(error))
+                request_id = getattr(error, "request_id", "")
+                return error_response(caller_error, request_id)
+
+        return guarded
+
+    def _check_head(self):
+        size = sum(
+            len(name) + len(str(value))
+            for name, value in bottle.request.environ.items()
+            if name.startswith("HTTP_") or name in ("PATH_INFO", "QUERY_STRING")
+        )
+        if size > self._settings.max_header_bytes:
+            raise CallerError(
+                "request_too_large",
+                f"the headers have {size} bytes, "
+                f"the limit is {self._settings.max_header_bytes}",
+            )
+
+    def _ready(self):
+        reasons = self._frontend.not_ready_reasons()
+        bottle.response.status = 503 if reasons else 200
+        return {"ready": not reasons, "reasons": reasons, "process": os.getpid()}
+
+    def _contract(self):
+        header = bottle.request.get_header("Authorization", "")
+        return self._frontend.authenticate(header)
+
+    def _models(self):
+        self._contract()
+        models = sorted(self._frontend.models())
+        return {
+            "object": "list",
+            "data": [{"id": name, "object": "model"} for name in models],
+        }
+
+    def _chat(self):
+        contract = self._contract()
+        raw = read_body(self._settings.max_body_bytes)
+        key = parse_key(bottle.request.get_header("Idempotency-Key", ""))
+        parsed = parse_chat(raw, key, contract, self._settings)
+        session = self._frontend.start_chat(contract, parsed.request)
+        request = session.request
+        bottle.response.set_header("X-Request-Id", request.request_id)
+        if not parsed.stream:
+            try:
+                return whole_answer(request, session.parts())
+            except CallerError as error:
+                return error_response(error, request.request_id)
+        return self._stream(session)
+
+    def _stream(self, session):
+        request = session.request
+        parts = session.parts()
+        first = next(parts)
+        # A refusal before the first token is an ordinary HTTP error.
+        if session.is_error(first):
+            return error_response(first.error, request.request_id)
+        bottle.response.content_type = "text/event-stream"
+        bottle.response.set_header("Cache-Control", "no-store")
+
+        def events():
+            finished = False
+            try:
+                yield from stream_events(request, session.replay(first, parts))
+                finished = True
+            finally:
+                if not finished:
+                    session.abandon()
+
+        return events()
+
+    def _issue_key(self):
+        contract = self._contract()
+        raw = read_body(self._settings.max_body_bytes)
+        try:
+            body = json.loads(raw)
+            service = body["service"]
+        except (ValueError, KeyError, TypeError) as error:
+            message = 'the body must be like {"service": "ledger"}'
+            raise CallerError("invalid_request", message) from error
+        return {"idempotency_key": self._frontend.issue_key(contract, service)}
+
+    def _call(self, service, path):
+        contract = self._contract()
+        request = bottle.request
+        query = f"?{request.query_string}" if request.query_string else ""
+        headers = [
+            (name, value)
+            for name, value in request.headers.items()
+            if name.lower() not in _HOP_HEADERS
+            and name.lower() not in ("authorization", "host")
+        ]
+        request_id, result = self._frontend.call(
+            contract,
+            service,
+            request.method,
+            f"/{path}{query}",
+            headers,
+            read_body(self._settings.max_body_bytes),
+            parse_key(request.get_header("Idempotency-Key", "")),
+        )
+        response = bottle.HTTPResponse(result.body, status=result.status)
+        for header in result.headers:
+            if header.name.lower() not in _HOP_HEADERS:
+                response.add_header(header.name, header.value)
+        response.set_header("X-Request-Id", request_id)
+        return response
--- /dev/null
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -0,0 +1,182 @@
+"""The entry process: builds its parts from the settings, serves, and drains."""
+
+import json
+import secrets
+import signal
+import sys
+import time
+
+import gevent
+from gevent.event import Event as Signal
+
+from bulrushdrum._internal.caller.frontend import Frontend
+from bulrushdrum._internal.caller.http import CallerApp, make_server
+from bulrushdrum._internal.configuration.edits import ConfigurationEditor
+from bulrushdrum._internal.configuration.replica import ContractReplica
+from bulrushdrum._internal.limits.entry_set import EntrySet
+from bulrushdrum._internal.limits.permits import Permits
+from bulrushdrum._internal.observability.events import Event, log_event, start_logging
+from bulrushdrum._internal.observability.metrics import Metrics
+from bulrushdrum._internal.peering.connections import PeerServer
+from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
+from bulrushdrum._internal.peering.hub import PeerHub
+from bulrushdrum._internal.platform.objects import ObjectStore
+from bulrushdrum._internal.platform.table import Table
+from bulrushdrum._internal.platform.vm_list import VmList
+from bulrushdrum._internal.records.replication import RecordKeeper
+from bulrushdrum._internal.routing.attempts import ModelRunner
+from bulrushdrum._internal.routing.calls import CallRunner
+from bulrushdrum._internal.routing.chains import POLICIES, ChainPlanner
+from bulrushdrum._internal.routing.membership import Membership
+from bulrushdrum._internal.routing.retries import RetryBudget
+from bulrushdrum._internal.routing.suspects import SuspectRegistry
+from bulrushdrum._internal.settings.entry import EntrySettings
+from bulrushdrum._internal.world.data_centres import Links
+from bulrushdrum._internal.world.upstreams import UpstreamState
+
+_DRAIN_POLL_SECONDS = 0.05
+_CONFIRM_POLL_SECONDS = 0.1
+
+
+class EntryProcess:
+    """All parts of one entry."""
+
+    def __init__(self, settings: EntrySettings):
+        self._settings = settings
+        self._metrics = Metrics()
+        self._stop = Signal()
+        identity = PeerIdentity(
+            kind="entry",
+            node=settings.node,
+            incarnation=f"{settings.node}-{secrets.token_hex(6)}",
+            data_centre=settings.data_centre,
+            address=settings.advertised_address,
+        )
+        keys = PeeringKeys(
+            settings.current_key,
+            {name: key.encode() for name, key in settings.keys.items()},
+        )
+        self._hub = PeerHub(identity)
+        table = Table(settings.table_url, settings.store_timeout)
+        objects = ObjectStore(settings.objects_url, settings.store_timeout)
+        vm_list = VmList(settings.vm_list_url, settings.store_timeout)
+        self._membership = Membership(self._hub, settings, keys, vm_list)
+        self._replica = ContractReplica(self._hub, table, settings)
+        self._editor = ConfigurationEditor(self._hub, table, self._replica)
+        self._entry_set = EntrySet(
+            self._hub, table, settings, self._membership.is_known_dead
+        )
+        self._permits = Permits(self._hub, self._entry_set, self._replica, settings)
+        self._records = RecordKeeper(
+            self._hub, objects, settings, self._membership.is_known_dead
+        )
+        links = Links(
+            settings.link_delays, settings.local_delay, settings.default_delay
+        )
+        planner = ChainPlanner(
+            self._membership.upstreams,
+            POLICIES[settings.routing_policy],
+            links,
+            settings.seed,
+        )
+        budget = RetryBudget(settings.retry_ratio, settings.retry_reserve)
+        runner = ModelRunner(
+            self._membership, planner, budget, SuspectRegistry(), settings
+        )
+        calls = CallRunner(self._membership, budget, settings.seed)
+        self._frontend = Frontend(
+            settings,
+            self._replica,
+            self._permits,
+            self._records,
+            planner,
+            runner,
+            calls,
+            self._metrics,
+            identity.incarnation,
+        )
+        self._peer_server = PeerServer(
+            settings.listen, identity, keys, self._hub.serve, self._log_refused
+        )
+        callers = CallerApp(self._frontend, settings)
+        self._http = make_server(
+            callers.wsgi, settings.http_listen, settings.max_connections
+        )
+        self._membership.beat_fields = lambda: (
+            self._replica.revision,
+            self._entry_set.version,
+        )
+        self._membership.on_entry_beat = self._observe_beat
+        self._membership.on_clock_gap = self._confirm_after_gap
+
+    def run(self):
+        """Serve until SIGTERM, then drain; returns when everything has ended."""
+        settings = self._settings
+        gevent.signal_handler(signal.SIGTERM, self._stop.set)
+        gevent.signal_handler(signal.SIGINT, self._stop.set)
+        gevent.signal_handler(signal.SIGUSR1, self._write_dump)
+        self._peer_server.start()
+        self._membership.start()
+        self._replica.start()
+        self._entry_set.start()
+        self._permits.start()
+        self._records.start()
+        self._http.start()
+        log_event(Event.ENTRY_READY, http=settings.http_listen, peers=settings.listen)
+        self._stop.wait()
+        self._drain()
+
+    def dump(self) -> dict:
+        return {
+            "node": self._settings.node,
+            "incarnation": self._hub.local.incarnation,
+            "data_centre": self._settings.data_centre,
+            "frontend": self._frontend.dump(),
+            "membership": self._membership.dump(),
+            "configuration": self._replica.dump(),
+            "permits": self._permits.dump(),
+            "records": self._records.dump(),
+            "metrics": self._metrics.dump(),
+        }
+
+    def _drain(self):
+        log_event(Event.DRAIN_STARTED, in_progress=self._frontend.in_progress)
+        self._frontend.start_draining()
+        self._membership.state = UpstreamState.DRAINING
+        until = time.monotonic() + self._settings.request_timeout
+        while self._frontend.in_progress and time.monotonic() < until:
+            gevent.sleep(_DRAIN_POLL_SECONDS)
+        # Bodies of answers that have ended may still be on their way out.
+        self._http.stop(timeout=5)
+        self._records.drain()
+        self._entry_set.leave()
+        self._peer_server.stop()
+        log_event(Event.PROCESS_STOPPED, in_progress=self._frontend.in_progress)
+
+    def _observe_beat(self, connection, beat):
+        self._replica.observe_revision(
+            connection.peer.incarnation, beat.config_revision
+        )
+        self._entry_set.observe_version(beat.entry_set_version)
+
+    def _confirm_after_gap(self, seconds):
+        """Admit no request until the configuration is confirmed after a pause."""
+        self._frontend.set_confirming(True)
+        gevent.spawn(self._wait_confirmed, time.monotonic())
+
+    def _wait_confirmed(self, resumed):
+        while self._replica.confirmed_seconds_ago() > time.monotonic() - resumed:
+            gevent.sleep(_CONFIRM_POLL_SECONDS)
+        self._frontend.set_confirming(False)
+
+    def _log_refused(self, address, error):
+        log_event(Event.PEER_REFUSED, peer=address, reason=str(error))
+
+    def _write_dump(self):
+        print(json.dumps(self.dump()), file=sys.stderr, flush=True)
+
+
+def run_entry(settings: EntrySettings):
+    """Run an entry until SIGTERM."""
+    start_logging(f"entry {settings.node}")
+    EntryProcess(settings).run()
--- /dev/null
+++ b/src/bulrushdrum/_internal/observability/metrics.py
@@ -0,0 +1,46 @@
+"""Latency histograms of one process, kept with hdrhistogram.
+
+>>> metrics = Metrics()
+>>> metrics.record("first_token", 0.25)
+>>> metrics.dump()["first_token"]["count"]
+1
+"""
+
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_MICROSECONDS = 1
+_HIGHEST_MICROSECONDS = 3_600_000_000
+# Two digits keep a histogram at some 40 KB; three would take eight times as much of the
+# 32 MB that a node has for control.
+_SIGNIFICANT_DIGITS = 2
+_PERCENTILES = (50, 95, 99)
+
+
+class Metrics:
+    """Histograms by name; times are recorded in seconds."""
+
+    def __init__(self):
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def record(self, name: str, seconds: float):
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._histograms[name] = HdrHistogram(
+                _LOWEST_MICROSECONDS, _HIGHEST_MICROSECONDS, _SIGNIFICANT_DIGITS
+            )
+        histogram.record_value(max(int(seconds * 1e6), _LOWEST_MICROSECONDS))
+
+    def dump(self) -> dict:
+        """Return the count and percentiles in milliseconds of each histogram."""
+        return {
+            name: {
+                "count": histogram.get_total_count(),
+                **{
+                    f"p{percentile}_ms": round(
+                        histogram.get_value_at_percentile(percentile) / 1000, 3
+                    )
+                    for percentile in _PERCENTILES
+                },
+            }
+            for name, histogram in self._histograms.items()
+        }
