--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,159 @@
+"""Processes of a test system: ports, start, stop, pause, logs."""
+
+import ctypes
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import gevent
+
+ROOT = Path(__file__).resolve().parent.parent
+START_SECONDS = 20.0
+STOP_SECONDS = 5.0
+_PR_SET_PDEATHSIG = 1
+_LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+class PortPool:
+    """Free loopback ports, held until `close`.
+
+    A reserved port stays bound without listening, so no outgoing connection on this
+    machine takes it. Servers set SO_REUSEADDR and can listen on it all the same.
+    """
+
+    def __init__(self):
+        self._sockets = []
+
+    def reserve(self) -> str:
+        """Return a free address like "127.0.0.1:41234"."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(("127.0.0.1", 0))
+        self._sockets.append(sock)
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+    def close(self):
+        for sock in self._sockets:
+            sock.close()
+        self._sockets.clear()
+
+
+def _end_with_parent():
+    # Also holds when the test runner is killed and cannot clean up.
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Process:
+    """One process of the system, started from `arguments` of the Python interpreter."""
+
+    def __init__(self, name: str, arguments: list[str], directory: Path):
+        self._name = name
+        self._arguments = arguments
+        self._log_path = directory / f"{name}.log"
+        self._popen = None
+        self._paused = False
+
+    @property
+    def name(self) -> str:
+        return self._name
+
+    @property
+    def pid(self) -> int:
+        return self._popen.pid
+
+    @property
+    def running(self) -> bool:
+        return self._popen is not None and self._popen.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        return None if self._popen is None else self._popen.poll()
+
+    @property
+    def log(self) -> str:
+        return self._log_path.read_text() if self._log_path.exists() else ""
+
+    def start(self):
+        """Start the process, again if it has ended; the log is appended to."""
+        if self.running:
+            raise RuntimeError(f"{self._name} is running")
+        environment = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+        with self._log_path.open("ab") as log:
+            self._popen = subprocess.Popen(
+                [sys.executable, *self._arguments],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                preexec_fn=_end_with_parent,
+            )
+        self._paused = False
+
+    def signal(self, number: int):
+        if self.running:
+            self._popen.send_signal(number)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.wait(STOP_SECONDS)
+
+    def pause(self):
+        self.signal(signal.SIGSTOP)
+        self._paused = True
+
+    def resume(self):
+        self.signal(signal.SIGCONT)
+        self._paused = False
+
+    def terminate(self):
+        """Ask the process to end and return at once."""
+        self.signal(signal.SIGTERM)
+
+    def wait(self, seconds: float) -> int:
+        """Return the exit code; raises `TimeoutError` if the process goes on."""
+        wait_for(lambda: not self.running, f"the end of {self._name}", seconds)
+        return self._popen.returncode
+
+    def stop(self):
+        """End the process, by force if it does not end when asked."""
+        if self._paused:
+            self.resume()
+        self.terminate()
+        try:
+            self.wait(STOP_SECONDS)
+        except TimeoutError:
+            self.kill()
+
+    def wait_listening(self, address: str):
+        """Wait until something accepts connections at `address`."""
+        host, _, port = address.rpartition(":")
+
+        def accepts():
+            if not self.running:
+                raise RuntimeError(
+                    f"{self._name} ended with {self.exit_code}: {self.log[-2000:]}"
+                )
+            try:
+                socket.create_connection((host, int(port)), timeout=1).close()
+            except OSError:
+                return False
+            return True
+
+        wait_for(accepts, f"{self._name} to listen", START_SECONDS)
+
+
+def wait_for(condition, what: str, seconds: float = START_SECONDS, poll=0.02):
+    """Return the first true value of `condition()`; raises `TimeoutError`."""
+    until = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > until:
+            raise TimeoutError(f"waited {seconds} s for {what}")
+        gevent.sleep(poll)
