--- /dev/null
+++ b/bench/history.py
@@ -0,0 +1,106 @@
+"""Collects journals and logs of a system and checks them with what callers received."""
+
+import json
+
+from bench.client import prompt_of
+from bench.journal import (
+    DEFAULT_BUDGET,
+    Attempt,
+    Delivery,
+    check_history,
+    parse_journal,
+)
+from bench.standins.engine import expected_answer
+
+ATTEMPT_FAILED = 3001
+
+
+class History:
+    """What the processes of a cluster have written down so far."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+
+    def expected_texts(self, prompt: str, seed: int, max_tokens: int) -> tuple:
+        """Return the tokens' texts of the undisturbed answer."""
+        topology = self._cluster.topology
+        answer = expected_answer(
+            prompt_of(prompt),
+            topology.model,
+            topology.layers,
+            seed,
+            max_tokens,
+            topology.model_version,
+        )
+        return tuple(token.text for token in answer)
+
+    def journal_lines(self, upstream: str) -> list[dict]:
+        """Return the journal of an engine or plain service, also of one that died."""
+        path = self._cluster.directory / f"{upstream}.journal"
+        text = path.read_text() if path.exists() else ""
+        return [json.loads(line) for line in text.splitlines()]
+
+    def runs(self) -> list:
+        """Return the layer runs of all engines."""
+        return [
+            run
+            for spec in self._cluster.topology.engines
+            for run in parse_journal(
+                spec.name, "\n".join(map(json.dumps, self.journal_lines(spec.name)))
+            )
+        ]
+
+    def log_events(self, name: str) -> list[dict]:
+        """Return the numbered events in the log of a process."""
+        events = []
+        for line in self._cluster.process(name).log.splitlines():
+            try:
+                event = json.loads(line)
+            except ValueError:
+                continue  # output of the interpreter, such as a traceback
+            if isinstance(event, dict) and "event" in event:
+                events.append(event)
+        return events
+
+    def recorded_attempts(self) -> dict[str, tuple[Attempt, ...]]:
+        """Return the attempts of disturbed requests with the causes in the logs."""
+        failures = {}
+        for name in self._cluster.topology.entries:
+            for event in self.log_events(name.name):
+                if event["event"] == ATTEMPT_FAILED:
+                    failures.setdefault(event["request"], []).append(event)
+        return {
+            request: (
+                Attempt(1),
+                *(Attempt(event["attempt"] + 1, event["cause"]) for event in events),
+            )
+            for request, events in failures.items()
+        }
+
+    def delivery(self, answer, non_idempotent: bool = False, failures=None) -> Delivery:
+        """Return what a caller received in the form of the journal checker."""
+        failures = self.recorded_attempts() if failures is None else failures
+        attempts = failures.get(answer.request_id, (Attempt(1),))
+        first = answer.prompt_tokens
+        expected = self.expected_texts(answer.prompt, answer.seed, answer.max_tokens)
+        return Delivery(
+            answer.request_id,
+            first,
+            tuple((first + index, text) for index, text in enumerate(answer.texts)),
+            answer.outcome,
+            attempts,
+            non_idempotent,
+            expected,
+        )
+
+    def check(self, answers, non_idempotent=(), budget=DEFAULT_BUDGET):
+        """Check the journals of all engines against what the callers received."""
+        failures = self.recorded_attempts()
+        deliveries = [
+            self.delivery(answer, answer.request_id in non_idempotent, failures)
+            for answer in answers
+            if answer.request_id
+        ]
+        return check_history(
+            self.runs(), deliveries, self._cluster.topology.layers, budget
+        )
--- a/bench/journal.py
+++ b/bench/journal.py
@@ -50,8 +50,8 @@
     """What a caller received for one request, and the attempts its entry recorded.
 
     `tokens` holds (position, token or its text) as delivered; the first answer token
-    has the position `prompt_tokens`. `expected` is the undisturbed answer, if known. `attempts`
-    is None if the record died with its entry.
+    has the position `prompt_tokens`. `expected` is the undisturbed answer, if known.
+    `attempts` is None if the record died with its entry.
     """
 
     request: str
@@ -213,8 +213,8 @@
                 self.report(
                     "R2",
                     delivery.request,
-                    f"token {token!r} at position {position} is foreign; the answer has "
-                    f"{expected[index : index + 1]} there",
+                    f"token {token!r} at position {position} is foreign; the answer "
+                    f"has {expected[index : index + 1]} there",
                 )
         expected = delivery.expected
         short = expected is not None and len(delivery.tokens) < len(expected)
