--- a/bench/client.py
+++ b/bench/client.py
@@ -23,6 +23,7 @@
     prompt: str
     seed: int
     max_tokens: int
+    customer: str = ""
     outcome: str = "broken"
     status: int = 0
     request_id: str = ""
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -30,6 +30,12 @@
 from bulrushdrum._internal.world.contracts import hash_api_key
 
 READY_SECONDS = 30.0
+_NO_PLATFORM_FAULTS = {
+    "down": False,
+    "slow_seconds": 0.0,
+    "slow_answer_seconds": 0.0,
+    "lose_answers": 0,
+}
 
 
 class ClusterError(RuntimeError):
@@ -61,6 +67,7 @@
         self._processes: dict[str, Process] = {}
         self._addresses: dict[str, str] = {}
         self._links: dict[tuple[str, str], str] = {}
+        self._faulty_links: set[tuple[str, str]] = set()
         self._vms: dict[str, dict] = {}
         self._specs = {
             spec.name: spec
@@ -246,6 +253,10 @@
         """Set the faults of the link that `source` dials; none heals it."""
         body = {"link": f"{source}>{target}", "faults": faults}
         self._control("proxy", "faults", body)
+        if faults:
+            self._faulty_links.add((source, target))
+        else:
+            self._faulty_links.discard((source, target))
 
     def links_of(self, *names: str) -> list[tuple[str, str]]:
         """Return the links that begin or end at one of `names`."""
@@ -278,6 +289,25 @@
         if status != 200:
             raise ClusterError(f"the VM list answered {status} {answer}")
 
+    def repair(self):
+        """End all faults and start what has ended, so that the system is whole."""
+        for source, target in list(self._faulty_links):
+            self.set_link(source, target)
+        for name in PLATFORM:
+            self.set_faults(name, **_NO_PLATFORM_FAULTS)
+        for process in self._processes.values():
+            process.resume()
+        for name in self._topology.upstream_names:
+            if self._running(f"{name}/upstream"):
+                self.set_faults(f"{name}/upstream")
+            self.start_upstream(name)
+        for spec in self._topology.entries:
+            if not self._running(spec.name):
+                self.start_entry(spec.name, wait=False)
+        for name in self.entries:
+            self.wait_entry(name)
+        self.wait_connected()
+
     def kill_vm(self, name: str):
         """Kill all processes of a VM at once; the VM list still shows it."""
         for part in (f"{name}/upstream", name):
@@ -360,6 +390,12 @@
         self._contracts[name] = contract
         return contract
 
+    def ensure_customer(self, name: str, **fields) -> dict:
+        """Make a customer's contract unless it was made before."""
+        if name not in self._contracts:
+            self.add_customer(name, **fields)
+        return self._contracts[name]
+
     def _knows_customer(self, entry, customer):
         url = f"http://{self._addresses[f'{entry}/http']}/v1/models"
         headers = {"Authorization": f"Bearer {self.api_key(customer)}"}
@@ -370,8 +406,8 @@
     def api_key(self, customer: str) -> str:
         return f"key-of-{customer}"
 
-    def caller(self, customer: str, **options) -> Caller:
-        return Caller(self.api_key(customer), self._topology.model, **options)
+    def caller(self, customer: str, model: str = "") -> Caller:
+        return Caller(self.api_key(customer), model or self._topology.model)
 
     def http(self, entry: str) -> str:
         return self._addresses[f"{entry}/http"]
