--- a/src/bulrushdrum/_internal/caller/frontend.py
+++ b/src/bulrushdrum/_internal/caller/frontend.py
@@ -29,6 +29,8 @@
     new_request_id,
 )
 
+# Waiting for a permit for longer than this is reported as a delay.
+_DELAY_SECONDS = 0.01
 _OUTCOMES = {"no": Outcome.NOT_RUN, "unknown": Outcome.UNKNOWN}
 
 
@@ -240,7 +242,7 @@
         self._arrived = time.monotonic()
         self._last_token = 0.0
         self._record = RequestRecord(
-            id=request_id,
+            request_id=request_id,
             customer=contract.customer,
             kind=kind,
             entry=incarnation,
@@ -252,7 +254,8 @@
 
     def note_started(self):
         wait = time.monotonic() - self._arrived
-        self._record = self._record._replace(wait=wait)
+        cause = "concurrency" if wait > _DELAY_SECONDS else ""
+        self._record = self._record._replace(wait=wait, wait_cause=cause)
 
     def note_token(self):
         now = time.monotonic()
@@ -272,6 +275,4 @@
     def closed(self, outcome, reason) -> RequestRecord:
         duration = time.monotonic() - self._arrived
         self._metrics.record("request", duration)
-        return self._record._replace(
-            outcome=str(outcome), reason=reason, end=self._record.arrival + duration
-        )
+        return self._record._replace(outcome=outcome.value, reason=reason, end=duration)
--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import time
+from dataclasses import replace
 
 import gevent
 from gevent.event import Event as Signal
@@ -63,12 +64,12 @@
         self._membership = Membership(self._hub, settings, keys, vm_list)
         self._replica = ContractReplica(self._hub, table, settings)
         self._editor = ConfigurationEditor(self._hub, table, self._replica)
-        self._entry_set = EntrySet(
-            self._hub, table, settings, self._membership.is_known_dead
-        )
-        self._permits = Permits(self._hub, self._entry_set, self._replica, settings)
+        is_known_dead = self._membership.is_known_dead
+        limits = replace(settings.limits, region=settings.region)
+        self._entry_set = EntrySet(self._hub, table, limits, is_known_dead)
+        self._permits = Permits(self._hub, self._entry_set, self._replica, limits)
         self._records = RecordKeeper(
-            self._hub, objects, settings, self._membership.is_known_dead
+            self._hub, objects, settings.records, is_known_dead
         )
         links = Links(
             settings.link_delays, settings.local_delay, settings.default_delay
@@ -148,6 +149,7 @@
             gevent.sleep(_DRAIN_POLL_SECONDS)
         # Bodies of answers that have ended may still be on their way out.
         self._http.stop(timeout=5)
+        self._permits.drain()
         self._records.drain()
         self._entry_set.leave()
         self._peer_server.stop()
--- a/src/bulrushdrum/_internal/routing/membership.py
+++ b/src/bulrushdrum/_internal/routing/membership.py
@@ -15,7 +15,7 @@
 from bulrushdrum._internal.peering.errors import ConnectionLost, PeeringError
 from bulrushdrum._internal.peering.handshake import PeeringKeys
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import Beat, Describe
+from bulrushdrum._internal.peering.messages import Beat, Describe, EntryMember
 from bulrushdrum._internal.platform.errors import PlatformError
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.upstreams import LayerRange, UpstreamState
@@ -210,28 +210,27 @@
         """Call `callback()` when upstreams appear, change state or disappear."""
         self._change_callbacks.append(callback)
 
-    def is_known_dead(self, node: str, address: str, incarnation: str) -> bool:
+    def is_known_dead(self, member: EntryMember) -> bool:
         """Return whether the entry incarnation is certainly not running any more.
 
         That is so if another incarnation answered at its address, or if the platform
         does not list its VM any more. Silence alone proves nothing: the process may be
         paused or cut off.
         """
-        if incarnation == self._hub.local.incarnation:
+        if self._hub.connection_to(member.incarnation) is not None:
             return False
-        if self._hub.connection_to(incarnation) is not None:
-            return False
-        successor = self._incarnation_at.get(address)
-        if successor not in (None, incarnation):
-            return True
-        if address == self._hub.local.address:
+        local = self._hub.local
+        if member.address == local.address:
+            return member.incarnation != local.incarnation
+        successor = self._incarnation_at.get(member.address)
+        if successor not in (None, member.incarnation):
             return True
         if not self._list_read_at:
             return False
-        listed = self._listed.get(node)
+        listed = self._listed.get(member.node)
         if listed is not None:
-            return listed.address != address
-        if node in self._last_listed:
+            return listed.address != member.address
+        if member.node in self._last_listed:
             return True
         # Never listed since this process started: it may be too new for the list.
         return time.monotonic() - self._started_at > self._settings.vm_list_max_lag
--- a/src/bulrushdrum/_internal/settings/entry.py
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
+from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.peering.connections import parse_address
+from bulrushdrum._internal.records.settings import RecordSettings
 from bulrushdrum._internal.settings.reading import setting
 
 
@@ -80,6 +82,8 @@
         500, low=1, high=100_000, help="requests in progress and waiting at this entry"
     )
     routing_policy: str = setting("least_delay", check=_is_policy)
+    limits: LimitSettings = setting(LimitSettings(), help="permits and entry set")
+    records: RecordSettings = setting(RecordSettings(), help="copies and flushes")
     seed: int = setting(0, low=0, high=2**63 - 1, help="0 takes a fresh seed")
 
     @property
