--- /dev/null
+++ b/bench/bound.py
@@ -0,0 +1,41 @@
+"""The largest throughput that any routing could reach on a system.
+
+Each answer token passes one engine of every layer range, so the throughput is a flow
+from layer 0 to the last layer through engines of limited capacity. The maximum flow is
+the bound; links and latency are left out, which can only make it larger.
+"""
+
+import numpy as np
+from scipy.sparse import csr_matrix
+from scipy.sparse.csgraph import maximum_flow
+
+from bench.topology import EngineSpec, Topology
+
+# maximum_flow takes integers; capacities are counted in thousandths of a token.
+_SCALE = 1000
+
+
+def engine_capacity(spec: EngineSpec) -> float:
+    """Return the tokens a second of an engine whose every iteration is full."""
+    seconds = spec.iteration_ms / 1000 + spec.slots / spec.tokens_per_second
+    return spec.slots / seconds
+
+
+def throughput_bound(topology: Topology) -> float:
+    """Return the bound in answer tokens a second.
+
+    Nodes of the flow network are the layer boundaries and two for each engine, joined
+    by an edge of the engine's capacity.
+    """
+    boundaries = sorted({0, topology.layers, *(s.first for s in topology.engines)})
+    index = {boundary: number for number, boundary in enumerate(boundaries)}
+    size = len(boundaries) + 2 * len(topology.engines)
+    capacities = np.zeros((size, size), dtype=np.int32)
+    for number, spec in enumerate(topology.engines):
+        inlet = len(boundaries) + 2 * number
+        limit = int(engine_capacity(spec) * _SCALE)
+        capacities[index[spec.first], inlet] = limit
+        capacities[inlet, inlet + 1] = limit
+        capacities[inlet + 1, index[spec.end]] = limit
+    flow = maximum_flow(csr_matrix(capacities), index[0], index[topology.layers])
+    return flow.flow_value / _SCALE
--- /dev/null
+++ b/tests/unit/test_bound.py
@@ -0,0 +1,35 @@
+"""The throughput bound is the narrowest cut of the layered stages."""
+
+import pytest
+from bench.bound import engine_capacity, throughput_bound
+from bench.topology import EngineSpec, Topology
+
+
+def _engine(name, first, end, speed):
+    return EngineSpec(name, "a", first, end, speed, iteration_ms=0.0)
+
+
+def test_bound_is_the_narrowest_stage():
+    # Guards against a bound that adds stages up instead of taking the narrowest.
+    engines = (
+        _engine("a", 0, 2, 100.0),
+        _engine("b", 0, 2, 50.0),
+        _engine("c", 2, 4, 120.0),
+        _engine("d", 4, 6, 500.0),
+    )
+    assert throughput_bound(Topology((), engines)) == pytest.approx(120.0)
+
+
+def test_bound_follows_paths_that_skip_a_boundary():
+    # Guards against stages compared by number: one engine holds the layers of two.
+    engines = (
+        _engine("a", 0, 2, 30.0),
+        _engine("b", 2, 6, 10.0),
+        _engine("c", 0, 6, 25.0),
+    )
+    assert throughput_bound(Topology((), engines)) == pytest.approx(35.0)
+
+
+def test_capacity_counts_the_time_of_an_iteration():
+    spec = EngineSpec("a", "a", 0, 2, 100.0, iteration_ms=10.0, slots=10)
+    assert engine_capacity(spec) == pytest.approx(10 / 0.11)
