--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,212 @@
+"""Routing and recovery, measured: `python -m bench.measure` (`make bench`).
+
+Every policy runs in the same session, interleaved over the seeds, on fresh processes. A
+row gives minimum, median and maximum over the seeds.
+"""
+
+import argparse
+import statistics
+import time
+
+from gevent import monkey
+
+if __name__ == "__main__":
+    monkey.patch_all()
+
+import gevent
+
+from bench.bound import throughput_bound
+from bench.cluster import Cluster
+from bench.load import Kiosk, Notices, closed_loop, open_loop
+from bench.topology import EngineSpec, EntrySpec, Topology
+
+POLICIES = ("least_delay", "random", "round_robin", "least_reported", "two_choices")
+SPEEDS = (60.0, 120.0, 240.0, 480.0)
+STAGES = 3
+LAYERS = 6
+CENTRES = ("a", "b", "c")
+LINKS = {"a|b": 0.0005, "a|c": 0.02, "b|c": 0.02}
+CUSTOMER = "warwick"
+DETECTION_SECONDS = 1.5  # three heartbeats of 0.5 s
+
+
+def mixed_topology(policy: str, seed: int, proxied: bool = False) -> Topology:
+    """Return three stages of engines whose speeds differ eightfold."""
+    engines = tuple(
+        EngineSpec(
+            f"s{stage}-{number}",
+            CENTRES[number % len(CENTRES)],
+            stage * LAYERS // STAGES,
+            (stage + 1) * LAYERS // STAGES,
+            tokens_per_second=speed,
+            iteration_ms=2.0,
+            slots=32,
+            accelerator=f"kind{number}",
+        )
+        for stage in range(STAGES)
+        for number, speed in enumerate(SPEEDS)
+    )
+    return Topology(
+        tuple(EntrySpec(f"entry{n}", centre) for n, centre in enumerate(CENTRES)),
+        engines,
+        layers=LAYERS,
+        proxied=proxied,
+        entry_settings={
+            "routing_policy": policy,
+            "seed": seed,
+            "link_delays": LINKS,
+            "queue_timeout": 30.0,
+            "token_timeout": 30.0,
+        },
+    )
+
+
+def _spread(values, digits=2):
+    low, middle, high = min(values), statistics.median(values), max(values)
+    return f"{low:.{digits}f}/{middle:.{digits}f}/{high:.{digits}f}"
+
+
+def _percentile_columns(observed_runs, name):
+    columns = []
+    for index in range(3):
+        values = [run.percentiles(name)[index] * 1000 for run in observed_runs]
+        columns.append(_spread(values, 0))
+    return columns
+
+
+def measure_policies(seeds, seconds, requests, workload_kind, load):
+    """Print a row for each policy; `load` is "saturated" or a part of the bound."""
+    runs = {policy: [] for policy in POLICIES}
+    bound = 0.0
+    for seed in seeds:
+        for policy in POLICIES:
+            topology = mixed_topology(policy, seed)
+            bound = throughput_bound(topology)
+            workload = workload_kind()
+            with Cluster(topology) as cluster:
+                cluster.add_customer(CUSTOMER, concurrency=10_000)
+                if load == "saturated":
+                    observed = closed_loop(
+                        cluster, {CUSTOMER: requests}, workload, 4, seconds, seed
+                    )
+                else:
+                    cost = len(workload.prompt(10**5)) + 7 + workload.answer_tokens
+                    rate = load * bound / cost
+                    observed = open_loop(
+                        cluster, CUSTOMER, rate, workload, 4, seconds, seed
+                    )
+            runs[policy].append(observed)
+            print(
+                f"  seed {seed} {policy}: {observed.rate:.0f} tokens/s, "
+                f"{observed.answered} answered, {observed.refused} refused, "
+                f"{observed.failed} failed",
+                flush=True,
+            )
+    name = workload_kind.__name__.lower()
+    print(f"\n{name}, load {load}, bound {bound:.0f} tokens/s, seeds {list(seeds)}")
+    print("min/median/max over the seeds; times in ms")
+    print(
+        "policy          part of bound   first p50      p95            p99"
+        "            between p50  p95          p99"
+    )
+    for policy, observed_runs in runs.items():
+        parts = _spread([run.rate / bound for run in observed_runs])
+        first = _percentile_columns(observed_runs, "first")
+        between = _percentile_columns(observed_runs, "between")
+        print(
+            f"{policy:15} {parts:15} "
+            + " ".join(f"{column:14}" for column in first)
+            + " ".join(f"{column:12}" for column in between)
+        )
+    print(flush=True)
+    return runs
+
+
+def _longest_gap(answer, moment, started):
+    """Return the seconds from the last token before `moment` to the next one."""
+    arrivals = [started + seconds for seconds in answer.times]
+    before = [at for at in arrivals if at <= moment]
+    after = [at for at in arrivals if at > moment]
+    if not before or not after:
+        return None
+    return after[0] - before[-1]
+
+
+def _stream_through(cluster, fault, count):
+    """Run `count` answers, call `fault(chains)` amid them, return gaps and answers."""
+    results = []
+
+    def one(number):
+        started = time.monotonic()
+        caller = cluster.caller(CUSTOMER)
+        entry = cluster.entries[number % len(cluster.entries)]
+        answer = caller.chat(cluster.http(entry), f"p{number}", number, 120)
+        results.append((started, answer))
+
+    jobs = [gevent.spawn(one, number) for number in range(count)]
+    gevent.sleep(1.5)
+    moment = time.monotonic()
+    fault()
+    gevent.joinall(jobs)
+    gaps = [_longest_gap(answer, moment, started) for started, answer in results]
+    broken = [answer for _, answer in results if answer.outcome != "answered"]
+    retried = [
+        gap
+        for gap, (_, answer) in zip(gaps, results, strict=True)
+        if gap is not None and answer.attempts > 1
+    ]
+    return retried, broken
+
+
+def measure_recovery(seeds):
+    """Print the time from the last good token to the next, for each kind of death."""
+    faults = {
+        "engine killed": lambda c: c.process("s0-3/upstream").kill(),
+        "sidecar killed": lambda c: c.process("s0-3").kill(),
+        "VM killed": lambda c: c.kill_vm("s0-3"),
+        "VM paused": lambda c: c.process("s0-3").pause(),
+        "data centre killed": lambda c: [
+            c.kill_vm(spec.name)
+            for spec in c.topology.engines
+            if spec.data_centre == "b"
+        ],
+    }
+    print("recovery: seconds from the last good token to the next, answers retried")
+    for name, fault in faults.items():
+        gaps, broken = [], 0
+        for seed in seeds:
+            topology = mixed_topology("least_delay", seed)
+            topology.entry_settings["token_timeout"] = 5.0
+            with Cluster(topology) as cluster:
+                cluster.add_customer(CUSTOMER, concurrency=10_000)
+                found, failed = _stream_through(
+                    cluster, lambda f=fault, c=cluster: f(c), 24
+                )
+            gaps += found
+            broken += len(failed)
+        shown = _spread(gaps) if gaps else "no answer was hit"
+        print(
+            f"{name:20} {shown}  hit {len(gaps)}, not answered {broken}, "
+            f"target {2 * DETECTION_SECONDS}",
+            flush=True,
+        )
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--requests", type=int, default=160)
+    parser.add_argument("--only", default="", help="saturated, load or recovery")
+    options = parser.parse_args()
+    seeds = range(1, options.seeds + 1)
+    if options.only in ("", "saturated"):
+        measure_policies(seeds, options.seconds, options.requests, Notices, "saturated")
+    if options.only in ("", "load"):
+        measure_policies(seeds, options.seconds, options.requests, Kiosk, 0.7)
+    if options.only in ("", "recovery"):
+        measure_recovery(seeds)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bulrushdrum/_internal/configuration/order_leases.py
+++ b/src/bulrushdrum/_internal/configuration/order_leases.py
@@ -1,8 +1,9 @@
 """Order leases and desired states for sidecars.
 
-A sidecar may give orders to its engine only while an entry has confirmed, from the table
-and not from the entry's own copy, that no later incarnation has taken a fencing number for
-the same upstream. The row `upstream-epoch/<id>` holds the highest number taken.
+A sidecar may give orders to its engine only while an entry has confirmed, from the
+table and not from the entry's own copy, that no later incarnation has taken a fencing
+number for the same upstream. The row `upstream-epoch/<id>` holds the highest number
+taken.
 """
 
 import json
