--- a/src/bulrushdrum/_internal/caller/errors.py
+++ b/src/bulrushdrum/_internal/caller/errors.py
@@ -3,10 +3,11 @@
 from typing import TypedDict
 
 from bulrushdrum._internal.limits.errors import ConcurrencyExceeded
+from bulrushdrum._internal.records.errors import NoRoomForRecords
 from bulrushdrum._internal.routing.errors import (
+    RequestFailed,
     RequestNotRun,
     RequestOutcomeUnknown,
-    RoutingError,
 )
 
 _STATUS_BY_CODE = {
@@ -70,8 +71,10 @@
             return CallerError(error.code, str(error))
         case RequestOutcomeUnknown():
             return CallerError(error.code, str(error), "unknown")
-        case RoutingError():
+        case RequestFailed():
             return CallerError(error.code, str(error), "unknown")
+        case NoRoomForRecords():
+            return CallerError("records_full", str(error))
         case _:
             # The fault is in this process, so nothing is known about the request.
             return CallerError("internal_error", "internal error", "unknown")
