--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -38,6 +38,10 @@
     cacheEvents @30 :CacheEvents;
     dumpQuery @31 :DumpQuery;
     dump @32 :Dump;
+    entrySetQuery @33 :EntrySetQuery;
+    entrySetValue @34 :EntrySetValue;
+    loansQuery @35 :LoansQuery;
+    loansHeld @36 :LoansHeld;
   }
 }
 
@@ -166,6 +170,7 @@
   cause @3 :Text;
   ran @4 :Bool;              # false: this stage passed nothing to its engine
   suspects @5 :List(Text);   # fingerprints in the engine call that died
+  incident @6 :Text;         # id of the engine's death, the same for all on board
 }
 
 struct Header { name @0 :Text; value @1 :Text; }
@@ -225,17 +230,39 @@
 struct ConfigConfirm { revision @0 :UInt64; }
 
 struct PermitBorrow { loan @0 :Text; customer @1 :Text; }
-struct PermitLoan { loan @0 :Text; granted @1 :Bool; reason @2 :Text; }
+struct PermitLoan {
+  loan @0 :Text;
+  granted @1 :Bool;
+  reason @2 :Text;
+  number @3 :UInt32;         # the permit, when granted
+}
 struct PermitReturn { loan @0 :Text; }
 struct BusyPermit { customer @0 :Text; number @1 :UInt32; }
-struct EntrySetAck { version @0 :UInt64; busy @1 :List(BusyPermit); }
+struct EntrySetAck {
+  version @0 :UInt64;
+  busy @1 :List(BusyPermit);
+  sequence @2 :UInt64;       # a later acknowledgement replaces an earlier one
+  configRevision @3 :UInt64;
+  guests @4 :List(EntryMember);  # entries known to the sender that are not members
+}
+struct EntryMember {
+  node @0 :Text;
+  incarnation @1 :Text;
+  address @2 :Text;
+  dataCentre @3 :Text;
+  region @4 :Text;
+}
+struct EntrySetQuery { version @0 :UInt64; }
+struct EntrySetValue { version @0 :UInt64; members @1 :List(EntryMember); }
+struct LoansQuery { loans @0 :List(Text); }
+struct LoansHeld { queried @0 :List(Text); held @1 :List(Text); }
 
 struct RecordCopies { batch @0 :UInt64; records @1 :List(Text); }
 struct RecordsAck { batch @0 :UInt64; }
-struct RecordsFlushed { ids @0 :List(Text); }
+struct RecordsFlushed { ids @0 :List(Text); all @1 :Bool; }
 
-struct Suspect { fingerprint @0 :Text; deaths @1 :UInt32; convicted @2 :Bool; }
-struct Suspects { suspects @0 :List(Suspect); }
+struct Incident { id @0 :Text; fingerprints @1 :List(Text); }
+struct Suspects { incidents @0 :List(Incident); }
 
 struct OrderLeaseRequest { token @0 :Text; upstream @1 :Text; epoch @2 :UInt64; }
 struct OrderLease {
