--- /dev/null
+++ b/bench/standins/batching.py
@@ -0,0 +1,318 @@
+"""The engine stand-in without its HTTP interface: batching, KV cache, faults, journal.
+
+One greenlet runs iterations. Each takes up to `slots` waiting steps, lasts a base time
+plus a time for each token, and then folds every layer of every position into the
+sequence's digests (see `model_digest`).
+"""
+
+import os
+import time
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import gevent
+from gevent.event import AsyncResult, Event
+
+from bench.standins.model_digest import (
+    embed,
+    layer_constant,
+    pack_activations,
+    run_layer,
+    sample,
+    unpack_activations,
+)
+from bench.standins.web import JournalFile
+
+CRASH_STATUS = 70
+PREFIX_BLOCK = 16
+_REMEMBERED_LOADS = 400
+
+
+@dataclass
+class EngineOptions:
+    """What the engine is and how fast; the names are those of its flags."""
+
+    engine: str = "engine"
+    model: str = "warwick-7b"
+    model_version: str = "1"
+    first_layer: int = 0
+    end_layer: int = 8
+    model_layers: int = 8
+    accelerator: str = "a"
+    tokens_per_second: float = 0.0  # 0: no time at all
+    iteration_ms: float = 0.0
+    slots: int = 64
+    checks_fencing: bool = True
+    journal: str = ""
+    prefix_blocks: int = 0  # 0: no prefix cache
+    cache_event_delay_ms: float = 300.0
+    cache_event_loss: float = 0.05
+    load_lag_ms: float = 250.0
+    fault_seed: int = 1
+
+
+class Run(NamedTuple):
+    """One step that ran: `layers` in the order in which they ran."""
+
+    request: str
+    attempt: int
+    position: int
+    count: int
+    layers: tuple[int, ...]
+    order: int
+    cached: int
+
+    def lines(self):
+        """Yield a journal line for each layer and position, in the order of the run."""
+        for layer in self.layers:
+            for position in range(self.position, self.position + self.count):
+                yield {
+                    "request": self.request,
+                    "attempt": self.attempt,
+                    "position": position,
+                    "layer": layer,
+                    "order": self.order,
+                }
+
+
+@dataclass
+class Faults:
+    """Faults to inject, set by `POST /v1/faults`; each field is one fault."""
+
+    double_layer: int = -1  # this layer runs twice
+    skip_layer: int = -1  # this layer does not run
+    crash_on_token: int = -1  # crash when a step has this input token
+    crash_at_step: int = 0  # crash at the n-th step from now
+    crash_before_run: bool = False  # crash without having run the step
+    delay_seconds: float = 0.0  # each iteration lasts longer
+    stall_seconds: float = 0.0  # the next iteration lasts longer, once
+    lose_answers: int = 0  # run the next n calls, then drop the connection
+    delay_order_seconds: float = 0.0  # orders take effect late
+    lose_order_answers: int = 0  # the next n orders are obeyed and not answered
+
+
+@dataclass
+class _Sequence:
+    caches: list[int]
+    next_position: int = 0
+    prefix: int = 0
+
+
+@dataclass
+class _Waiting:
+    step: dict
+    done: AsyncResult = field(default_factory=AsyncResult)
+
+
+class PrefixCache:
+    """Prefixes held in limited memory; its events come late and some are lost."""
+
+    def __init__(self, options: EngineOptions, random):
+        self._options = options
+        self._random = random
+        self._blocks = OrderedDict()
+        self._events = deque(maxlen=10_000)
+        self._sequence = 0
+
+    def lookup(self, prefixes: list[int]) -> int:
+        """Return how many leading blocks were held; all are held afterwards."""
+        held = 0
+        for prefix in prefixes:
+            if prefix not in self._blocks:
+                break
+            held += 1
+        for prefix in prefixes:
+            if prefix not in self._blocks:
+                self._record(prefix, True)
+            self._blocks[prefix] = True
+            self._blocks.move_to_end(prefix)
+        while len(self._blocks) > self._options.prefix_blocks:
+            evicted, _ = self._blocks.popitem(last=False)
+            self._record(evicted, False)
+        return held
+
+    def _record(self, prefix, stored):
+        self._sequence += 1
+        if self._random.random() < self._options.cache_event_loss:
+            return
+        due = time.monotonic() + self._options.cache_event_delay_ms / 1000
+        event = {
+            "sequence": self._sequence,
+            "prefix": f"{prefix:016x}",
+            "stored": stored,
+        }
+        self._events.append((due, event))
+
+    def events(self, after: int) -> list[dict]:
+        now = time.monotonic()
+        return [e for due, e in self._events if due <= now and e["sequence"] > after]
+
+
+class BatchingEngine:
+    """A model engine that holds the layers of `options` and batches continuously."""
+
+    def __init__(self, options: EngineOptions, random):
+        self.options = options
+        self.faults = Faults()
+        self.runs: list[Run] = []
+        self.prefix_cache = PrefixCache(options, random)
+        self._journal = JournalFile(options.journal)
+        self._sequences: dict[tuple[str, int], _Sequence] = {}
+        self._waiting: list[_Waiting] = []
+        self._arrived = Event()
+        self._order = 0
+        self._loads = deque([(time.monotonic(), 0, 0)], maxlen=_REMEMBERED_LOADS)
+        self._load_constants()
+
+    def _load_constants(self):
+        chosen = self.options
+        self._layers = tuple(range(chosen.first_layer, chosen.end_layer))
+        self._constants = {
+            layer: layer_constant(chosen.model, chosen.model_version, layer)
+            for layer in self._layers
+        }
+
+    def start(self):
+        gevent.spawn(self._iterate)
+
+    def submit(self, steps: list[dict]) -> list[dict]:
+        """Run `steps` with whatever else is waiting and return their results."""
+        waiting = [_Waiting(step) for step in steps]
+        self._waiting += waiting
+        self._arrived.set()
+        return [item.done.get() for item in waiting]
+
+    def release(self, sequences: list[dict]):
+        for item in sequences:
+            self._sequences.pop((item["request"], item["attempt"]), None)
+
+    def apply_order(self, order: dict):
+        """Load what `order` asks for; the KV cache of another model is useless."""
+        model = order.get("model") or self.options.model
+        version = order.get("model_version") or self.options.model_version
+        if (model, version) != (self.options.model, self.options.model_version):
+            self.options.model, self.options.model_version = model, version
+            self._sequences.clear()
+            self._load_constants()
+
+    def load(self) -> dict:
+        """Return the load as it was `load_lag_ms` ago."""
+        now = time.monotonic()
+        limit = now - self.options.load_lag_ms / 1000
+        at, running, queued = self._loads[0]
+        for entry in self._loads:
+            if entry[0] > limit:
+                break
+            at, running, queued = entry
+        return {"running": running, "queued_tokens": queued, "age_seconds": now - at}
+
+    def _iterate(self):
+        while True:
+            self._arrived.wait()
+            self._waiting.sort(key=lambda item: -item.step.get("priority", 0))
+            batch = self._waiting[: self.options.slots]
+            del self._waiting[: self.options.slots]
+            if not self._waiting:
+                self._arrived.clear()
+            queued = sum(item.step["count"] for item in self._waiting)
+            self._loads.append((time.monotonic(), len(batch), queued))
+            tokens = sum(self._new_tokens(item.step) for item in batch)
+            gevent.sleep(self._iteration_seconds(tokens))
+            for item in batch:
+                item.done.set(self._run(item.step))
+            if not self._waiting:
+                self._loads.append((time.monotonic(), 0, 0))
+
+    def _iteration_seconds(self, tokens):
+        seconds = self.options.iteration_ms / 1000 + self.faults.delay_seconds
+        seconds += self.faults.stall_seconds
+        self.faults.stall_seconds = 0.0
+        if self.options.tokens_per_second:
+            seconds += tokens / self.options.tokens_per_second
+        return seconds
+
+    def _new_tokens(self, step):
+        """Return the positions of `step` that no held prefix saves."""
+        step["cached"] = 0
+        if not self.options.prefix_blocks or step["position"] or "tokens" not in step:
+            return step["count"]
+        prefixes, prefix = [], 0
+        for index, value in enumerate(embed(step["tokens"])):
+            prefix = run_layer(1, prefix, [value])
+            if (index + 1) % PREFIX_BLOCK == 0:
+                prefixes.append(prefix)
+        held = self.prefix_cache.lookup(prefixes) * PREFIX_BLOCK
+        step["cached"] = min(held, step["count"] - 1)
+        return step["count"] - step["cached"]
+
+    def _run(self, step):
+        key = step["request"], step["attempt"]
+        answer = {
+            "request": step["request"],
+            "attempt": step["attempt"],
+            "position": step["position"],
+            "count": step["count"],
+        }
+        sequence = self._sequences.get(key)
+        if sequence is None and step["position"] != 0:
+            return {**answer, "error": "no_kv_cache"}
+        if sequence is None:
+            sequence = self._sequences[key] = _Sequence([0] * len(self._layers))
+        try:
+            activations = (
+                embed(step["tokens"])
+                if self.options.first_layer == 0
+                else unpack_activations(bytes.fromhex(step["activation"]))
+            )
+        except (KeyError, ValueError) as error:
+            return {**answer, "error": f"bad_input: {error}"}
+        if len(activations) != step["count"]:
+            return {**answer, "error": f"bad_input: {len(activations)} positions"}
+        crash = self._must_crash(step)
+        if crash and self.faults.crash_before_run:
+            os._exit(CRASH_STATUS)
+        layers = self._run_layers(sequence, activations)
+        sequence.next_position = step["position"] + step["count"]
+        self._record(step, layers)
+        if crash:
+            os._exit(CRASH_STATUS)
+        if self.options.end_layer < self.options.model_layers:
+            return {**answer, "activation": pack_activations(activations).hex()}
+        token = sample(activations[-1], step["seed"], sequence.next_position)
+        return {**answer, "token": token.token, "text": token.text, "stop": token.stop}
+
+    def _run_layers(self, sequence, activations):
+        ran = []
+        for index, layer in enumerate(self._layers):
+            if layer == self.faults.skip_layer:
+                continue
+            for _ in range(2 if layer == self.faults.double_layer else 1):
+                sequence.caches[index] = run_layer(
+                    self._constants[layer], sequence.caches[index], activations
+                )
+                ran.append(layer)
+        return tuple(ran)
+
+    def _must_crash(self, step):
+        if self.faults.crash_at_step:
+            self.faults.crash_at_step -= 1
+            if not self.faults.crash_at_step:
+                return True
+        return self.faults.crash_on_token in step.get("tokens", ())
+
+    def _record(self, step, layers):
+        # The monotonic clock is one for all processes of a machine, so orders of
+        # several engines can be compared.
+        self._order = max(self._order + 1, time.monotonic_ns())
+        run = Run(
+            step["request"],
+            step["attempt"],
+            step["position"],
+            step["count"],
+            layers,
+            self._order,
+            step.get("cached", 0),
+        )
+        self.runs.append(run)
+        self._journal.append(run.lines())
