--- /dev/null
+++ b/bench/entry_probe.py
@@ -0,0 +1,337 @@
+"""A minimal entry for tests and measurements of sidecars: opens, feeds, collects.
+
+It checks nothing and retries nothing. The processes it starts are its own children.
+"""
+
+import itertools
+import json
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+import gevent
+import urllib3
+from gevent.event import AsyncResult
+from gevent.queue import Queue
+
+from bulrushdrum._internal.peering.connections import dial
+from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
+from bulrushdrum._internal.peering.hub import PeerHub
+from bulrushdrum._internal.peering.messages import (
+    AttemptFailed,
+    Beat,
+    CacheEvents,
+    Call,
+    CallResult,
+    ChainStage,
+    Close,
+    Describe,
+    Dump,
+    DumpQuery,
+    Open,
+    Opened,
+    OrderLease,
+    OrderLeaseRequest,
+    Resolved,
+    Step,
+    Tokens,
+)
+
+SECRET = "a-shared-secret-for-tests"
+KEYS = PeeringKeys("k1", {"k1": SECRET.encode()})
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class Process:
+    """A child process with its standard error in a file."""
+
+    def __init__(self, name: str, arguments: list[str], directory: Path):
+        self.log = directory / f"{name}.log"
+        with open(self.log, "a", encoding="utf-8") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=ROOT,
+                env={"PYTHONPATH": "src:.", "PATH": "", "PYTHONFAULTHANDLER": "1"},
+                stderr=log,
+                stdout=log,
+            )
+
+    @property
+    def pid(self) -> int:
+        return self._process.pid
+
+    def signal(self, number: int):
+        self._process.send_signal(number)
+
+    def wait(self, timeout: float) -> int | None:
+        """Return the exit status, or None if the process still runs."""
+        deadline = time.monotonic() + timeout
+        while self._process.poll() is None and time.monotonic() < deadline:
+            gevent.sleep(0.02)
+        return self._process.poll()
+
+    def stop(self):
+        if self._process.poll() is None:
+            self._process.kill()
+        self._process.wait()
+
+    def processor_seconds(self) -> float:
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / 100
+
+    def memory_kb(self) -> dict[str, int]:
+        """Return the resident memory, and its part that is not shared with files."""
+        lines = Path(f"/proc/{self.pid}/status").read_text().splitlines()
+        values = dict(line.split(":", 1) for line in lines)
+        return {
+            name: int(values[name].split()[0])
+            for name in ("VmRSS", "RssAnon", "VmHWM")
+        }
+
+
+def start_engine(directory, port, name, **options) -> Process:
+    """Start an engine stand-in; `options` are its flags with underscores."""
+    arguments = ["-m", "bench.standins.engine", "--address", f"127.0.0.1:{port}"]
+    for flag, value in {"engine": name, **options}.items():
+        arguments += [f"--{flag.replace('_', '-')}", str(value)]
+    process = Process(f"engine-{name}", arguments, directory)
+    wait_for_http(f"http://127.0.0.1:{port}/v1/engine")
+    return process
+
+
+def start_sidecar(directory, port, name, upstream_port, **settings) -> Process:
+    """Start a sidecar; `settings` are added to its settings file."""
+    values = {
+        "node": name,
+        "data_centre": "dc1",
+        "listen": f"127.0.0.1:{port}",
+        "upstream_url": f"http://127.0.0.1:{upstream_port}",
+        "keys": {"k1": SECRET},
+        "current_key": "k1",
+        **settings,
+    }
+    path = directory / f"{name}.json5"
+    path.write_text(json.dumps(values), encoding="utf-8")
+    arguments = ["-m", "bulrushdrum._internal.sidecar.process", "--settings", str(path)]
+    return Process(f"sidecar-{name}", arguments, directory)
+
+
+def wait_for_http(url: str, timeout: float = 10.0):
+    deadline = time.monotonic() + timeout
+    while True:
+        try:
+            return urllib3.request("GET", url, retries=False, timeout=1.0)
+        except urllib3.exceptions.HTTPError:
+            if time.monotonic() > deadline:
+                raise
+            gevent.sleep(0.05)
+
+
+def set_faults(port: int, **faults):
+    """Set the faults of the stand-in on `port`."""
+    urllib3.request(
+        "POST", f"http://127.0.0.1:{port}/v1/faults", json=faults, retries=False
+    )
+
+
+def read_journal(port: int) -> list[dict]:
+    data = wait_for_http(f"http://127.0.0.1:{port}/v1/journal").data
+    return [json.loads(line) for line in data.splitlines()]
+
+
+class Answer(NamedTuple):
+    """What came of one attempt: its tokens, and the failure if there was one."""
+
+    tokens: tuple
+    failure: AttemptFailed | Opened | None
+    seconds: float
+
+
+class EntryProbe:
+    """Speaks to sidecars as an entry does."""
+
+    def __init__(self, name: str = "entry-1", desired: dict | None = None):
+        self.hub = PeerHub(PeerIdentity("entry", name, f"{name}.x", "dc1", ""))
+        self.described: dict[str, Describe] = {}
+        self.beats: dict[str, Beat] = {}
+        self.events: list = []
+        self.desired = desired or {}
+        self.leases_granted = 0
+        self._queues: dict[str, Queue] = {}
+        self._answers: dict[str, AsyncResult] = {}
+        self._numbers = itertools.count(1)
+        self._sent = itertools.count(1)
+        register = self.hub.register
+        register(Describe, self._on_describe)
+        register(Beat, self._on_beat)
+        register(Opened, self._to_request)
+        register(AttemptFailed, self._to_request)
+        register(Tokens, self._on_tokens)
+        register(CallResult, self._on_call_result)
+        register(Resolved, self._on_call_result)
+        register(CacheEvents, lambda _, message: self.events.append(message))
+        register(OrderLeaseRequest, self._on_lease_request)
+        register(Dump, self._on_dump)
+        self._beater = gevent.spawn(self._beat)
+
+    def connect(self, port: int, timeout: float = 10.0):
+        """Connect to the sidecar on `port` and wait until it serves."""
+        deadline = time.monotonic() + timeout
+        while True:
+            try:
+                connection = dial(f"127.0.0.1:{port}", self.hub.local, KEYS)
+                break
+            except Exception:
+                if time.monotonic() > deadline:
+                    raise
+                gevent.sleep(0.05)
+        gevent.spawn(self.hub.serve, connection)
+        node = connection.peer.node
+        while (
+            node not in self.described or self.described[node].state != "serving"
+        ) and time.monotonic() < deadline:
+            gevent.sleep(0.02)
+        return connection
+
+    def close(self):
+        self._beater.kill()
+        for connection in self.hub.connections():
+            connection.close()
+
+    def chain(self, connections) -> tuple[ChainStage, ...]:
+        stages = []
+        for connection in connections:
+            peer, told = connection.peer, self.described[connection.peer.node]
+            stages.append(
+                ChainStage(
+                    told.upstream,
+                    peer.incarnation,
+                    peer.address,
+                    told.first_layer,
+                    told.end_layer,
+                )
+            )
+        return tuple(stages)
+
+    def make_open(self, connections, request, prompt, max_tokens, **changes) -> Open:
+        told = self.described[connections[0].peer.node]
+        values = {
+            "request": request,
+            "attempt": 1,
+            "chain": self.chain(connections),
+            "customer": "warwick",
+            "weight": 1.0,
+            "priority": 4,
+            "seed": 7,
+            "max_tokens": max_tokens,
+            "prompt_tokens": len(prompt),
+            "model": told.model,
+            "model_version": told.model_version,
+            "fingerprint": f"f-{request}",
+            **changes,
+        }
+        return Open(**values)
+
+    def open(self, connections, asked: Open, timeout=5.0):
+        """Send `asked` to all stages and return the first refusal, or None."""
+        queue = self._queues.setdefault(asked.request, Queue())
+        for stage, connection in enumerate(connections):
+            connection.send(asked._replace(stage=stage))
+        for _ in connections:
+            answer = queue.get(timeout=timeout)
+            if not isinstance(answer, Opened) or not answer.accepted:
+                return answer
+        return None
+
+    def request(
+        self, connections, prompt, max_tokens, request="", timeout=30.0, **changes
+    ) -> Answer:
+        """Run one attempt from `open` to `close`."""
+        started = time.monotonic()
+        request = request or f"r{next(self._numbers)}"
+        asked = self.make_open(connections, request, prompt, max_tokens, **changes)
+        refused = self.open(connections, asked)
+        if refused is not None:
+            self.close_attempt(connections, asked, "refused")
+            return Answer((), refused, time.monotonic() - started)
+        step = Step(request, asked.attempt, 0, len(prompt), tuple(prompt))
+        connections[0].send(step)
+        tokens, failure = self.collect(request, timeout)
+        self.close_attempt(connections, asked, "finished")
+        return Answer(tuple(tokens), failure, time.monotonic() - started)
+
+    def collect(self, request: str, timeout: float):
+        """Return the tokens of an attempt up to the final one, and its failure."""
+        tokens, queue = [], self._queues[request]
+        while True:
+            message = queue.get(timeout=timeout)
+            if isinstance(message, (AttemptFailed, Opened)):
+                return tokens, message
+            tokens.append(message)
+            if message.final:
+                return tokens, None
+
+    def close_attempt(self, connections, asked: Open, reason: str):
+        self._queues.pop(asked.request, None)
+        for connection in connections:
+            if not connection.closed:
+                connection.send(Close(asked.request, asked.attempt, reason))
+
+    def call(self, connection, timeout: float = 10.0, **values) -> CallResult:
+        call = f"c{next(self._numbers)}"
+        return self.ask(connection, Call(call=call, weight=1.0, **values), timeout)
+
+    def ask(self, connection, message, timeout: float = 10.0):
+        """Send a `Call` or `Resolve` and return its answer."""
+        answer = self._answers[message.call] = AsyncResult()
+        connection.send(message)
+        return answer.get(timeout=timeout)
+
+    def dump(self, connection, timeout: float = 5.0) -> dict:
+        answer = self._answers["dump"] = AsyncResult()
+        connection.send(DumpQuery("dump"))
+        return json.loads(answer.get(timeout=timeout).state)
+
+    def _beat(self):
+        while True:
+            for connection in self.hub.connections():
+                told = self.beats.get(connection.peer.node)
+                echoed = told.sequence if told else 0
+                connection.send(Beat(sequence=next(self._sent), echoed=echoed))
+            gevent.sleep(0.1)
+
+    def _on_describe(self, connection, message):
+        self.described[connection.peer.node] = message
+
+    def _on_beat(self, connection, message):
+        self.beats[connection.peer.node] = message
+
+    def _to_request(self, connection, message):
+        queue = self._queues.get(message.request)
+        if queue is not None:
+            queue.put(message)
+
+    def _on_tokens(self, connection, message):
+        for token in message.tokens:
+            self._to_request(connection, token)
+
+    def _on_call_result(self, connection, message):
+        self._answers[message.call].set(message)
+
+    def _on_dump(self, connection, message):
+        self._answers["dump"].set(message)
+
+    def _on_lease_request(self, connection, message):
+        self.leases_granted += 1
+        told = self.desired.get(message.upstream, (0, None))
+        connection.send(
+            OrderLease(
+                message.token,
+                True,
+                message.epoch or 1,
+                told[0],
+                json.dumps(told[1]) if told[1] is not None else "",
+            )
+        )
--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -128,6 +128,7 @@
     stage: int = 0
     accepted: bool = False
     reason: str = ""
+    outcome: str = ""
 
 
 class Step(NamedTuple):
@@ -182,6 +183,7 @@
     cause: str = ""
     ran: bool = False
     suspects: tuple[str, ...] = ()
+    incident: str = ""
 
 
 class Header(NamedTuple):
@@ -228,6 +230,7 @@
     customer: str = ""
     binding_key: str = ""
     window: int = 0
+    generation: int = 0
 
 
 class Resolved(NamedTuple):
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -128,6 +128,7 @@
   stage @2 :UInt16;
   accepted @3 :Bool;
   reason @4 :Text;
+  outcome @5 :Text;          # when refused: not_run, or unknown if the key may have run
 }
 
 struct Step {
@@ -166,6 +167,7 @@
   cause @3 :Text;
   ran @4 :Bool;              # false: this stage passed nothing to its engine
   suspects @5 :List(Text);   # fingerprints in the engine call that died
+  incident @6 :Text;         # the same in all reports of one engine's death
 }
 
 struct Header { name @0 :Text; value @1 :Text; }
@@ -196,7 +198,7 @@
   reason @5 :Text;
 }
 
-struct Resolve { call @0 :Text; customer @1 :Text; bindingKey @2 :Text; window @3 :UInt32; }
+struct Resolve { call @0 :Text; customer @1 :Text; bindingKey @2 :Text; window @3 :UInt32; generation @4 :UInt32; }
 
 struct Resolved {
   call @0 :Text;
--- a/src/bulrushdrum/_internal/settings/sidecar.py
+++ b/src/bulrushdrum/_internal/settings/sidecar.py
@@ -41,7 +41,7 @@
     parse_address(url.removeprefix("http://").rstrip("/"))
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, kw_only=True)
 class SidecarSettings:
     """Where a sidecar runs, which upstream it serves, and its limits."""
 
--- /dev/null
+++ b/src/bulrushdrum/_internal/sidecar/status.py
@@ -0,0 +1,86 @@
+"""What the sidecar says of its upstream, and whether it takes new work."""
+
+from collections.abc import Callable
+
+from bulrushdrum._internal.peering.messages import Describe
+from bulrushdrum._internal.settings.sidecar import SidecarSettings
+from bulrushdrum._internal.sidecar.engine import EngineState
+from bulrushdrum._internal.world.upstreams import UpstreamState
+
+
+class UpstreamStatus:
+    """The state of the upstream beside this sidecar.
+
+    `engine` is None while a model engine is lost; `reachable` says the same of a plain
+    service. Work is also closed while the sidecar drains (`draining`), by the operators
+    (`stopped`) and around an order whose effect is not yet certain (`ordering`).
+    """
+
+    def __init__(self, settings: SidecarSettings):
+        self._settings = settings
+        self._callbacks = []
+        self._values = {
+            "engine": None,
+            "reachable": False,
+            "draining": False,
+            "stopped": False,
+            "ordering": False,
+        }
+
+    @property
+    def engine(self) -> EngineState | None:
+        return self._values["engine"]
+
+    @property
+    def draining(self) -> bool:
+        return self._values["draining"]
+
+    @property
+    def state(self) -> UpstreamState:
+        values = self._values
+        if values["draining"]:
+            return UpstreamState.DRAINING
+        is_engine = self._settings.kind == "engine"
+        if not (values["engine"] if is_engine else values["reachable"]):
+            return UpstreamState.LOST
+        if values["stopped"] or values["ordering"]:
+            return UpstreamState.STOPPED
+        return UpstreamState.SERVING
+
+    def on_changed(self, callback: Callable[[], None]):
+        self._callbacks.append(callback)
+
+    def update(self, **values):
+        """Set attributes by name and tell the subscribers if any is new."""
+        before = dict(self._values)
+        self._values.update(values)
+        if self._values != before:
+            for callback in self._callbacks:
+                callback()
+
+    def refusal(self) -> str:
+        """Return why new work is refused, or an empty string if it is not."""
+        state = self.state
+        return "" if state is UpstreamState.SERVING else f"upstream_{state.value}"
+
+    def describe(self, window: int) -> Describe:
+        """Return the message that announces this state to entries."""
+        told = Describe(
+            upstream=self._settings.upstream_id,
+            service=self._settings.service,
+            state=self.state.value,
+            window=window,
+        )
+        engine = self.engine
+        if engine is None:
+            return told
+        return told._replace(
+            model=engine.model,
+            model_version=engine.model_version,
+            first_layer=engine.first_layer,
+            end_layer=engine.end_layer,
+            model_layers=engine.model_layers,
+            accelerator=engine.accelerator,
+            tokens_per_second=engine.tokens_per_second,
+            slots=engine.slots,
+        )
--- /dev/null
+++ b/src/bulrushdrum/_internal/sidecar/step_loop.py
@@ -0,0 +1,169 @@
+"""Feeds the engine: all steps that are ready go into one call.
+
+Two greenlets take turns, so that one batch travels while the engine works on another.
+Steps that become ready while both calls are under way form the next batch; there is no
+timer. Steps wait in a fair queue, by priority and then by the customers' shares.
+"""
+
+from typing import Protocol
+
+import gevent
+from gevent.event import Event
+
+from bulrushdrum._internal.limits.fair_queue import FairQueue
+from bulrushdrum._internal.peering.messages import Step
+from bulrushdrum._internal.settings.sidecar import SidecarSettings
+from bulrushdrum._internal.sidecar.engine import EngineClient
+from bulrushdrum._internal.sidecar.errors import (
+    EngineLost,
+    EngineRefused,
+    EngineUnreachable,
+)
+from bulrushdrum._internal.sidecar.sequences import Sequence
+
+CALLS_IN_FLIGHT = 2
+
+
+def _engine_step(sequence: Sequence, step: Step) -> dict:
+    asked = {
+        "request": step.request,
+        "attempt": step.attempt,
+        "position": step.position,
+        "count": step.count,
+        "seed": sequence.open.seed,
+        "priority": sequence.open.priority,
+    }
+    if sequence.open.stage == 0:
+        asked["tokens"] = step.tokens
+    else:
+        asked["activation"] = step.activation.hex()
+    return asked
+
+
+class StepResults(Protocol):
+    """Receives what the engine made of steps."""
+
+    def step_done(self, sequence, step, model_version, result): ...
+
+    def call_not_sent(self, sequences, reason): ...
+
+    def call_unanswered(self, sequences, reason): ...
+
+    def call_refused(self, sequences, reason): ...
+
+
+class StepLoop:
+    """Runs the steps of sequences on the engine.
+
+    What comes of them goes to `results`. A call that was not sent is reported with its
+    own sequences; one that got no answer with those of all calls in flight, because
+    any of them may have crashed the engine.
+    """
+
+    def __init__(
+        self, engine: EngineClient, settings: SidecarSettings, results: StepResults
+    ):
+        self._engine = engine
+        self._settings = settings
+        self._results = results
+        self._slots = 1
+        self._queue = FairQueue(settings.open_limit)
+        self._ready = Event()
+        self._calls: list[list[Sequence]] = []
+        self._steps_done = 0
+        self._calls_done = 0
+
+    @property
+    def waiting(self) -> int:
+        return len(self._queue)
+
+    @property
+    def in_flight(self) -> int:
+        return sum(len(batch) for batch in self._calls)
+
+    def dump(self) -> dict:
+        return {
+            "waiting": self.waiting,
+            "in_flight": [len(batch) for batch in self._calls],
+            "steps_done": self._steps_done,
+            "calls_done": self._calls_done,
+        }
+
+    def start(self):
+        for _ in range(CALLS_IN_FLIGHT):
+            gevent.spawn(self._run)
+
+    def set_slots(self, slots: int):
+        """Let one call carry steps of at most `slots` sequences."""
+        self._slots = max(1, slots)
+
+    def submit(self, sequence: Sequence):
+        """Queue `sequence` if it has a step that may go to the engine now."""
+        if sequence.queued or sequence.in_flight or not sequence.pending:
+            return
+        sequence.queued = True
+        asked = sequence.open
+        cost = min(sequence.pending[0].count, self._settings.chunk_tokens)
+        self._queue.push(sequence, asked.customer, asked.weight, asked.priority, cost)
+        self._ready.set()
+
+    def _next_batch(self):
+        batch, tokens = [], 0
+        while (
+            len(self._queue)
+            and len(batch) < self._slots
+            and tokens < self._settings.call_tokens
+        ):
+            sequence = self._queue.pop()
+            sequence.queued = False
+            if sequence.closed:
+                continue
+            step = sequence.take(self._settings.chunk_tokens)
+            sequence.in_flight = True
+            tokens += step.count
+            batch.append((sequence, step))
+        if not len(self._queue):
+            self._ready.clear()
+        return batch
+
+    def _run(self):
+        while True:
+            self._ready.wait()
+            batch = self._next_batch()
+            if batch:
+                self._run_batch(batch)
+
+    def _run_batch(self, batch):
+        sequences = [sequence for sequence, _ in batch]
+        fresh = [sequence for sequence in sequences if not sequence.passed]
+        for sequence in fresh:
+            sequence.passed = True
+        self._calls.append(sequences)
+        try:
+            version, results = self._engine.run_steps(
+                [_engine_step(sequence, step) for sequence, step in batch]
+            )
+        except EngineUnreachable as error:
+            for sequence in fresh:
+                sequence.passed = False
+            self._results.call_not_sent(sequences, str(error))
+        except EngineLost as error:
+            dying = [sequence for call in self._calls for sequence in call]
+            self._results.call_unanswered(dying, str(error))
+        except EngineRefused as error:
+            self._results.call_refused(sequences, str(error))
+        else:
+            self._deliver(batch, version, results)
+        finally:
+            self._calls.remove(sequences)
+
+    def _deliver(self, batch, version, results):
+        self._calls_done += 1
+        self._steps_done += len(batch)
+        by_key = {(item["request"], item["attempt"]): item for item in results}
+        for sequence, step in batch:
+            sequence.in_flight = False
+            result = by_key.get(sequence.key, {"error": "engine_gave_no_result"})
+            if not sequence.closed:
+                self._results.step_done(sequence, step, version, result)
+                self.submit(sequence)
--- /dev/null
+++ b/src/bulrushdrum/_internal/sidecar/watching.py
@@ -0,0 +1,113 @@
+"""Watches the upstream: is it there, what does it hold, how loaded is it."""
+
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.peering.connections import parse_address
+from bulrushdrum._internal.settings.sidecar import SidecarSettings
+from bulrushdrum._internal.sidecar.engine import (
+    CONNECT_TIMEOUT_SECONDS,
+    EngineClient,
+    EngineLoad,
+    EngineState,
+)
+from bulrushdrum._internal.sidecar.errors import SidecarError
+from bulrushdrum._internal.sidecar.status import UpstreamStatus
+
+
+class EngineWatch:
+    """Polls the engine's state and load, and its cache events.
+
+    `on_lost()` is called when the engine is found gone between calls, and
+    `on_cache_events(events)` with new events of its prefix cache.
+    """
+
+    def __init__(
+        self,
+        engine: EngineClient,
+        status: UpstreamStatus,
+        settings: SidecarSettings,
+        calls_in_flight: Callable[[], int],
+        on_lost: Callable[[], None],
+        on_cache_events: Callable[[list[dict]], None],
+    ):
+        self._engine = engine
+        self._status = status
+        self._settings = settings
+        self._calls_in_flight = calls_in_flight
+        self._on_lost = on_lost
+        self._on_cache_events = on_cache_events
+        self._load = EngineLoad(0, 0, 0.0)
+        self._cache_sequence = 0
+
+    @property
+    def load(self) -> EngineLoad:
+        return self._load
+
+    def start(self):
+        gevent.spawn(self._run)
+
+    def _run(self):
+        while True:
+            self._poll()
+            gevent.sleep(self._settings.engine_poll_interval)
+
+    def _poll(self):
+        try:
+            state = self._engine.describe()
+            self._load = self._engine.load()
+            if state.first_layer == 0:
+                self._read_cache_events()
+        except SidecarError as error:
+            # Calls in flight find out for themselves, and know which requests were on
+            # board.
+            if self._status.engine is not None and not self._calls_in_flight():
+                self._status.update(engine=None)
+                log_event(Event.ENGINE_LOST, reason=str(error))
+                self._on_lost()
+            return
+        self._found(state)
+
+    def _found(self, state: EngineState):
+        if self._status.engine is None:
+            self._cache_sequence = 0
+            log_event(
+                Event.ENGINE_AVAILABLE,
+                model=state.model,
+                model_version=state.model_version,
+                layers=[state.first_layer, state.end_layer],
+            )
+        self._status.update(engine=state)
+
+    def _read_cache_events(self):
+        events = self._engine.cache_events(self._cache_sequence)
+        if events:
+            self._cache_sequence = max(event["sequence"] for event in events)
+            self._on_cache_events(events)
+
+
+class ServiceWatch:
+    """Checks that a plain service accepts connections."""
+
+    def __init__(self, status: UpstreamStatus, settings: SidecarSettings):
+        self._status = status
+        self._settings = settings
+        url = settings.upstream_url.removeprefix("http://").rstrip("/")
+        self._address = parse_address(url)
+
+    def start(self):
+        gevent.spawn(self._run)
+
+    def _run(self):
+        while True:
+            try:
+                socket.create_connection(
+                    self._address, timeout=CONNECT_TIMEOUT_SECONDS
+                ).close()
+                self._status.update(reachable=True)
+            except OSError:
+                self._status.update(reachable=False)
+            gevent.sleep(self._settings.engine_poll_interval)
