--- a/tests/unit/test_configuration_replica.py
+++ b/tests/unit/test_configuration_replica.py
@@ -186,17 +186,12 @@
     eventually(lambda: replica.confirmed_seconds_ago() < 0.5)
 
 
-def test_gap_is_filled_by_a_peer_while_the_store_is_down(entries):
-    # Guards against an edit that was pushed and lost and then the store went down.
-    table = FakeTable()
+def make_three(entries, table):
     fill(table, 1)
     first = entries("a", table)
     second = entries("b", table, first)
     third = entries("c", table, first, second)
     eventually(lambda: first.ready and second.ready and third.ready)
-    first.hub.links["c#1"].drop = lambda message: isinstance(message, ConfigEntries)
-    editor = ConfigurationEditor(first.hub, table, first, confirm_wait=0.5)
-    table.before_read = lambda key: None
     original = table.transact
 
     def transact_then_fail(conditions, writes):
@@ -205,14 +200,36 @@
         return versions
 
     table.transact = transact_then_fail
+    editor = ConfigurationEditor(
+        first.hub, table, first, entry_names=lambda: "abc", confirm_wait=1.0
+    )
+    return first, second, third, editor
+
+
+def test_lost_push_is_filled_by_a_peer_while_the_store_is_down(entries):
+    # Guards against an edit that was pushed and lost and then the store went down.
+    first, _, third, editor = make_three(entries, FakeTable())
+    first.hub.links["c#1"].drop = lambda message: isinstance(message, ConfigEntries)
     accepted = editor.edit("contract", "c0", contract("c0", share=9.0), 1)
-    assert accepted.confirmed == ("a", "b")
-    assert accepted.unconfirmed == ("c",)
-    third.observe_revision("b#1", accepted.revision)
-    eventually(lambda: third.revision == 2)
+    assert accepted == (2, ("a", "b", "c"), ())
     assert third.contract("c0").share == 9
 
 
+def test_entry_that_is_cut_off_is_named(entries):
+    # Guards against an answer that claims an entry which cannot have the edit, and
+    # against an entry that stays behind when a heartbeat shows the newer revision.
+    first, second, third, editor = make_three(entries, FakeTable())
+    for peer in (first, second):
+        peer.hub.links["c#1"].drop = lambda message: True
+    accepted = editor.edit("contract", "c0", contract("c0", share=9.0), 1)
+    assert accepted == (2, ("a", "b"), ("c",))
+    assert third.contract("c0").share == 1
+    assert third.confirmed_seconds_ago() > 0.5
+    second.hub.links["c#1"].drop = lambda message: False
+    third.observe_revision("b#1", 2)
+    eventually(lambda: third.revision == 2)
+
+
 def test_confirmation_is_counted_from_the_question(entries):
     # Guards against a paused entry that takes an old answer for a fresh one.
     table = FakeTable()
