--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -12,10 +12,13 @@
 
 from bulrushdrum._internal.caller.frontend import Frontend
 from bulrushdrum._internal.caller.http import CallerApp, make_server
+from bulrushdrum._internal.caller.operators import OperatorApp, OperatorServices
 from bulrushdrum._internal.configuration.edits import ConfigurationEditor
+from bulrushdrum._internal.configuration.order_leases import OrderLeases
 from bulrushdrum._internal.configuration.replica import ContractReplica
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.permits import Permits
+from bulrushdrum._internal.observability.dump import DumpExchange
 from bulrushdrum._internal.observability.events import Event, log_event, start_logging
 from bulrushdrum._internal.observability.metrics import Metrics
 from bulrushdrum._internal.peering.connections import PeerServer
@@ -35,6 +38,7 @@
 from bulrushdrum._internal.world.data_centres import Links
 from bulrushdrum._internal.world.upstreams import UpstreamState
 
+MAX_OPERATOR_CONNECTIONS = 100
 _DRAIN_POLL_SECONDS = 0.05
 _CONFIRM_POLL_SECONDS = 0.1
 
@@ -103,6 +107,22 @@
         self._http = make_server(
             callers.wsgi, settings.http_listen, settings.max_connections
         )
+        self._order_leases = OrderLeases(self._hub, table, self._replica)
+        self._membership.on_describe = self._order_leases.observe_describe
+        self._dumps = DumpExchange(self._hub, self.dump)
+        operators = OperatorApp(
+            OperatorServices(
+                self._replica,
+                self._editor,
+                self._membership.dump_upstreams,
+                self._report,
+                self._dumps.dump,
+            ),
+            settings.operator_key,
+        )
+        self._operator_http = make_server(
+            operators.wsgi, settings.operator_listen, MAX_OPERATOR_CONNECTIONS
+        )
         self._membership.beat_fields = lambda: (
             self._replica.revision,
             self._entry_set.version,
@@ -123,6 +143,7 @@
         self._permits.start()
         self._records.start()
         self._http.start()
+        self._operator_http.start()
         log_event(Event.ENTRY_READY, http=settings.http_listen, peers=settings.listen)
         self._stop.wait()
         self._drain()
@@ -140,6 +161,9 @@
             "metrics": self._metrics.dump(),
         }
 
+    def _report(self, customer, start, end):
+        raise NotImplementedError
+
     def _drain(self):
         log_event(Event.DRAIN_STARTED, in_progress=self._frontend.in_progress)
         self._frontend.start_draining()
--- a/src/bulrushdrum/_internal/routing/membership.py
+++ b/src/bulrushdrum/_internal/routing/membership.py
@@ -182,6 +182,7 @@
         self.beat_fields = lambda: (0, 0)
         self.on_entry_beat = lambda connection, beat: None
         self.on_clock_gap = lambda seconds: None
+        self.on_describe = lambda connection, description: None
         self.state = UpstreamState.SERVING
         hub.register(Describe, self._handle_describe)
         hub.register(Beat, self._handle_beat)
@@ -249,11 +250,12 @@
                 }
                 for connection in self._hub.connections("entry")
             ],
-            "upstreams": {
-                upstream.id: upstream.dump() for upstream in self._upstreams.values()
-            },
+            "upstreams": self.dump_upstreams(),
         }
 
+    def dump_upstreams(self) -> dict:
+        return {upstream.id: upstream.dump() for upstream in self._upstreams.values()}
+
     # The VM list and dialling.
 
     def _read_vm_list(self):
@@ -381,6 +383,7 @@
             self._upstreams[connection.peer.incarnation] = upstream
         else:
             upstream.update_description(description)
+        self.on_describe(connection, description)
         self._changed()
 
     def _handle_lost(self, connection):
