--- a/src/bulrushdrum/_internal/configuration/edits.py
+++ b/src/bulrushdrum/_internal/configuration/edits.py
@@ -18,11 +18,13 @@
     EditConflict,
     EditOutcomeUnknown,
     EditRefused,
+    LogPruned,
 )
 from bulrushdrum._internal.configuration.log import (
     HEAD_KEY,
     edit_writes,
     encode_value,
+    read_log,
     read_log_entry,
     row_key,
 )
@@ -45,6 +47,8 @@
 RACE_SECONDS = 5.0
 SETTLE_SECONDS = 10.0
 _SETTLE_INTERVAL_SECONDS = 0.2
+# An edit is sent again within a minute, in which there are about ten edits.
+_RESENT_ENTRIES = 500
 _UPSTREAM_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,127}")
 
 
@@ -122,10 +126,10 @@
         deadline = time.monotonic() + RACE_SECONDS
         while True:
             current = self._read(kind, key)
-            made = self._made_before(kind, key, value, edit_id, current)
-            if made is not None:
-                return made
             if current.revision != expected_revision:
+                made = self._made_before(kind, key, edit_id, current)
+                if made is not None:
+                    return made
                 raise EditConflict(key, current.value, current.revision)
             if kind == "contract":
                 self._check_api_keys(value, current.head)
@@ -155,15 +159,22 @@
             head.version if head else 0,
         )
 
-    def _made_before(self, kind, key, value, edit_id, current):
-        """Return the entry that this edit made when it was sent an earlier time."""
+    def _made_before(self, kind, key, edit_id, current):
+        """Return the entry that this edit made when it was sent an earlier time.
+
+        The row names its last edit. If another one has come since, the log is read,
+        as far back as an edit may be sent again.
+        """
         if current.edit_id == edit_id:
             text = encode_value(current.value)
             return ConfigEntry(current.revision, kind, key, text, edit_id)
-        for entry in self._replica.recent:
-            if entry.edit_id == edit_id and (entry.kind, entry.key) == (kind, key):
-                return entry
-        return None
+        try:
+            logged = read_log(self._table, max(0, current.head - _RESENT_ENTRIES))
+        except LogPruned:
+            return None  # too old for an edit that is sent again
+        except StoreUnavailable as error:
+            raise EditRefused("store_unavailable", str(error)) from error
+        return next((entry for entry in logged if entry.edit_id == edit_id), None)
 
     def _check_api_keys(self, value, head):
         """Refuse an API key of another customer.
--- /dev/null
+++ b/src/bulrushdrum/_internal/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/operator/commands.py
@@ -0,0 +1,402 @@
+"""The `bulrushdrum` commands for operators.
+
+Exit codes: 0 done, 1 failed or refused, 2 wrong usage, 3 conflict with another edit, 4
+outcome unknown.
+"""
+
+import json
+import secrets
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from cyclopts import App, Parameter
+
+from bulrushdrum import __version__
+from bulrushdrum._internal.operator.client import OperatorClient
+from bulrushdrum._internal.operator.errors import EXIT_FAILED, CommandFailed
+from bulrushdrum._internal.operator.output import (
+    describe_accepted,
+    flatten,
+    to_csv,
+    to_json,
+    to_table,
+)
+from bulrushdrum._internal.world.contracts import hash_api_key
+from bulrushdrum._internal.world.upstreams import DesiredState
+
+app = App(
+    name="bulrushdrum",
+    help="Route model pipelines over mixed accelerators.",
+    version=__version__,
+    result_action="return_value",
+)
+contracts = App(name="contracts", help="Show and change the customers' contracts.")
+upstreams = App(name="upstreams", help="Show and change the upstreams.")
+app.command(contracts)
+app.command(upstreams)
+app.register_install_completion_command()
+
+
+@Parameter(name="*")
+@dataclass(frozen=True)
+class Connection:
+    """How to reach an entry."""
+
+    operator: Annotated[str, Parameter(env_var="BULRUSHDRUM_OPERATOR")] = ""
+    "Operators' address of any entry, like 10.0.0.7:7102."
+    key: Annotated[str, Parameter(env_var="BULRUSHDRUM_OPERATOR_KEY")] = ""
+    "Operator key. Prefer the environment variable: other users see the flags."
+    json: Annotated[bool, Parameter(negative="")] = False
+    "Print JSON for programs."
+
+    def client(self) -> OperatorClient:
+        return OperatorClient(self.operator, self.key)
+
+    def show(self, answer: dict, text: str):
+        print(to_json(answer) if self.json else text)
+
+
+_FROM_ENVIRONMENT = Connection()
+
+
+@contracts.command(name="list")
+def list_contracts(
+    *, prefix: str = "", connection: Connection = _FROM_ENVIRONMENT
+) -> None:
+    """List the contracts in force at the entry.
+
+    Parameters
+    ----------
+    prefix
+        Only customers whose names begin so.
+    """
+    client, rows, after = connection.client(), [], ""
+    while True:
+        page = client.get("contracts", prefix=prefix, after=after)
+        rows += page["contracts"]
+        if not page["more"]:
+            break
+        after = rows[-1]["contract"]["customer"]
+    header = ("CUSTOMER", "SHARE", "PRIORITY", "CONCURRENCY", "KEYS", "REVISION")
+    table = [
+        (
+            row["contract"]["customer"],
+            f"{row['contract']['share']:g}",
+            row["contract"]["priority"],
+            row["contract"]["concurrency"],
+            len(row["contract"]["api_key_hashes"]),
+            row["revision"],
+        )
+        for row in rows
+    ]
+    connection.show(
+        {"revision": page["revision"], "contracts": rows}, to_table(header, table)
+    )
+
+
+@contracts.command(name="show")
+def show_contract(customer: str, *, connection: Connection = _FROM_ENVIRONMENT) -> None:
+    """Show one customer's contract and its revision."""
+    row = connection.client().get("contracts", customer)
+    pairs = [("revision", row["revision"]), *row["contract"].items()]
+    connection.show(row, _properties(pairs))
+
+
+@contracts.command(name="set")
+def set_contract(
+    customer: str,
+    *,
+    share: float | None = None,
+    priority: int | None = None,
+    concurrency: int | None = None,
+    non_idempotent: list[str] | None = None,
+    home_region: str | None = None,
+    api_key_hash: list[str] | None = None,
+    remove_api_key_hash: list[str] | None = None,
+    new_api_key: Annotated[bool, Parameter(negative="")] = False,
+    file: Path | None = None,
+    expected_revision: int | None = None,
+    connection: Connection = _FROM_ENVIRONMENT,
+) -> None:
+    """Change a contract, or make one; fields that are not given stay as they are.
+
+    Parameters
+    ----------
+    share
+        Weight relative to other customers.
+    priority
+        From 0 to 9, higher first.
+    concurrency
+        Requests in progress over all entries.
+    non_idempotent
+        Kinds that run at most once, like chat:pay or "ledger:POST /payments"; replaces
+        the list.
+    home_region
+        Region whose entries own the customer's permits.
+    api_key_hash
+        SHA-256 of an API key to add.
+    remove_api_key_hash
+        SHA-256 of an API key to remove.
+    new_api_key
+        Make an API key, add its hash and print the key once.
+    file
+        JSON file with the whole contract, before other options apply.
+    expected_revision
+        Refuse the change if the contract has another revision; by default the one
+        that is read just before.
+    """
+    client = connection.client()
+    revision, contract = _current_contract(client, customer)
+    if file is not None:
+        contract = _read_json(file)
+    changes = {
+        "share": share,
+        "priority": priority,
+        "concurrency": concurrency,
+        "non_idempotent": non_idempotent,
+        "home_region": home_region,
+    }
+    contract |= {name: value for name, value in changes.items() if value is not None}
+    contract.setdefault("customer", customer)
+    hashes = [
+        digest
+        for digest in contract.get("api_key_hashes", [])
+        if digest not in (remove_api_key_hash or [])
+    ]
+    api_key = f"bd-{secrets.token_urlsafe(32)}" if new_api_key else ""
+    added = [*(api_key_hash or []), *([hash_api_key(api_key)] if api_key else [])]
+    contract["api_key_hashes"] = hashes + [one for one in added if one not in hashes]
+    answer = client.edit(
+        "contracts",
+        customer,
+        contract=contract,
+        expected_revision=revision if expected_revision is None else expected_revision,
+    )
+    text = describe_accepted(f"contract of {customer}", answer)
+    if api_key:
+        answer["api_key"] = api_key
+        text += f"\nAPI key, shown only now: {api_key}"
+    connection.show(answer, text)
+
+
+@upstreams.command(name="list")
+def list_upstreams(*, connection: Connection = _FROM_ENVIRONMENT) -> None:
+    """List all upstreams, as desired and as the entry sees them."""
+    answer = connection.client().get("upstreams")
+    header = ("UPSTREAM", "STATE", "SERVES", "DATA CENTRE", "DESIRED", "REVISION")
+    table = [
+        (
+            row["upstream"],
+            seen.get("state", "not connected"),
+            seen.get("service") or _model_of(seen),
+            seen.get("data_centre", ""),
+            "serving" if row["desired"]["serving"] else "stopped",
+            row["revision"],
+        )
+        for row in answer["upstreams"]
+        for seen in (row["seen"] or {},)
+    ]
+    connection.show(answer, to_table(header, table))
+
+
+@upstreams.command(name="state")
+def show_upstream(upstream: str, *, connection: Connection = _FROM_ENVIRONMENT) -> None:
+    """Show one upstream, as desired and as the entry sees it."""
+    row = connection.client().get("upstreams", upstream)
+    connection.show(row, _properties(flatten(row)))
+
+
+@upstreams.command(name="start")
+def start_upstream(
+    upstream: str, *, connection: Connection = _FROM_ENVIRONMENT
+) -> None:
+    """Let an upstream take work."""
+    _edit_upstream(upstream, connection, None, {"serving": True})
+
+
+@upstreams.command(name="stop")
+def stop_upstream(upstream: str, *, connection: Connection = _FROM_ENVIRONMENT) -> None:
+    """Give an upstream no new work; what runs on it is finished."""
+    _edit_upstream(upstream, connection, None, {"serving": False})
+
+
+@upstreams.command(name="set")
+def set_upstream(
+    upstream: str,
+    *,
+    model: str | None = None,
+    model_version: str | None = None,
+    adapter: list[str] | None = None,
+    role: str | None = None,
+    expected_revision: int | None = None,
+    connection: Connection = _FROM_ENVIRONMENT,
+) -> None:
+    """Order a model, version, adapters or role for an upstream.
+
+    Parameters
+    ----------
+    adapter
+        Replaces the list of adapters.
+    expected_revision
+        Refuse the change if the upstream has another revision; by default the one
+        that is read just before.
+    """
+    changes = {
+        "model": model,
+        "model_version": model_version,
+        "adapters": adapter,
+        "role": role,
+    }
+    given = {name: value for name, value in changes.items() if value is not None}
+    if not given:
+        raise CommandFailed("usage", "nothing to set; see upstreams set --help")
+    _edit_upstream(upstream, connection, expected_revision, given)
+
+
+@app.command
+def report(
+    customer: str,
+    *,
+    from_: Annotated[str, Parameter(name="--from")] = "",
+    to: str = "",
+    format: Literal["table", "json", "csv"] = "table",
+    connection: Connection = _FROM_ENVIRONMENT,
+) -> None:
+    """Report the delivered, refused and delayed work of a customer.
+
+    Parameters
+    ----------
+    from_
+        Begin, like 2026-12-04 or 2026-12-04T10:00:00Z; by default a day before the end.
+    to
+        End, exclusive; by default now.
+    """
+    query = {"from": from_, "to": to}
+    answer = connection.client().get("report", customer, **query)
+    if connection.json or format == "json":
+        print(to_json(answer))
+    elif format == "csv":
+        print(to_csv(("name", "value"), flatten(answer)))
+    else:
+        print(_properties(flatten(answer)))
+
+
+@app.command
+def dump(*, node: str = "", connection: Connection = _FROM_ENVIRONMENT) -> None:
+    """Print the state of the entry, or of a process that is connected to it.
+
+    Parameters
+    ----------
+    node
+        Name of the other process.
+    """
+    print(to_json(connection.client().get("dump", node=node)))
+
+
+@app.command
+def check_settings(role: Literal["entry", "sidecar"], file: str) -> int:
+    """Check a settings file without starting anything."""
+    from bulrushdrum._internal.operator.roles import load_settings
+    from bulrushdrum._internal.settings.errors import SettingsError
+
+    try:
+        load_settings(role, file)
+    except SettingsError as error:
+        for problem in error.problems:
+            print(f"{file}: {problem}", file=sys.stderr)
+        return EXIT_FAILED
+    print(f"{file}: valid settings of {role}")
+    return 0
+
+
+@app.command
+def entry(*, settings: str) -> int:
+    """Run an entry until SIGTERM."""
+    from bulrushdrum._internal.operator.roles import run_role
+
+    return run_role("entry", settings)
+
+
+@app.command
+def sidecar(*, settings: str) -> int:
+    """Run the process beside an upstream until SIGTERM."""
+    from bulrushdrum._internal.operator.roles import run_role
+
+    return run_role("sidecar", settings)
+
+
+def run_commands(arguments: list[str]) -> int:
+    """Run one command and return its exit code."""
+    try:
+        return app(arguments) or 0
+    except CommandFailed as error:
+        if "--json" in arguments:
+            print(json.dumps({"error": error.body}), file=sys.stderr)
+        else:
+            print(f"{error.body['code']}: {error}", file=sys.stderr)
+            if error.body["code"] == "conflict":
+                current = to_json(error.body["value"])
+                print(
+                    f"revision {error.body['revision']} has:\n{current}",
+                    file=sys.stderr,
+                )
+        return error.exit_code
+
+
+def _current_contract(client, customer) -> tuple[int, dict[str, Any]]:
+    try:
+        row = client.get("contracts", customer)
+    except CommandFailed as error:
+        if error.body["code"] != "not_found":
+            raise
+        return 0, {}
+    return row["revision"], row["contract"]
+
+
+def _edit_upstream(upstream, connection, expected_revision, changes):
+    client = connection.client()
+    try:
+        row = client.get("upstreams", upstream)
+    except CommandFailed as error:
+        if error.body["code"] != "not_found":
+            raise
+        # The upstream may be set up before it first connects.
+        row = {"revision": 0, "desired": DesiredState()._asdict()}
+    answer = client.edit(
+        "upstreams",
+        upstream,
+        desired=row["desired"] | changes,
+        expected_revision=(
+            row["revision"] if expected_revision is None else expected_revision
+        ),
+    )
+    connection.show(answer, describe_accepted(f"upstream {upstream}", answer))
+
+
+def _read_json(path):
+    try:
+        value = json.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise CommandFailed("usage", f"{path}: {error}") from error
+    if not isinstance(value, dict):
+        raise CommandFailed("usage", f"{path}: not a JSON object")
+    return value
+
+
+def _model_of(seen):
+    if not seen.get("model"):
+        return ""
+    layers = "-".join(str(number) for number in seen.get("layers", ()))
+    return f"{seen['model']} {seen.get('model_version', '')} layers {layers}"
+
+
+def _properties(pairs):
+    return "\n".join(f"{name:<24} {_plain(value)}" for name, value in pairs)
+
+
+def _plain(value):
+    if isinstance(value, list):
+        return ", ".join(str(item) for item in value) or "-"
+    return "-" if value in ("", None) else value
--- /dev/null
+++ b/src/bulrushdrum/_internal/operator/output.py
@@ -0,0 +1,60 @@
+"""How results are shown: tables for people, JSON for programs."""
+
+import csv
+import io
+import json
+from collections.abc import Iterable
+from typing import Any
+
+
+def to_json(value: Any) -> str:
+    return json.dumps(value, indent=2, sort_keys=True)
+
+
+def to_table(header: Iterable[str], rows: Iterable[Iterable[Any]]) -> str:
+    """Return rows under a header, in columns as wide as their longest value."""
+    lines = [[str(cell) for cell in row] for row in [tuple(header), *rows]]
+    widths = [max(len(cell) for cell in column) for column in zip(*lines, strict=True)]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def to_csv(header: Iterable[str], rows: Iterable[Iterable[Any]]) -> str:
+    text = io.StringIO()
+    writer = csv.writer(text, lineterminator="\n")
+    writer.writerow(header)
+    writer.writerows(rows)
+    return text.getvalue().rstrip("\n")
+
+
+def flatten(value: Any, name: str = "") -> list[tuple[str, Any]]:
+    """Return nested JSON as (dotted name, plain value) pairs.
+
+    >>> flatten({"tokens": {"prompt": 3}, "codes": []})
+    [('tokens.prompt', 3), ('codes', '')]
+    """
+    match value:
+        case dict() if value:
+            items = value.items()
+        case list() if value:
+            items = enumerate(value)
+        case dict() | list():
+            return [(name, "")]
+        case _:
+            return [(name, value)]
+    prefix = f"{name}." if name else ""
+    return [pair for key, item in items for pair in flatten(item, f"{prefix}{key}")]
+
+
+def describe_accepted(what: str, answer: dict) -> str:
+    """Say at which revision an edit was accepted and where it is in force."""
+    confirmed, unconfirmed = answer["confirmed"], answer["unconfirmed"]
+    text = f"{what}: revision {answer['revision']}, in force at {len(confirmed)} "
+    text += "entry" if len(confirmed) == 1 else "entries"
+    if unconfirmed:
+        text += f"; not confirmed yet by {', '.join(unconfirmed)}"
+    return text
--- /dev/null
+++ b/tests/unit/test_operators.py
@@ -0,0 +1,235 @@
+"""The operators' routes and commands: authentication, input, exit codes."""
+
+import json
+from types import SimpleNamespace
+
+import gevent
+import pytest
+import urllib3
+from bench.standins.serving import start_server
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from tests.fakes import SETTINGS, FakeHub, FakeTable
+
+from bulrushdrum._internal.caller.operators import (
+    MAX_BODY_BYTES,
+    OperatorApp,
+    OperatorServices,
+)
+from bulrushdrum._internal.configuration.edits import ConfigurationEditor
+from bulrushdrum._internal.configuration.replica import ContractReplica
+from bulrushdrum._internal.operator.commands import run_commands
+from bulrushdrum._internal.platform.errors import StoreUnavailable
+
+KEY = "operator-secret"
+SEEN = {"u1": {"state": "serving", "model": "m", "layers": [0, 4], "data_centre": "a"}}
+
+
+def report(customer, start, end):
+    if customer == "down":
+        raise StoreUnavailable("object store: down")
+    return {"customer": customer, "seconds": end - start, "outcomes": {"answered": 2}}
+
+
+@pytest.fixture(scope="module")
+def entry():
+    table, hub = FakeTable(), FakeHub("a")
+    replica = ContractReplica(hub, table, SETTINGS, poll_interval=0.05)
+    editor = ConfigurationEditor(
+        hub, table, replica, confirm_wait=0.2, settle_seconds=0.5
+    )
+    services = OperatorServices(
+        replica, editor, lambda: SEEN, report, {"": {"node": "a"}}.get
+    )
+    replica.start()
+    assert replica.wait_for(0, 2.0)
+    server = start_server(OperatorApp(services, KEY).wsgi, "127.0.0.1:0")
+    address = f"127.0.0.1:{server.server_port}"
+    yield SimpleNamespace(address=address, table=table, replica=replica)
+    server.stop(timeout=0)
+    replica.stop()
+
+
+@pytest.fixture
+def bulrushdrum(entry, monkeypatch, capsys):
+    monkeypatch.setenv("BULRUSHDRUM_OPERATOR", entry.address)
+    monkeypatch.setenv("BULRUSHDRUM_OPERATOR_KEY", KEY)
+
+    def run(*arguments):
+        try:
+            code = run_commands(list(arguments))
+        except SystemExit as error:
+            code = error.code
+        return code, *capsys.readouterr()
+
+    return run
+
+
+def request(entry, method, path, body=None, key=KEY):
+    response = urllib3.request(
+        method,
+        f"http://{entry.address}/v1/operator/{path}",
+        body=body,
+        headers={"Authorization": f"Bearer {key}"},
+        retries=False,
+    )
+    return response.status, response.json()
+
+
+@pytest.mark.parametrize("key", ["", "operator-secre", "operator-secrets", "\xe9"])
+@pytest.mark.parametrize("path", ["contracts", "contracts/c1", "dump", "report/c1"])
+def test_every_route_needs_the_key(entry, key, path):
+    # Guards against a route that answers anybody.
+    status, body = request(entry, "GET", path, key=key)
+    assert status == 401
+    assert body["error"]["code"] == "unauthenticated"
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status", "code"),
+    [
+        ("GET", "nope", 404, "not_found"),
+        ("DELETE", "contracts/c1", 405, "method_not_allowed"),
+        ("GET", "contracts/absent", 404, "not_found"),
+        ("GET", "upstreams/absent", 404, "not_found"),
+        ("GET", "dump?node=absent", 404, "not_found"),
+        ("GET", "report/c1?from=yesterday", 400, "invalid"),
+        ("GET", "report/c1?from=2026-12-04&to=2026-12-03", 400, "invalid"),
+        ("GET", "report/down", 503, "store_unavailable"),
+    ],
+)
+def test_errors_have_stable_codes(entry, method, path, status, code):
+    # Guards against an HTML page or a bare status where programs expect a code.
+    answer = request(entry, method, path)
+    assert (answer[0], answer[1]["error"]["code"]) == (status, code)
+
+
+@seed(20261204)
+@settings(max_examples=150, deadline=None)
+@given(
+    st.sampled_from(["contracts/fuzzed", "upstreams/fuzzed", "contracts/%C3%A9"]),
+    st.one_of(
+        st.binary(max_size=200),
+        st.fixed_dictionaries(
+            {
+                "contract": st.just({"customer": "fuzzed", "share": -1}) | st.none(),
+                "expected_revision": st.none() | st.integers() | st.text(),
+            },
+            optional={"edit_id": st.text() | st.integers(), "desired": st.integers()},
+        ).map(lambda body: json.dumps(body).encode()),
+        st.integers(1, 3).map(lambda n: b"[" * 100_000 * n),
+    ),
+)
+def test_bad_bodies_are_refused_and_change_nothing(entry, path, body):
+    # Guards against an internal error, or a write, on input that makes no sense.
+    before = entry.table.transactions
+    status, answer = request(entry, "PUT", path, body)
+    assert (status, answer["error"]["code"]) == (400, "invalid")
+    assert entry.table.transactions == before
+
+
+def test_a_large_body_is_refused(entry):
+    # Guards against an entry that runs out of memory because of one request.
+    body = b'{"contract": "' + b"x" * MAX_BODY_BYTES + b'"}'
+    status, answer = request(entry, "PUT", "contracts/c1", body)
+    assert (status, answer["error"]["code"]) == (413, "request_too_large")
+
+
+def test_contract_commands(entry, bulrushdrum):
+    # Guards against an edit that drops fields which the operator did not name.
+    code, out, _ = bulrushdrum("contracts", "set", "c1", "--share", "2", "--json")
+    assert code == 0
+    accepted = json.loads(out)
+    assert accepted["confirmed"] == ["a"] and accepted["unconfirmed"] == []
+    code, out, _ = bulrushdrum(
+        "contracts", "set", "c1", "--new-api-key", "--non-idempotent", "chat:pay"
+    )
+    assert code == 0 and "in force at 1 entry" in out
+    api_key = out.split()[-1]
+    assert entry.replica.customer_of_api_key(api_key) == "c1"
+    code, out, _ = bulrushdrum("contracts", "show", "c1", "--json")
+    shown = json.loads(out)["contract"]
+    assert (shown["share"], shown["non_idempotent"]) == (2.0, ["chat:pay"])
+    code, out, _ = bulrushdrum("contracts", "list")
+    assert out.split()[6:12] == ["c1", "2", "4", "16", "1", "2"]
+
+
+def test_exit_codes_tell_failures_apart(entry, bulrushdrum):
+    # Guards against a script that takes a conflict or an unknown outcome for success.
+    assert bulrushdrum("contracts", "set", "x1")[0] == 0
+    code, _, err = bulrushdrum(
+        "contracts", "set", "x1", "--share", "3", "--expected-revision", "0"
+    )
+    assert code == 3 and '"share": 1.0' in err
+    code, _, err = bulrushdrum("contracts", "set", "x1", "--share", "-3")
+    assert code == 1 and "share" in err
+    assert bulrushdrum("contracts", "show", "absent")[0] == 1
+    assert bulrushdrum("contracts", "sow")[0] == 2
+    assert bulrushdrum("upstreams", "set", "u1")[0] == 2
+    assert bulrushdrum("contracts", "list", "--operator", "nonsense")[0] == 2
+    assert bulrushdrum("contracts", "list", "--operator", "127.0.0.1:21998")[0] == 1
+    assert bulrushdrum("contracts", "list", "--key", "wrong")[0] == 1
+    code, _, err = bulrushdrum("report", "down", "--json")
+    assert code == 1 and json.loads(err)["error"]["code"] == "store_unavailable"
+
+
+def test_edit_during_an_outage(entry, bulrushdrum):
+    # Guards against "refused" for an edit that may have been made, and against a change
+    # of contracts while the store is down.
+    entry.table.down = True
+    code, _, err = bulrushdrum("contracts", "set", "o1")
+    assert code == 1 and "store_unavailable" in err
+    entry.table.down = False
+    original = entry.table.transact
+
+    def transact_then_fail(conditions, writes):
+        try:
+            return original(conditions, writes)
+        finally:
+            entry.table.down = True
+
+    entry.table.transact, entry.table.on_write = transact_then_fail, ["lost"]
+    code, _, err = bulrushdrum("contracts", "set", "o1")
+    assert code == 4
+    # The same while the store comes back: the client's next try settles the edit.
+    entry.table.down, entry.table.on_write = False, ["lost"]
+    gevent.spawn_later(1.0, setattr, entry.table, "down", False)
+    gevent.spawn_later(1.0, setattr, entry.table, "transact", original)
+    code, out, _ = bulrushdrum("contracts", "set", "o2", "--json")
+    assert code == 0
+    assert json.loads(out)["revision"] == entry.replica.revision
+
+
+def test_upstream_commands(bulrushdrum):
+    # Guards against a stop that also resets the model an operator has ordered.
+    assert bulrushdrum("upstreams", "set", "u1", "--model", "m2")[0] == 0
+    assert bulrushdrum("upstreams", "stop", "u1")[0] == 0
+    _, out, _ = bulrushdrum("upstreams", "state", "u1", "--json")
+    row = json.loads(out)
+    assert row["desired"]["serving"] is False and row["desired"]["model"] == "m2"
+    _, out, _ = bulrushdrum("upstreams", "list")
+    line = out.splitlines()[1]
+    assert line.startswith("u1") and "layers 0-4" in line and "stopped" in line
+    assert bulrushdrum("upstreams", "start", "u1")[0] == 0
+    _, out, _ = bulrushdrum("upstreams", "state", "u1")
+    assert "desired.serving          True" in out
+
+
+def test_report_formats(bulrushdrum):
+    # Guards against a format option that is ignored.
+    code, out, _ = bulrushdrum(
+        "report", "c1", "--from", "2026-12-03", "--to", "2026-12-04", "--format", "csv"
+    )
+    assert code == 0 and "outcomes.answered,2" in out.splitlines()
+    _, out, _ = bulrushdrum("report", "c1", "--format", "json")
+    assert json.loads(out)["seconds"] == pytest.approx(86400)
+    assert json.loads(bulrushdrum("dump")[1]) == {"node": "a"}
+
+
+def test_check_settings(bulrushdrum, tmp_path):
+    # Guards against a check that passes whatever the file holds.
+    path = tmp_path / "entry.json5"
+    path.write_text("{node: 'a', /* comment */ nod: 1}")
+    code, _, err = bulrushdrum("check-settings", "entry", str(path))
+    assert code == 1
+    assert "nod: unknown field" in err and "data_centre: missing" in err
