--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -130,6 +130,7 @@
     stage: int = 0
     accepted: bool = False
     reason: str = ""
+    outcome: str = ""
 
 
 class Step(NamedTuple):
@@ -231,6 +232,7 @@
     customer: str = ""
     binding_key: str = ""
     window: int = 0
+    generation: int = 0
 
 
 class Resolved(NamedTuple):
