--- a/bench/entry_probe.py
+++ b/bench/entry_probe.py
@@ -5,8 +5,7 @@
 
 import itertools
 import json
-import subprocess
-import sys
+import os
 import time
 from pathlib import Path
 from typing import NamedTuple
@@ -16,6 +15,7 @@
 from gevent.event import AsyncResult
 from gevent.queue import Queue
 
+from bench.processes import Process
 from bulrushdrum._internal.peering.connections import dial
 from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
 from bulrushdrum._internal.peering.hub import PeerHub
@@ -41,54 +41,6 @@
 
 SECRET = "a-shared-secret-for-tests"
 KEYS = PeeringKeys("k1", {"k1": SECRET.encode()})
-ROOT = Path(__file__).resolve().parent.parent
-
-
-class Process:
-    """A child process with its standard error in a file."""
-
-    def __init__(self, name: str, arguments: list[str], directory: Path):
-        self.log = directory / f"{name}.log"
-        with open(self.log, "a", encoding="utf-8") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, *arguments],
-                cwd=ROOT,
-                env={"PYTHONPATH": "src:.", "PATH": "", "PYTHONFAULTHANDLER": "1"},
-                stderr=log,
-                stdout=log,
-            )
-
-    @property
-    def pid(self) -> int:
-        return self._process.pid
-
-    def signal(self, number: int):
-        self._process.send_signal(number)
-
-    def wait(self, timeout: float) -> int | None:
-        """Return the exit status, or None if the process still runs."""
-        deadline = time.monotonic() + timeout
-        while self._process.poll() is None and time.monotonic() < deadline:
-            gevent.sleep(0.02)
-        return self._process.poll()
-
-    def stop(self):
-        if self._process.poll() is None:
-            self._process.kill()
-        self._process.wait()
-
-    def processor_seconds(self) -> float:
-        fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(")", 1)[1].split()
-        return (int(fields[11]) + int(fields[12])) / 100
-
-    def memory_kb(self) -> dict[str, int]:
-        """Return the resident memory, and its part that is not shared with files."""
-        lines = Path(f"/proc/{self.pid}/status").read_text().splitlines()
-        values = dict(line.split(":", 1) for line in lines)
-        return {
-            name: int(values[name].split()[0])
-            for name in ("VmRSS", "RssAnon", "VmHWM")
-        }
 
 
 def start_engine(directory, port, name, **options) -> Process:
@@ -97,6 +49,7 @@
     for flag, value in {"engine": name, **options}.items():
         arguments += [f"--{flag.replace('_', '-')}", str(value)]
     process = Process(f"engine-{name}", arguments, directory)
+    process.start()
     wait_for_http(f"http://127.0.0.1:{port}/v1/engine")
     return process
 
@@ -115,7 +68,25 @@
     path = directory / f"{name}.json5"
     path.write_text(json.dumps(values), encoding="utf-8")
     arguments = ["-m", "bulrushdrum._internal.sidecar.process", "--settings", str(path)]
-    return Process(f"sidecar-{name}", arguments, directory)
+    process = Process(f"sidecar-{name}", arguments, directory)
+    process.start()
+    process.wait_listening(values["listen"])
+    return process
+
+
+def processor_seconds(process: Process) -> float:
+    """Return the processor time that `process` has used."""
+    text = Path(f"/proc/{process.pid}/stat").read_text()
+    fields = text.rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def memory_kb(process: Process) -> dict[str, int]:
+    """Return the resident memory, and its part that is not shared with files."""
+    lines = Path(f"/proc/{process.pid}/status").read_text().splitlines()
+    values = dict(line.split(":", 1) for line in lines)
+    names = ("VmRSS", "RssAnon", "VmHWM")
+    return {name: int(values[name].split()[0]) for name in names}
 
 
 def wait_for_http(url: str, timeout: float = 10.0):
--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -9,6 +9,8 @@
 Undecodable bytes raise `FrameError`.
 """
 
+from collections.abc import Callable
+from operator import attrgetter
 from pathlib import Path
 from typing import NamedTuple, get_args, get_origin
 
@@ -284,6 +286,7 @@
     loan: str = ""
     granted: bool = False
     reason: str = ""
+    number: int = 0
 
 
 class PermitReturn(NamedTuple):
@@ -299,11 +302,53 @@
     number: int = 0
 
 
+class EntryMember(NamedTuple):
+    """An entry as a member of the entry set."""
+
+    node: str = ""
+    incarnation: str = ""
+    address: str = ""
+    data_centre: str = ""
+    region: str = ""
+
+
 class EntrySetAck(NamedTuple):
-    """The sender has adopted a version of the entry set."""
+    """The sender has adopted a version of the entry set.
+
+    `guests` are entries known to the sender that are not members of that version.
+    """
 
     version: int = 0
     busy: tuple[BusyPermit, ...] = ()
+    sequence: int = 0
+    config_revision: int = 0
+    guests: tuple[EntryMember, ...] = ()
+
+
+class EntrySetQuery(NamedTuple):
+    """Asks a peer for the entry set; `version` is the one the sender has."""
+
+    version: int = 0
+
+
+class EntrySetValue(NamedTuple):
+    """A version of the entry set as the table holds it."""
+
+    version: int = 0
+    members: tuple[EntryMember, ...] = ()
+
+
+class LoansQuery(NamedTuple):
+    """A lender asks which of these loans the peer still holds."""
+
+    loans: tuple[str, ...] = ()
+
+
+class LoansHeld(NamedTuple):
+    """Answer to `LoansQuery`; the loans that are not held will never be used."""
+
+    queried: tuple[str, ...] = ()
+    held: tuple[str, ...] = ()
 
 
 class RecordCopies(NamedTuple):
@@ -320,23 +365,26 @@
 
 
 class RecordsFlushed(NamedTuple):
-    """These records are in the object store; the partner may drop them."""
+    """These records are in the object store; the partner may drop them.
+
+    `all` lets a former partner drop all it holds, because another one holds them now.
+    """
 
     ids: tuple[str, ...] = ()
+    all: bool = False
 
 
-class Suspect(NamedTuple):
-    """A request that was on board when an engine died."""
+class Incident(NamedTuple):
+    """The death of an engine and the fingerprints in the call that it was running."""
 
-    fingerprint: str = ""
-    deaths: int = 0
-    convicted: bool = False
+    id: str = ""
+    fingerprints: tuple[str, ...] = ()
 
 
 class Suspects(NamedTuple):
-    """Suspects to share with all entries."""
+    """Incidents to share with all entries."""
 
-    suspects: tuple[Suspect, ...] = ()
+    incidents: tuple[Incident, ...] = ()
 
 
 class OrderLeaseRequest(NamedTuple):
@@ -427,6 +475,10 @@
     | CacheEvents
     | DumpQuery
     | Dump
+    | EntrySetQuery
+    | EntrySetValue
+    | LoansQuery
+    | LoansHeld
 )
 
 _UNION_NAMES: dict[type, str] = {
@@ -463,6 +515,10 @@
     CacheEvents: "cacheEvents",
     DumpQuery: "dumpQuery",
     Dump: "dump",
+    EntrySetQuery: "entrySetQuery",
+    EntrySetValue: "entrySetValue",
+    LoansQuery: "loansQuery",
+    LoansHeld: "loansHeld",
 }
 _MESSAGE_TYPES = {name: kind for kind, name in _UNION_NAMES.items()}
 
@@ -472,53 +528,105 @@
     return head + "".join(part.capitalize() for part in rest)
 
 
-class _Field(NamedTuple):
+class _Plain(NamedTuple):
+    """A field whose value is taken over as it is."""
+
     name: str
-    wire_name: str
-    item: type | None  # message type of a nested value
-    many: bool
 
 
-def _fields(kind):
-    fields = []
-    for name, annotation in kind.__annotations__.items():
-        args = get_args(annotation)
-        many = get_origin(annotation) is tuple
-        nested = [arg for arg in args if hasattr(arg, "_fields")]
-        fields.append(_Field(name, _camel(name), nested[0] if nested else None, many))
-    return tuple(fields)
+class _Items(NamedTuple):
+    """A list of numbers or texts."""
+
+    name: str
+
+
+class _Nested(NamedTuple):
+    """A message inside the message."""
+
+    name: str
+    kind: type
+
+
+class _NestedItems(NamedTuple):
+    """A list of messages."""
+
+    name: str
+    kind: type
+
+
+class _Layout(NamedTuple):
+    """How the fields of a message are read and written."""
+
+    plain: tuple  # (index, wire name)
+    special: tuple  # (index, field)
+    read: Callable  # all fields of a reader as a tuple
+
+
+def _field(name, annotation):
+    nested = [arg for arg in get_args(annotation) if hasattr(arg, "_fields")]
+    if get_origin(annotation) is tuple:
+        return _NestedItems(_camel(name), nested[0]) if nested else _Items(_camel(name))
+    return _Nested(_camel(name), nested[0]) if nested else _Plain(_camel(name))
+
+
+def _layout(kind):
+    fields = tuple(_field(*item) for item in kind.__annotations__.items())
+    names = [field.name for field in fields]
+    single = attrgetter(names[0])
+    plain, special = [], []
+    for index, field in enumerate(fields):
+        if isinstance(field, _Plain):
+            plain.append((index, field.name))
+        else:
+            special.append((index, field))
+    # attrgetter with one name returns the value itself, not a tuple.
+    read = attrgetter(*names) if len(names) > 1 else lambda reader: (single(reader),)
+    return _Layout(tuple(plain), tuple(special), read)
 
 
-_FIELDS = {
-    kind: _fields(kind)
+_LAYOUTS = {
+    kind: _layout(kind)
     for kind in list(globals().values())
-    if isinstance(kind, type) and hasattr(kind, "_fields") and kind is not _Field
+    if isinstance(kind, type)
+    and hasattr(kind, "_fields")
+    and kind not in (_Plain, _Items, _Nested, _NestedItems, _Layout)
 }
 
 
-def _to_wire(message):
-    values = {}
-    for field, value in zip(_FIELDS[type(message)], message, strict=True):
-        if field.item is None:
-            values[field.wire_name] = list(value) if field.many else value
-        elif field.many:
-            values[field.wire_name] = [_to_wire(item) for item in value]
-        elif value is not None:
-            values[field.wire_name] = _to_wire(value)
-    return values
-
-
-def _from_wire(kind, reader):
-    values = []
-    for field in _FIELDS[kind]:
-        value = getattr(reader, field.wire_name)
-        if field.many and field.item is not None:
-            value = tuple(_from_wire(field.item, item) for item in value)
-        elif field.many:
-            value = tuple(value)
-        elif field.item is not None:
-            value = _from_wire(field.item, value)
-        values.append(value)
+def _write(builder, message):
+    layout = _LAYOUTS[type(message)]
+    for index, name in layout.plain:
+        setattr(builder, name, message[index])
+    for index, field in layout.special:
+        value = message[index]
+        match field:
+            case _Items(name) if value:
+                items = builder.init(name, len(value))
+                for position, item in enumerate(value):
+                    items[position] = item
+            case _NestedItems(name) if value:
+                items = builder.init(name, len(value))
+                for position, item in enumerate(value):
+                    _write(items[position], item)
+            case _Nested(name) if value is not None:
+                _write(builder.init(name), value)
+
+
+def _read(kind, reader):
+    layout = _LAYOUTS[kind]
+    values = layout.read(reader)
+    if layout.special:
+        values = list(values)
+        for index, field in layout.special:
+            match field:
+                case _Items():
+                    values[index] = tuple(values[index])
+                case _Nested():
+                    values[index] = _read(field.kind, values[index])
+                case _NestedItems():
+                    values[index] = tuple(
+                        _read(field.kind, item) for item in values[index]
+                    )
     return kind._make(values)
 
 
@@ -528,8 +636,9 @@
     A field whose value does not fit its type in `wire.capnp` raises `FrameError`.
     """
     try:
-        name = _UNION_NAMES[type(message)]
-        return _WIRE.Frame.new_message(**{name: _to_wire(message)}).to_bytes()
+        frame = _WIRE.Frame.new_message()
+        _write(frame.init(_UNION_NAMES[type(message)]), message)
+        return frame.to_bytes()
     except (capnp.KjException, TypeError, OverflowError, KeyError) as error:
         raise FrameError(f"cannot encode {message!r}: {error}") from error
 
@@ -538,8 +647,8 @@
     """Return the message in `data`, or raise `FrameError`."""
     try:
         with _WIRE.Frame.from_bytes(data) as frame:
-            name = frame.which()
-            return _from_wire(_MESSAGE_TYPES[str(name)], getattr(frame, str(name)))
+            name = str(frame.which())
+            return _read(_MESSAGE_TYPES[name], getattr(frame, name))
     except (capnp.KjException, KeyError, ValueError, UnicodeDecodeError) as error:
         raise FrameError(
             f"frame of {len(data)} bytes cannot be decoded: {error}"
--- a/src/bulrushdrum/_internal/sidecar/stages.py
+++ b/src/bulrushdrum/_internal/sidecar/stages.py
@@ -373,13 +373,14 @@
         suspects = tuple({one.open.fingerprint for one in sequences})
         self._status.update(engine=None)
         log_event(Event.ENGINE_LOST, reason=reason, open=len(self._sequences))
-        for sequence in sequences:
+        # Every report names the same requests, so an entry may learn of the incident
+        # from whichever it receives first.
+        for sequence in self.sequences():
             self.fail(sequence, "engine_lost", suspects=suspects, incident=incident)
-        self.fail_all("engine_lost", incident)
 
-    def fail_all(self, cause: str, incident: str = ""):
+    def fail_all(self, cause: str):
         for sequence in self.sequences():
-            self.fail(sequence, cause, incident=incident)
+            self.fail(sequence, cause)
 
     def next_hop_lost(self, incarnation: str, reason: str):
         """Fail the attempts that send to the sidecar `incarnation`."""
