Keep Cap'n Proto exceptions out of greenlets

Cap'n Proto takes a stack trace for each exception. In a greenlet the unwinder runs off the end of the greenlet's part of the stack and the process ends with a segmentation fault; an unknown peer could cause this with one malformed handshake frame. Integers are range-checked before they are set, and frames of a peer that has not proved its key are limited to 4 KB and decoded in a native thread.

--- a/src/bulrushdrum/_internal/peering/connections.py
+++ b/src/bulrushdrum/_internal/peering/connections.py
@@ -35,6 +35,8 @@
 )
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+# Handshake frames are a few hundred bytes, and their sender is not yet known.
+MAX_HANDSHAKE_FRAME_BYTES = 4096
 # A peer that does not read must not make this process hold its frames without bound.
 MAX_QUEUED_MESSAGES = 20_000
 HANDSHAKE_TIMEOUT_SECONDS = 3.0
@@ -46,13 +48,20 @@
     """Length-prefixed frames on a socket.
 
     `read_message` raises `ConnectionLost` at the end of the stream and `FrameError` for
-    a frame over `max_frame_bytes` or one that cannot be decoded.
+    a frame over `max_frame_bytes` or one that cannot be decoded. Until `trust` is
+    called the peer is unknown and its frames are decoded in a native thread, because
+    malformed bytes can end a process that decodes them in a greenlet.
     """
 
     def __init__(self, sock, max_frame_bytes=MAX_FRAME_BYTES):
         self._sock = sock
         self._max_frame_bytes = max_frame_bytes
         self._reader = sock.makefile("rb")
+        self._trusted = False
+
+    def trust(self):
+        """Decode without a thread from now on; the peer has proved its key."""
+        self._trusted = True
 
     def _read_exactly(self, size):
         try:
@@ -65,11 +74,15 @@
 
     def read_message(self) -> Message:
         (size,) = _LENGTH.unpack(self._read_exactly(_LENGTH.size))
-        if size > self._max_frame_bytes:
-            raise FrameError(
-                f"frame of {size} bytes is over the limit of {self._max_frame_bytes}"
-            )
-        return decode(self._read_exactly(size))
+        limit = self._max_frame_bytes
+        if not self._trusted:
+            limit = min(limit, MAX_HANDSHAKE_FRAME_BYTES)
+        if size > limit:
+            raise FrameError(f"frame of {size} bytes is over the limit of {limit}")
+        data = self._read_exactly(size)
+        if self._trusted:
+            return decode(data)
+        return gevent.get_hub().threadpool.apply(decode, (data,))
 
     def write_message(self, message: Message) -> int:
         """Write one frame and return its size in bytes."""
@@ -233,6 +246,7 @@
     except PeeringError:
         stream.close()
         raise
+    stream.trust()
     return PeerConnection(stream, peer)
 
 
--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -535,9 +535,10 @@
 
 
 class _Items(NamedTuple):
-    """A list of numbers or texts."""
+    """A list of numbers or texts; `bounds` is None for texts."""
 
     name: str
+    bounds: tuple[int, int] | None
 
 
 class _Nested(NamedTuple):
@@ -558,30 +559,55 @@
     """How the fields of a message are read and written."""
 
     plain: tuple  # (index, wire name)
+    bounds: tuple  # (index, lowest, highest) of each integer
     special: tuple  # (index, field)
     read: Callable  # all fields of a reader as a tuple
 
 
-def _field(name, annotation):
+# Cap'n Proto raises its exceptions with a stack trace, and walking the stack of a
+# greenlet reads memory that belongs to another: the process ends with a segmentation
+# fault. Integers are therefore checked here and never by Cap'n Proto.
+_BOUNDS = {
+    "uint8": (0, 2**8 - 1),
+    "uint16": (0, 2**16 - 1),
+    "uint32": (0, 2**32 - 1),
+    "uint64": (0, 2**64 - 1),
+}
+
+
+def _bounds(kind, wire_name):
+    """Return the lowest and highest value of an integer field, or None."""
+    wire_type = getattr(_WIRE, kind.__name__).schema.fields[wire_name].proto.slot.type
+    if wire_type.which() == "list":
+        wire_type = wire_type.list.elementType
+    return _BOUNDS.get(str(wire_type.which()))
+
+
+def _field(kind, name, annotation):
     nested = [arg for arg in get_args(annotation) if hasattr(arg, "_fields")]
     if get_origin(annotation) is tuple:
-        return _NestedItems(_camel(name), nested[0]) if nested else _Items(_camel(name))
+        if nested:
+            return _NestedItems(_camel(name), nested[0])
+        return _Items(_camel(name), _bounds(kind, _camel(name)))
     return _Nested(_camel(name), nested[0]) if nested else _Plain(_camel(name))
 
 
 def _layout(kind):
-    fields = tuple(_field(*item) for item in kind.__annotations__.items())
+    fields = tuple(_field(kind, *item) for item in kind.__annotations__.items())
     names = [field.name for field in fields]
     single = attrgetter(names[0])
-    plain, special = [], []
+    plain, bounds, special = [], [], []
     for index, field in enumerate(fields):
         if isinstance(field, _Plain):
             plain.append((index, field.name))
+            limits = _bounds(kind, field.name)
+            if limits is not None:
+                bounds.append((index, *limits))
         else:
             special.append((index, field))
     # attrgetter with one name returns the value itself, not a tuple.
     read = attrgetter(*names) if len(names) > 1 else lambda reader: (single(reader),)
-    return _Layout(tuple(plain), tuple(special), read)
+    return _Layout(tuple(plain), tuple(bounds), tuple(special), read)
 
 
 _LAYOUTS = {
@@ -593,14 +619,24 @@
 }
 
 
+def _check_all(values, low, high):
+    if min(values) < low or max(values) > high:
+        raise OverflowError(f"a value of {values!r} is not in {low}..{high}")
+
+
 def _write(builder, message):
     layout = _LAYOUTS[type(message)]
+    for index, low, high in layout.bounds:
+        if not low <= message[index] <= high:
+            raise OverflowError(f"{message[index]!r} is not in {low}..{high}")
     for index, name in layout.plain:
         setattr(builder, name, message[index])
     for index, field in layout.special:
         value = message[index]
         match field:
-            case _Items(name) if value:
+            case _Items(name, limits) if value:
+                if limits is not None:
+                    _check_all(value, *limits)
                 items = builder.init(name, len(value))
                 for position, item in enumerate(value):
                     items[position] = item
@@ -644,7 +680,10 @@
 
 
 def decode(data: bytes) -> Message:
-    """Return the message in `data`, or raise `FrameError`."""
+    """Return the message in `data`, or raise `FrameError`.
+
+    Bytes that may be malformed must not be decoded in a greenlet, see `_BOUNDS`.
+    """
     try:
         with _WIRE.Frame.from_bytes(data) as frame:
             name = str(frame.which())
--- /dev/null
+++ b/tests/regressions/test_frames_in_greenlets.py
@@ -0,0 +1,106 @@
+"""Bad values and bad bytes must not end a process whose greenlets meet them."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+
+# Each program makes greenlets of different stack depth meet Cap'n Proto errors.
+ENCODING = """
+import gevent
+from bulrushdrum._internal.peering.errors import FrameError
+from bulrushdrum._internal.peering.messages import RecordsAck, Step, encode
+
+refused = 0
+
+def work(message):
+    global refused
+    for _ in range(200):
+        try:
+            encode(message)
+        except FrameError:
+            refused += 1
+        gevent.sleep(0.0001)
+
+messages = [RecordsAck(batch=-1), Step("r", tokens=(1, 2**32)), Step("r", count=2**40)]
+greenlets = [gevent.spawn(work, message) for message in messages]
+for _ in range(100):
+    gevent.sleep(0.001)
+gevent.joinall(greenlets)
+print(refused)
+"""
+
+HANDSHAKES = """
+import random
+import struct
+import gevent
+from gevent import socket
+from bulrushdrum._internal.peering.connections import PeerServer
+from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
+from bulrushdrum._internal.peering.messages import Hello, encode
+
+with socket.socket() as reserved:
+    reserved.bind(("127.0.0.1", 0))
+    port = reserved.getsockname()[1]
+refused = []
+server = PeerServer(
+    f"127.0.0.1:{port}",
+    PeerIdentity("sidecar", "a", "a.1", "dc1", f"127.0.0.1:{port}"),
+    PeeringKeys("k1", {"k1": b"x" * 16}),
+    on_connect=lambda connection: None,
+    on_refused=lambda address, error: refused.append(error),
+)
+server.start()
+draw = random.Random(1)
+good = encode(Hello(1, "entry", "b", "b.1", "dc1", "", "k1", b"0123456789abcdef"))
+
+def send(data):
+    sock = socket.create_connection(("127.0.0.1", port))
+    # The reader waits inside the frame, so that the event loop's stack has changed
+    # when it goes on.
+    sock.sendall(struct.pack("!I", len(data)))
+    gevent.sleep(0.002)
+    sock.sendall(data)
+    sock.settimeout(0.2)
+    try:
+        sock.recv(1000)
+    except OSError:
+        pass
+    sock.close()
+
+for _ in range(60):
+    frames = []
+    for _ in range(5):
+        data = bytearray(good)
+        for _ in range(3):
+            data[draw.randrange(len(data))] = draw.randrange(256)
+        frames.append(bytes(data))
+    gevent.joinall([gevent.spawn(send, data) for data in frames])
+gevent.sleep(0.2)
+print(len(refused))
+"""
+
+
+def run(program):
+    return subprocess.run(
+        [sys.executable, "-c", program],
+        cwd=ROOT,
+        env={"PYTHONPATH": "src"},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
+def test_values_out_of_range_are_refused_in_a_greenlet():
+    # Guards against the segmentation fault of a Cap'n Proto exception whose stack
+    # trace runs off the end of a greenlet's stack.
+    ended = run(ENCODING)
+    assert (ended.returncode, ended.stdout) == (0, "600\n"), ended.stderr
+
+
+def test_malformed_handshakes_are_refused():
+    # Guards against the same fault when an unknown peer sends malformed bytes.
+    ended = run(HANDSHAKES)
+    assert (ended.returncode, ended.stdout) == (0, "300\n"), ended.stderr
