--- a/bench/entry_probe.py
+++ b/bench/entry_probe.py
@@ -54,6 +54,14 @@
     return process
 
 
+def start_service(directory, port, name) -> Process:
+    arguments = ["-m", "bench.standins.plain_service", "--address", f"127.0.0.1:{port}"]
+    process = Process(f"service-{name}", arguments, directory)
+    process.start()
+    process.wait_listening(f"127.0.0.1:{port}")
+    return process
+
+
 def start_sidecar(directory, port, name, upstream_port, **settings) -> Process:
     """Start a sidecar; `settings` are added to its settings file."""
     values = {
@@ -251,8 +259,9 @@
                 connection.send(Close(asked.request, asked.attempt, reason))
 
     def call(self, connection, timeout: float = 10.0, **values) -> CallResult:
+        values = {"customer": "warwick", "timeout_ms": 5000, "weight": 1.0, **values}
         call = f"c{next(self._numbers)}"
-        return self.ask(connection, Call(call=call, weight=1.0, **values), timeout)
+        return self.ask(connection, Call(call=call, **values), timeout)
 
     def ask(self, connection, message, timeout: float = 10.0):
         """Send a `Call` or `Resolve` and return its answer."""
--- a/src/bulrushdrum/_internal/settings/sidecar.py
+++ b/src/bulrushdrum/_internal/settings/sidecar.py
@@ -105,6 +105,13 @@
     service_queue_limit: int = setting(
         512, unit="calls", help="calls waiting at once", low=1, high=100_000
     )
+    bound_call_timeout: float = setting(
+        60.0,
+        unit="s",
+        help="time a call with a bound key may take, whatever its caller waits",
+        low=0.1,
+        high=3600.0,
+    )
     max_answer_bytes: int = setting(
         8 * 1024 * 1024,
         unit="bytes",
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -30,6 +30,7 @@
 from bulrushdrum._internal.sidecar.engine import EngineClient
 from bulrushdrum._internal.sidecar.heartbeats import Heartbeats
 from bulrushdrum._internal.sidecar.next_hops import NextHops
+from bulrushdrum._internal.sidecar.service_calls import ServiceCalls
 from bulrushdrum._internal.sidecar.stages import Stages
 from bulrushdrum._internal.sidecar.status import UpstreamStatus
 from bulrushdrum._internal.sidecar.watching import EngineWatch, ServiceWatch
@@ -72,6 +73,7 @@
             self._bindings,
             self._next_hops,
         )
+        self._calls = ServiceCalls(self._hub, settings, self._status, self._bindings)
         self._heartbeats = Heartbeats(
             self._hub, self._next_hops, settings, self._make_beat, self._on_tick
         )
@@ -127,12 +129,13 @@
             "engine": lambda: self._status.engine and self._status.engine._asdict(),
             "peers": self._heartbeats.dump,
             "stages": self._stages.dump,
+            "calls": self._calls.dump,
             "bindings": self._bindings.dump,
         }
 
     @property
     def _work_running(self):
-        return self._stages.open_count
+        return self._stages.open_count + self._calls.running
 
     def _drain(self):
         """Announce that this sidecar leaves, finish what runs, and stop."""
@@ -154,7 +157,7 @@
             window=self._bindings.window,
             running=self._work_running,
             queued_tokens=self._stages.queued_tokens
-            + (load.queued_tokens if load else 0),
+            + (load.queued_tokens if load else self._calls.waiting),
         )
 
     def _on_connected(self, connection):
