--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -16,7 +16,7 @@
 
 from bench.standins.batching import BatchingEngine, EngineOptions, Faults
 from bench.standins.model_digest import expected_answer
-from bench.standins.web import drop_connection, serve
+from bench.standins.web import lose_answer, serve
 
 __all__ = ["create_app", "expected_answer", "main"]
 
@@ -56,7 +56,7 @@
         results = self._engine.submit(steps)
         if self._engine.faults.lose_answers > 0:
             self._engine.faults.lose_answers -= 1
-            drop_connection(bottle.request.environ)
+            lose_answer()
         bottle.response.content_type = "application/json"
         version = self._engine.options.model_version
         return json.dumps({"model_version": version, "results": results})
@@ -77,7 +77,7 @@
         self._adapters = list(order.get("adapters") or self._adapters)
         if self._engine.faults.lose_order_answers > 0:
             self._engine.faults.lose_order_answers -= 1
-            drop_connection(bottle.request.environ)
+            lose_answer()
         return self.describe()
 
     def load(self):
--- a/bench/standins/web.py
+++ b/bench/standins/web.py
@@ -1,34 +1,26 @@
-"""What the stand-ins share: an HTTP server whose answers can be lost, and a journal."""
+"""What the stand-ins of upstreams share: lost answers, and a journal on disk."""
 
 import json
+import socket
 
-from gevent.pywsgi import WSGIHandler, WSGIServer
+import bottle
+import gevent
 
-from bulrushdrum._internal.peering.connections import parse_address
+from bench.standins.serving import start_server
 
 
-class _Handler(WSGIHandler):
-    def get_environ(self):
-        return {**super().get_environ(), "standin.connection": self.socket}
-
-    def handle_error(self, kind, value, trace):
-        # A connection dropped on purpose is not worth a traceback.
-        if not isinstance(value, OSError):
-            super().handle_error(kind, value, trace)
-
-
-def drop_connection(environ):
-    """Close the caller's connection without an answer."""
+def lose_answer():
+    """Close the caller's connection, so that the answer being made is lost."""
     try:
-        environ["standin.connection"].shutdown(2)
+        bottle.request.environ["bench.socket"].shutdown(socket.SHUT_RDWR)
     except OSError:
         pass  # the caller went first
 
 
-def serve(app, address: str):
-    """Serve the WSGI `app` until the process ends."""
-    server = WSGIServer(parse_address(address), app, handler_class=_Handler, log=None)
-    server.serve_forever()
+def serve(app: bottle.Bottle, address: str):
+    """Serve `app` until the process ends."""
+    start_server(app, address)
+    gevent.get_hub().join()
 
 
 class JournalFile:
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -171,7 +171,7 @@
   cause @3 :Text;
   ran @4 :Bool;              # false: this stage passed nothing to its engine
   suspects @5 :List(Text);   # fingerprints in the engine call that died
-  incident @6 :Text;         # the same in all reports of one engine's death
+  incident @6 :Text;         # id of the engine's death, the same for all on board
 }
 
 struct Header { name @0 :Text; value @1 :Text; }
