--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -222,12 +222,16 @@
 
 
 class Resolve(NamedTuple):
-    """Asks what became of a bound key; cancels the key if it has not run."""
+    """Asks what became of a bound key; cancels the key if it has not run.
+
+    Only `generation` and those before it are cancelled.
+    """
 
     call: str = ""
     customer: str = ""
     binding_key: str = ""
     window: int = 0
+    generation: int = 0
 
 
 class Resolved(NamedTuple):
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -196,7 +196,13 @@
   reason @5 :Text;
 }
 
-struct Resolve { call @0 :Text; customer @1 :Text; bindingKey @2 :Text; window @3 :UInt32; }
+struct Resolve {
+  call @0 :Text;
+  customer @1 :Text;
+  bindingKey @2 :Text;
+  window @3 :UInt32;
+  generation @4 :UInt32;     # a later generation of the key may still run
+}
 
 struct Resolved {
   call @0 :Text;
--- a/src/bulrushdrum/_internal/sidecar/bindings.py
+++ b/src/bulrushdrum/_internal/sidecar/bindings.py
@@ -28,14 +28,13 @@
 from gevent.event import AsyncResult
 
 from bulrushdrum._internal.peering.messages import CallResult, Resolved
-from bulrushdrum._internal.world.requests import Outcome
+from bulrushdrum._internal.world.requests import MAX_KEY_CHARACTERS, Outcome
 
 WINDOW_SECONDS = 60.0
 KEPT_WINDOWS = 2
 # A key measured 700 bytes (tracemalloc, 40 character key), so 10,000 keys are 7 MB of a
 # sidecar's 32 MB. They allow 41 new keys a second, kept for up to four windows.
 MAX_KEYS = 10_000
-MAX_KEY_CHARACTERS = 512
 # Results of bound calls are small (receipts); a quarter of a sidecar's 32 MB.
 MAX_RESULT_BYTES = 8 * 1024 * 1024
 
--- a/src/bulrushdrum/_internal/world/requests.py
+++ b/src/bulrushdrum/_internal/world/requests.py
@@ -5,6 +5,9 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+# Idempotency keys become part of a row's key and of a URL.
+MAX_KEY_CHARACTERS = 512
+
 
 class Outcome(StrEnum):
     """The three ways a request can end."""
--- a/tests/unit/test_bindings.py
+++ b/tests/unit/test_bindings.py
@@ -58,6 +58,8 @@
     assert table.resolve("c", "k", 0, 0).state == "cancelled"
     refused = table.admit("c", "k", 0, 0, "f")
     assert refused == Refuse(RefusalReason.CANCELLED, Outcome.NOT_RUN)
+    assert table.resolve("c", "k", 0, 1).state == "cancelled"
+    assert table.admit("c", "k", 0, 1, "f") == refused
     assert table.admit("c", "k", 0, 2, "f") == Run()
     assert table.resolve("c", "k", 0, 0).state == "running"
 
@@ -101,6 +103,31 @@
     assert table.admit("c", "k3", 3, 1, "f") == Run()
 
 
+def test_closed_window_stays_closed_when_there_is_room():
+    # Guards against a duplicate of a refused call that runs once older keys expired.
+    table, clock = make_table(max_keys=1)
+    table.admit("c", "old", 0, 0, "f")
+    table.finish("c", "old", ANSWER)
+    clock.now += 2 * WINDOW_SECONDS
+    closed = Refuse(RefusalReason.WINDOW_CLOSED, Outcome.NOT_RUN)
+    assert table.admit("c", "new", 2, 0, "f") == closed
+    clock.now += WINDOW_SECONDS
+    assert table.admit("c", "new", 2, 0, "f") == closed
+    assert table.admit("c", "new", 3, 1, "f") == Run()
+
+
+def test_key_is_kept_for_the_latest_window_it_was_named_with():
+    # Guards against a binding that came back with an older window, ran, was forgotten
+    # and runs again for a delayed call of its cancelled generation.
+    table, clock = make_table()
+    clock.now += WINDOW_SECONDS
+    table.resolve("c", "k", 1, 0)
+    assert table.admit("c", "k", 0, 2, "f") == Run()
+    table.finish("c", "k", ANSWER)
+    clock.now += 2 * WINDOW_SECONDS
+    assert isinstance(table.admit("c", "k", 1, 0, "f"), Join)
+
+
 def test_large_result_goes_to_joiners_and_is_not_kept():
     # Guards against results that exhaust the memory of the sidecar.
     table, _ = make_table(max_result_bytes=3)
