Run non-idempotent calls and chat requests through bindings

Cause: the entry had no way to run a request at most once. Change: calls and chat requests that the contract lists go through OnceProcedure; issued keys.

--- a/src/bulrushdrum/_internal/caller/frontend.py
+++ b/src/bulrushdrum/_internal/caller/frontend.py
@@ -14,12 +14,27 @@
 from bulrushdrum._internal.limits.permits import Permits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.observability.metrics import Metrics
+from bulrushdrum._internal.peering.handshake import PeeringKeys
 from bulrushdrum._internal.peering.messages import Call, CallResult, Header
 from bulrushdrum._internal.records.record import RequestRecord
 from bulrushdrum._internal.records.replication import RecordKeeper
-from bulrushdrum._internal.routing.attempts import ModelRunner
-from bulrushdrum._internal.routing.calls import CallRunner
+from bulrushdrum._internal.routing.attempts import DeliveredToken, ModelRunner
+from bulrushdrum._internal.routing.bound_chat import (
+    ChatAnswer,
+    ChatTransport,
+    decode_answer,
+    propose_stage,
+)
+from bulrushdrum._internal.routing.calls import CallRunner, ServiceTransport
 from bulrushdrum._internal.routing.chains import ChainPlanner
+from bulrushdrum._internal.routing.claims import ClaimStore
+from bulrushdrum._internal.routing.errors import InvalidIssuedKey
+from bulrushdrum._internal.routing.issued_keys import (
+    is_issued_key,
+    issue_key,
+    read_issued_key,
+)
+from bulrushdrum._internal.routing.once import OnceProcedure
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.contracts import Contract
 from bulrushdrum._internal.world.requests import (
@@ -46,6 +61,8 @@
         planner: ChainPlanner,
         runner: ModelRunner,
         calls: CallRunner,
+        claims: ClaimStore,
+        keys: PeeringKeys,
         metrics: Metrics,
         incarnation: str,
     ):
@@ -56,6 +73,8 @@
         self._planner = planner
         self._runner = runner
         self._calls = calls
+        self._claims = claims
+        self._keys = keys
         self._metrics = metrics
         self._incarnation = incarnation
         self._draining = False
@@ -112,7 +131,12 @@
         )
 
     def issue_key(self, contract: Contract, service: str) -> str:
-        raise CallerError("not_found", "issued keys are not available")
+        """Return a fresh key that is bound to an upstream of the service."""
+        proposal = self._calls.propose(service, frozenset())
+        if proposal is None:
+            message = f"service {service!r} has no upstream now"
+            raise CallerError("service_not_found", message)
+        return issue_key(contract.customer, proposal, self._keys)
 
     def call(self, contract, service, method, path, headers, body, key):
         """Run a call to a plain service; returns (request id, `CallResult`)."""
@@ -155,7 +179,41 @@
         }
 
     def _run_call(self, message: Call, key: str) -> CallResult:
-        return self._calls.run(message)
+        if not key:
+            return self._calls.run(message)
+        transport = ServiceTransport(self._calls.pending, message)
+        procedure = OnceProcedure(
+            self._claims,
+            transport,
+            lambda excluded: self._calls.propose(message.service, excluded),
+        )
+        timeout = self._settings.service_timeout
+        return self._run_once(procedure, message, key, timeout)
+
+    def _run_once(self, procedure, message, key, timeout) -> CallResult:
+        """Run a request with a key at most once; raises `CallerError`."""
+        customer = message.customer
+        issued = None
+        if is_issued_key(key):
+            try:
+                issued = read_issued_key(key, customer, self._keys)
+            except InvalidIssuedKey as error:
+                raise CallerError("invalid_request", str(error)) from error
+        ended = procedure.run(customer, key, message.fingerprint, timeout, issued)
+        match ended.outcome:
+            case Outcome.ANSWERED:
+                return ended.result
+            case Outcome.NOT_RUN:
+                code = ended.reason or "not_run"
+                raise CallerError(code, f"the request did not run: {ended.reason}")
+            case _ if ended.reason == "store_unavailable" and not ended.sent:
+                # Nothing was sent for this request. Whether an earlier request with the
+                # same key ran cannot be known while the table is away.
+                text = "the table is away, so the key cannot be bound; nothing was sent"
+                raise CallerError("store_unavailable", text)
+            case _:
+                text = f"it is not known whether the key ran: {ended.reason}"
+                raise CallerError(ended.reason, text, "unknown")
 
     def _abandon(self, request):
         running = self._runner.running.get(request.request_id)
@@ -171,20 +229,46 @@
                     f"chat:{request.kind} runs at most once by contract; "
                     "send an Idempotency-Key",
                 )
-            running_requests = []
 
             def deliver_timed(token):
                 entry.note_token()
                 deliver(token)
 
-            reason = self._runner.run(
-                request, contract, deliver_timed, on_start=running_requests.append
-            )
-            running = running_requests[0]
-            last = running.notes[-1]
-            entry.finish(len(request.prompt), len(running.tokens), len(running.notes))
-            end = EndPart(reason, len(running.tokens), last.chain, len(running.notes))
-        return end
+            if request.non_idempotent:
+                answer = self._run_bound_chat(contract, request, deliver_timed)
+            else:
+                answer = self._run_free_chat(contract, request, deliver_timed)
+            prompt_tokens = len(request.prompt)
+            entry.finish(prompt_tokens, answer.answer_tokens, answer.attempts)
+        return EndPart(
+            answer.finish_reason, answer.answer_tokens, answer.chain, answer.attempts
+        )
+
+    def _run_free_chat(self, contract, request, deliver) -> ChatAnswer:
+        started = []
+        reason = self._runner.run(request, contract, deliver, on_start=started.append)
+        running = started[0]
+        chain = running.notes[-1].chain
+        return ChatAnswer("", reason, len(running.tokens), chain, len(running.notes))
+
+    def _run_bound_chat(self, contract, request, deliver) -> ChatAnswer:
+        transport = ChatTransport(
+            self._calls.pending, self._runner, request, contract, deliver
+        )
+        procedure = OnceProcedure(
+            self._claims,
+            transport,
+            lambda excluded: propose_stage(
+                self._planner, request, self._settings.data_centre, excluded
+            ),
+        )
+        timeout = self._settings.request_timeout
+        result = self._run_once(procedure, request, request.idempotency_key, timeout)
+        answer = decode_answer(result)
+        if not transport.delivered:
+            # The key ran before; the caller gets the stored answer in one piece.
+            deliver(DeliveredToken(len(request.prompt), 0, answer.text))
+        return answer
 
     @contextmanager
     def _recorded(self, contract, request_id, kind):
--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -31,6 +31,7 @@
 from bulrushdrum._internal.routing.attempts import ModelRunner
 from bulrushdrum._internal.routing.calls import CallRunner
 from bulrushdrum._internal.routing.chains import POLICIES, ChainPlanner
+from bulrushdrum._internal.routing.claims import ClaimStore
 from bulrushdrum._internal.routing.membership import Membership
 from bulrushdrum._internal.routing.retries import RetryBudget
 from bulrushdrum._internal.routing.suspects import SuspectRegistry
@@ -89,6 +90,8 @@
             self._membership, planner, budget, SuspectRegistry(), settings
         )
         calls = CallRunner(self._membership, budget, settings.seed)
+        claims = ClaimStore(table)
+        self._claims = claims
         self._frontend = Frontend(
             settings,
             self._replica,
@@ -97,6 +100,8 @@
             planner,
             runner,
             calls,
+            claims,
+            keys,
             self._metrics,
             identity.incarnation,
         )
@@ -142,6 +147,7 @@
         self._entry_set.start()
         self._permits.start()
         self._records.start()
+        self._claims.start()
         self._http.start()
         self._operator_http.start()
         log_event(Event.ENTRY_READY, http=settings.http_listen, peers=settings.listen)
--- /dev/null
+++ b/src/bulrushdrum/_internal/routing/bound_chat.py
@@ -0,0 +1,116 @@
+"""Non-idempotent model requests on the way of `routing.once`.
+
+The key is bound to the sidecar of stage 0, which admits it once. The answer is kept in
+the claim row, so that a caller who sends the request again gets the same answer.
+"""
+
+import json
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bulrushdrum._internal.peering.messages import CallResult, Resolved
+from bulrushdrum._internal.routing.attempts import (
+    BoundStage,
+    DeliveredToken,
+    ModelRunner,
+)
+from bulrushdrum._internal.routing.calls import resolve_binding
+from bulrushdrum._internal.routing.chains import ChainPlanner, ChainRequest
+from bulrushdrum._internal.routing.claims import Binding, Proposal
+from bulrushdrum._internal.routing.errors import (
+    CallTimeout,
+    NoChain,
+    RequestNotRun,
+    RequestOutcomeUnknown,
+)
+from bulrushdrum._internal.routing.pending_calls import PendingCalls
+from bulrushdrum._internal.world.contracts import Contract
+from bulrushdrum._internal.world.requests import ChatRequest
+
+
+class ChatAnswer(NamedTuple):
+    """A whole answer and how it came about."""
+
+    text: str
+    finish_reason: str
+    answer_tokens: int
+    chain: tuple[str, ...]
+    attempts: int
+
+
+def decode_answer(result: CallResult) -> ChatAnswer:
+    """Return the answer that a claim row or a run holds."""
+    answer = ChatAnswer(**json.loads(result.body))
+    return answer._replace(chain=tuple(answer.chain))
+
+
+class ChatTransport:
+    """Runs one non-idempotent chat request on its bound sidecar's chain."""
+
+    def __init__(
+        self,
+        pending: PendingCalls,
+        runner: ModelRunner,
+        request: ChatRequest,
+        contract: Contract,
+        deliver: Callable[[DeliveredToken], None],
+    ):
+        self._pending = pending
+        self._runner = runner
+        self._request = request
+        self._contract = contract
+        self._deliver = deliver
+        self._delivered = False
+
+    @property
+    def delivered(self) -> bool:
+        """Whether a token has been given to the caller."""
+        return self._delivered
+
+    def send(self, binding: Binding, timeout: float) -> CallResult:
+        started = []
+        bound = BoundStage(
+            binding.incarnation, binding.key, binding.window, binding.generation
+        )
+        try:
+            reason = self._runner.run(
+                self._request, self._contract, self._pass_on, bound, started.append
+            )
+        except RequestNotRun as error:
+            # The sidecar has not necessarily cancelled the key, so it is asked.
+            raise CallTimeout(str(error)) from error
+        except RequestOutcomeUnknown as error:
+            return CallResult(outcome="unknown", reason=error.code)
+        running = started[0]
+        answer = ChatAnswer(
+            "".join(token.text for token in running.tokens),
+            reason,
+            len(running.tokens),
+            running.notes[-1].chain,
+            len(running.notes),
+        )
+        body = json.dumps(answer._asdict()).encode()
+        return CallResult(outcome="answered", status=200, body=body)
+
+    def resolve(self, binding: Binding, timeout: float) -> Resolved:
+        return resolve_binding(self._pending, binding, timeout)
+
+    def _pass_on(self, token):
+        self._delivered = True
+        self._deliver(token)
+
+
+def propose_stage(
+    planner: ChainPlanner, request: ChatRequest, data_centre: str, excluded: frozenset
+) -> Proposal | None:
+    """Return the first stage of a chain to which the request's key can be bound."""
+    wanted = ChainRequest(
+        request.model, request.prompt, request.max_tokens, data_centre, excluded
+    )
+    try:
+        first = planner.choose(wanted)[0]
+    except NoChain:
+        return None
+    if first.incarnation in excluded:
+        return None
+    return Proposal(first.id, first.incarnation, first.window)
--- a/src/bulrushdrum/_internal/routing/calls.py
+++ b/src/bulrushdrum/_internal/routing/calls.py
@@ -6,15 +6,19 @@
 """
 
 import random
-import time
-
-from gevent.event import AsyncResult
-from gevent.timeout import Timeout
+import secrets
 
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.messages import Call, CallResult, Resolve, Resolved
-from bulrushdrum._internal.routing.errors import RequestNotRun, RequestOutcomeUnknown
+from bulrushdrum._internal.routing.claims import Binding, Proposal
+from bulrushdrum._internal.routing.errors import (
+    CallTimeout,
+    NotSent,
+    RequestNotRun,
+    RequestOutcomeUnknown,
+)
 from bulrushdrum._internal.routing.membership import Membership, Upstream
+from bulrushdrum._internal.routing.pending_calls import PendingCalls
 from bulrushdrum._internal.routing.retries import RetryBudget
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
@@ -32,30 +36,36 @@
         self._membership = membership
         self._budget = budget
         self._random = random.Random(seed or None)
-        self._waiting: dict[str, tuple[str, AsyncResult]] = {}
-        hub = membership.hub
-        hub.register(CallResult, self._handle_answer)
-        hub.register(Resolved, self._handle_answer)
-        membership.on_upstream_lost(self._handle_lost)
+        self._pending = PendingCalls(membership.hub)
+
+    @property
+    def pending(self) -> PendingCalls:
+        return self._pending
 
     def services(self) -> set[str]:
         """Return the names of the services that have a serving upstream."""
         serving = (u for u in self._membership.upstreams() if u.serving)
         return {u.description.service for u in serving} - {""}
 
-    def choose(self, service: str, avoid: set[str]) -> Upstream | None:
+    def choose(self, service: str, avoid: frozenset[str]) -> Upstream | None:
         """Return a serving upstream of the service, the less loaded of two drawn."""
         serving = [
             upstream
             for upstream in self._membership.upstreams()
-            if upstream.serving and upstream.description.service == service
+            if upstream.serving
+            and upstream.description.service == service
+            and upstream.incarnation not in avoid
         ]
-        preferred = [u for u in serving if u.incarnation not in avoid] or serving
-        if not preferred:
+        if not serving:
             return None
-        pair = self._random.sample(preferred, min(2, len(preferred)))
+        pair = self._random.sample(serving, min(2, len(serving)))
         return min(pair, key=lambda u: u.assigned_requests)
 
+    def propose(self, service: str, excluded: frozenset[str]) -> Proposal | None:
+        """Return a sidecar to which a key of the service can be bound."""
+        upstream = self.choose(service, excluded)
+        return upstream and Proposal(upstream.id, upstream.incarnation, upstream.window)
+
     def run(self, call: Call) -> CallResult:
         """Run a call without a binding.
 
@@ -65,14 +75,14 @@
         may_have_run = False
         reason = "no upstream serves it now"
         for attempt in range(MAX_ATTEMPTS):
-            upstream = self.choose(call.service, avoid)
+            upstream = self.choose(call.service, frozenset(avoid))
             if upstream is None:
                 break
             if attempt and not self._budget.try_spend(CALL_COST_TOKENS):
                 reason = "the retry budget is used up"
                 break
             self._budget.record_tokens(CALL_COST_TOKENS)
-            result = self.send(upstream, call._replace(call=f"{call.call}.{attempt}"))
+            result = self._send(upstream, call._replace(call=f"{call.call}.{attempt}"))
             if result.outcome == "answered":
                 return result
             reason = result.reason
@@ -86,45 +96,50 @@
             raise RequestOutcomeUnknown("upstream_failed", message)
         raise RequestNotRun("upstream_unavailable", message)
 
-    def send(
-        self, upstream: Upstream, message: Call | Resolve
-    ) -> CallResult | Resolved:
-        """Send one message to a sidecar and return its answer.
-
-        A lost connection or a missing answer gives `CallResult(outcome="unknown")`, or
-        `Resolved(state="unknown")`; a message that was never handed to the connection
-        gives "not_run".
-        """
-        answer = AsyncResult()
-        self._waiting[message.call] = (upstream.incarnation, answer)
-        timeout = getattr(message, "timeout_ms", 0) / 1000 + _GRACE_SECONDS
+    def _send(self, upstream, call):
+        timeout = call.timeout_ms / 1000 + _GRACE_SECONDS
         upstream.assign(0)
         try:
-            upstream.connection.send(message)
-            return answer.get(timeout=timeout)
-        except ConnectionLost as error:
-            return self._failed(message, "not_run", str(error))
-        except Timeout:
-            return self._failed(message, "unknown", f"no answer in {timeout:.1f} s")
+            return self._pending.send(upstream.incarnation, call, timeout)
+        except NotSent as error:
+            return CallResult(call.call, "not_run", reason=str(error))
+        except (ConnectionLost, CallTimeout) as error:
+            return CallResult(call.call, "unknown", reason=str(error))
         finally:
             upstream.unassign(0)
-            self._waiting.pop(message.call, None)
-
-    def dump(self) -> dict:
-        return {"waiting": list(self._waiting), "time": time.time()}
-
-    def _failed(self, message, outcome, reason):
-        if isinstance(message, Resolve):
-            return Resolved(message.call, "unknown")
-        return CallResult(message.call, outcome, reason=reason)
-
-    def _handle_answer(self, connection, answer):
-        waiting = self._waiting.get(answer.call)
-        if waiting is not None and waiting[0] == connection.peer.incarnation:
-            waiting[1].set(answer)
-
-    def _handle_lost(self, upstream):
-        for call, (incarnation, answer) in list(self._waiting.items()):
-            if incarnation == upstream.incarnation:
-                reason = "the connection to the sidecar was lost"
-                answer.set(CallResult(call, "unknown", reason=reason))
+
+
+class ServiceTransport:
+    """The way of one non-idempotent call to its bound sidecar; see `routing.once`."""
+
+    def __init__(self, pending: PendingCalls, call: Call):
+        self._pending = pending
+        self._call = call
+
+    def send(self, binding: Binding, timeout: float) -> CallResult:
+        message = self._call._replace(
+            # An id for each sending: answers of an earlier one must not be taken.
+            call=f"{self._call.call}.{secrets.token_hex(4)}",
+            binding_key=binding.key,
+            window=binding.window,
+            generation=binding.generation,
+            timeout_ms=int(timeout * 1000),
+        )
+        return self._pending.send(binding.incarnation, message, timeout)
+
+    def resolve(self, binding: Binding, timeout: float) -> Resolved:
+        return resolve_binding(self._pending, binding, timeout)
+
+
+def resolve_binding(
+    pending: PendingCalls, binding: Binding, timeout: float
+) -> Resolved:
+    """Ask the bound sidecar what became of a key; cancels it if it has not run."""
+    message = Resolve(
+        call=f"resolve.{secrets.token_hex(8)}",
+        customer=binding.customer,
+        binding_key=binding.key,
+        window=binding.window,
+        generation=binding.generation,
+    )
+    return pending.send(binding.incarnation, message, timeout)
