--- a/src/bulrushdrum/_internal/caller/frontend.py
+++ b/src/bulrushdrum/_internal/caller/frontend.py
@@ -206,13 +206,11 @@
             case Outcome.NOT_RUN:
                 code = ended.reason or "not_run"
                 raise CallerError(code, f"the request did not run: {ended.reason}")
-            case _ if ended.reason == "store_unavailable" and not ended.sent:
-                # Nothing was sent for this request. Whether an earlier request with the
-                # same key ran cannot be known while the table is away.
-                text = "the table is away, so the key cannot be bound; nothing was sent"
-                raise CallerError("store_unavailable", text)
             case _:
-                text = f"it is not known whether the key ran: {ended.reason}"
+                # An earlier request with the same key may have run, so "no" would be
+                # wrong even if nothing was sent for this one.
+                sent = "" if ended.sent else "; nothing was sent for this request"
+                text = f"it is not known whether the key ran: {ended.reason}{sent}"
                 raise CallerError(ended.reason, text, "unknown")
 
     def _abandon(self, request):
