--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -30,6 +30,7 @@
 from bulrushdrum._internal.sidecar.engine import EngineClient
 from bulrushdrum._internal.sidecar.heartbeats import Heartbeats
 from bulrushdrum._internal.sidecar.next_hops import NextHops
+from bulrushdrum._internal.sidecar.orders import Orders
 from bulrushdrum._internal.sidecar.service_calls import ServiceCalls
 from bulrushdrum._internal.sidecar.stages import Stages
 from bulrushdrum._internal.sidecar.status import UpstreamStatus
@@ -74,6 +75,13 @@
             self._next_hops,
         )
         self._calls = ServiceCalls(self._hub, settings, self._status, self._bindings)
+        self._orders = Orders(
+            self._hub,
+            settings,
+            self._engine,
+            self._status,
+            lambda: self._stages.open_count,
+        )
         self._heartbeats = Heartbeats(
             self._hub, self._next_hops, settings, self._make_beat, self._on_tick
         )
@@ -98,6 +106,7 @@
         gevent.signal_handler(signal.SIGUSR1, self._dump.write)
         self._watch.start()
         self._heartbeats.start()
+        self._orders.start()
         if self._settings.kind == "engine":
             self._stages.loop.start()
         log_event(
@@ -130,6 +139,7 @@
             "peers": self._heartbeats.dump,
             "stages": self._stages.dump,
             "calls": self._calls.dump,
+            "orders": self._orders.dump,
             "bindings": self._bindings.dump,
         }
 
