--- a/src/bulrushdrum/_internal/limits/fair_queue.py
+++ b/src/bulrushdrum/_internal/limits/fair_queue.py
@@ -48,6 +48,11 @@
         return item
 
     def _forget_idle_customers(self):
+        if not self._items:
+            # Nobody waits, so nobody can be delayed by what was served before.
+            self._virtual_time = 0.0
+            self._finish_times.clear()
+            self._expiries.clear()
         # A finish time at or before the virtual time no longer delays its customer.
         while self._expiries and self._expiries[0][0] <= self._virtual_time:
             finish, customer = heapq.heappop(self._expiries)
