--- a/src/bulrushdrum/_internal/limits/fair_queue.py
+++ b/src/bulrushdrum/_internal/limits/fair_queue.py
@@ -15,6 +15,10 @@
 import heapq
 from itertools import count
 
+# Finish times remembered beyond those of waiting items, about 200 KB. While each item
+# is of another customer, virtual time stands still and none of them expires.
+REMEMBERED_FINISHES = 1024
+
 
 class QueueFull(Exception):
     """The queue holds as many items as its limit allows."""
@@ -39,10 +43,12 @@
         finish = start + duration
         self._finish_times[customer] = finish
         heapq.heappush(self._expiries, (finish, customer))
-        heapq.heappush(self._items, (start, arrival, item))
+        heapq.heappush(self._items, (start, arrival, customer, item))
+        if len(self._expiries) > 2 * len(self._items) + REMEMBERED_FINISHES:
+            self._keep_waiting_customers()
 
     def pop(self):
-        start, _, item = heapq.heappop(self._items)
+        start, _, _, item = heapq.heappop(self._items)
         self._virtual_time = start
         self._forget_idle_customers()
         return item
@@ -59,6 +65,15 @@
             if self._finish_times.get(customer) == finish:
                 del self._finish_times[customer]
 
+    def _keep_waiting_customers(self):
+        """Forget customers without waiting items; each may gain one item by it."""
+        waiting = {customer for _, _, customer, _ in self._items}
+        self._finish_times = {
+            customer: self._finish_times[customer] for customer in waiting
+        }
+        self._expiries = [(time, who) for who, time in self._finish_times.items()]
+        heapq.heapify(self._expiries)
+
 
 class FairQueue:
     """Holds up to `limit` items; `push` and `pop` take O(log n) time."""
--- a/tests/unit/test_engine_standin.py
+++ b/tests/unit/test_engine_standin.py
@@ -3,11 +3,10 @@
 import random
 
 import pytest
-from hypothesis import given, seed, settings
-from hypothesis import strategies as st
-
 from bench.standins.batching import BatchingEngine, EngineOptions, Faults
 from bench.standins.model_digest import expected_answer
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
 
 LAYERS = 6
 PROMPT = tuple(range(40, 60))
