--- a/src/bulrushdrum/_internal/limits/fair_queue.py
+++ b/src/bulrushdrum/_internal/limits/fair_queue.py
@@ -69,7 +69,7 @@
         """Forget customers without waiting items; each may gain one item by it."""
         waiting = {customer for _, _, customer, _ in self._items}
         self._finish_times = {
-            customer: self._finish_times[customer] for customer in waiting
+            who: time for who, time in self._finish_times.items() if who in waiting
         }
         self._expiries = [(time, who) for who, time in self._finish_times.items()]
         heapq.heapify(self._expiries)
--- /dev/null
+++ b/tests/unit/test_stages.py
@@ -0,0 +1,285 @@
+"""A stage runs each position once, in order, and tells truly what ran."""
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from tests.unit.stage_fakes import LAST, StageUnderTest
+
+from bulrushdrum._internal.peering.messages import AttemptFailed, Close, Step, Token
+from bulrushdrum._internal.sidecar.errors import (
+    EngineLost,
+    EngineRefused,
+    EngineUnreachable,
+)
+from bulrushdrum._internal.sidecar.sequences import AttemptMemory
+from bulrushdrum._internal.sidecar.stages import CLOSE_AND_CONFIRM
+
+steps_of_any_attempt = st.tuples(
+    st.just("step"), st.integers(1, 3), st.integers(0, 5), st.integers(1, 3)
+)
+opens = st.tuples(st.just("open"), st.integers(1, 3))
+closes = st.tuples(st.just("close"), st.integers(1, 3))
+
+
+@seed(20261204)
+@settings(max_examples=300, deadline=None)
+@given(
+    st.lists(st.one_of(steps_of_any_attempt, opens, closes), max_size=25),
+    st.integers(1, 3),
+)
+def test_late_doubled_and_reordered_messages_break_no_rule(messages, chunk):
+    # Guards against a position that runs twice, out of order, or for an old attempt:
+    # rules R1 and R3. Messages of three attempts arrive in any order and number.
+    stage = StageUnderTest(chunk_tokens=chunk)
+    highest = 0
+    for message in messages:
+        before = len(stage.engine.steps)
+        match message:
+            case "open", attempt:
+                if stage.open(attempt=attempt).accepted:
+                    assert attempt >= highest
+                    highest = attempt
+            case "close", attempt:
+                stage.hub.receive(stage.entry, Close("r", attempt, "finished"))
+            case "step", attempt, position, count:
+                stage.step(position, range(count), attempt=attempt)
+        stage.settle()
+        assert all(s["attempt"] == highest for s in stage.engine.steps[before:])
+    for attempt in (1, 2, 3):
+        ran = [s for s in stage.engine.steps if s["attempt"] == attempt]
+        expected = 0
+        for step in ran:
+            assert step["position"] == expected
+            assert step["count"] == len(step["tokens"]) <= chunk
+            expected += step["count"]
+
+
+def test_a_prompt_is_split_and_gives_one_token():
+    # Guards against a token for every part of the prompt, and against parts that
+    # overlap at the engine because two calls are under way.
+    stage = StageUnderTest(stages=1, chunk_tokens=4)
+    stage.open(prompt_tokens=10, max_tokens=3)
+    stage.step(0, range(10))
+    stage.settle()
+    ran = [(step["position"], step["count"]) for step in stage.engine.steps]
+    assert ran == [(0, 4), (4, 4), (8, 2), (10, 1), (11, 1)]
+    tokens = stage.entry.of(Token)
+    assert [(t.position, t.final, t.finish_reason) for t in tokens] == [
+        (10, False, ""),
+        (11, False, ""),
+        (12, True, "length"),
+    ]
+
+
+def test_activations_go_to_the_next_stage_and_only_its_tokens_come_back():
+    # Guards against a step taken from a peer that is not the stage before this one.
+    stage = StageUnderTest()
+    stage.open()
+    stage.step(0, [1, 2, 3])
+    stage.settle()
+    forwarded = [(s.position, s.count, s.activation) for s in stage.next.of(Step)]
+    assert forwarded == [(0, 3, b"\xab\xab\xab")]
+    stranger = type(stage.last)(LAST._replace(incarnation="s3.x"))
+    stage.step(3, [7], peer=stranger)
+    stage.settle()
+    assert len(stage.engine.steps) == 1
+    stage.step(3, [7], peer=stage.last)
+    stage.settle()
+    assert stage.engine.steps[-1]["tokens"] == (7,)
+
+
+def fails_with(error):
+    def fail(steps):
+        raise error
+
+    return fail
+
+
+def test_a_dead_engine_fails_everything_open_and_names_the_suspects():
+    # Guards against an attempt that waits for ever, a suspect that goes unreported, and
+    # a `ran` that is false although the engine was given a step.
+    stage = StageUnderTest()
+    for request in ("r1", "r2", "r3"):
+        stage.open(request)
+    stage.step(0, [1, 2, 3], "r1")
+    stage.settle()
+    stage.engine.fail = fails_with(EngineLost("reset"))
+    stage.step(0, [1, 2, 3], "r2")
+    stage.settle()
+    failed = {one.request: one for one in stage.entry.of(AttemptFailed)}
+    assert {name: one.ran for name, one in failed.items()} == {
+        "r1": True,
+        "r2": True,
+        "r3": False,
+    }
+    assert {one.suspects for one in failed.values()} == {("f-r2",)}
+    assert len({one.incident for one in failed.values()}) == 1
+    assert stage.stages.open_count == 0
+    assert stage.open("r4").reason == "upstream_lost"
+
+
+def test_a_call_that_was_not_sent_did_not_run():
+    # Guards against `ran` for a request whose call found no connection to the engine,
+    # and against a suspect that never reached it.
+    stage = StageUnderTest()
+    stage.open()
+    stage.engine.fail = fails_with(EngineUnreachable("refused"))
+    stage.step(0, [1, 2, 3])
+    stage.settle()
+    (failed,) = stage.entry.of(AttemptFailed)
+    assert (failed.ran, failed.suspects, failed.incident) == (False, (), "")
+
+
+@pytest.mark.parametrize("fault", ["refused", "version", "error", "omitted"])
+def test_a_bad_result_fails_the_attempt(fault):
+    # Guards against a result of another model version that goes on down the chain, and
+    # against an attempt that stays open without a result.
+    stage = StageUnderTest()
+    stage.open()
+    run = stage.engine.run_steps
+
+    def answer(steps):
+        version, results = run(steps)
+        match fault:
+            case "refused":
+                raise EngineRefused(500, "out of memory")
+            case "version":
+                return "2", results
+            case "error":
+                return version, [{**results[0], "error": "no_kv_cache"}]
+            case "omitted":
+                return version, []
+
+    stage.engine.run_steps = answer
+    stage.step(0, [1, 2, 3])
+    stage.settle()
+    (failed,) = stage.entry.of(AttemptFailed)
+    assert failed.ran and failed.upstream == "s1"
+    assert not stage.next.of(Step)
+    assert stage.engine.released == [("r", 1)]
+
+
+def test_a_lost_next_stage_is_named_as_the_one_at_fault():
+    # Guards against a retry that avoids this upstream instead of the broken one.
+    stage = StageUnderTest()
+    stage.open("r1")
+    stage.open("r2")
+    stage.step(0, [1, 2, 3], "r1")
+    stage.next.closed = True
+    stage.settle()
+    stage.stages.next_hop_lost(LAST.incarnation, "reset")
+    failed = stage.entry.of(AttemptFailed)
+    assert {(one.request, one.upstream, one.ran) for one in failed} == {
+        ("r1", "s2", True),
+        ("r2", "s2", False),
+    }
+
+
+def test_a_close_before_its_open_keeps_the_attempt_closed():
+    # Guards against an attempt that nobody will close, because its messages overtook.
+    stage = StageUnderTest()
+    stage.hub.receive(stage.entry, Close("r", 2, "finished"))
+    assert stage.open(attempt=1).reason == "stale_attempt"
+    assert stage.open(attempt=2).reason == "stale_attempt"
+    assert stage.open(attempt=3).accepted
+
+
+@pytest.mark.parametrize("ran", [False, True])
+def test_a_close_can_ask_whether_the_attempt_ran(ran):
+    # Guards against a request reported as not run although its engine had a step.
+    stage = StageUnderTest()
+    stage.open()
+    if ran:
+        stage.step(0, [1, 2, 3])
+        stage.settle()
+    stage.hub.receive(stage.entry, Close("r", 1, CLOSE_AND_CONFIRM))
+    assert stage.entry.of(AttemptFailed)[-1].ran is ran
+
+
+def test_steps_of_an_unknown_attempt_are_answered_to_the_entry():
+    # Guards against an entry that waits for a stage which has forgotten its request.
+    stage = StageUnderTest()
+    stage.step(0, [1, 2, 3])
+    assert stage.entry.of(AttemptFailed)[-1].ran is False
+    stage.open()
+    stage.step(0, [1, 2, 3])
+    stage.settle()
+    stage.hub.receive(stage.entry, Close("r", 1, "finished"))
+    stage.step(3, [4])
+    assert stage.entry.of(AttemptFailed)[-1].ran is True
+
+
+def test_a_bound_key_opens_once():
+    # Guards against a non-idempotent model request that runs in two attempts.
+    stage = StageUnderTest()
+    bound = {"binding_key": "k", "fingerprint": "f"}
+    assert stage.open("r1", **bound).accepted
+    refused = stage.open("r2", **bound)
+    assert (refused.accepted, refused.outcome) == (False, "unknown")
+    stage.hub.receive(stage.entry, Close("r1", 1, "cancelled"))
+    assert stage.open("r3", **bound).outcome == "not_run"
+    assert stage.open("r4", **bound, generation=1).accepted
+    stage.step(0, [1, 2, 3], "r4")
+    stage.settle()
+    stage.hub.receive(stage.entry, Close("r4", 1, "finished"))
+    assert stage.open("r5", **bound, generation=2).outcome == "unknown"
+
+
+def chain_with(position, **changes):
+    def change(chain):
+        replaced = chain[position]._replace(**changes)
+        return (*chain[:position], replaced, *chain[position + 1 :])
+
+    return change
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"model": "n"}, "model_mismatch"),
+        ({"model_version": "0"}, "model_mismatch"),
+        ({"attempt": 0}, "malformed_open"),
+        ({"weight": 0.0}, "malformed_open"),
+        ({"weight": float("nan")}, "malformed_open"),
+        ({"max_tokens": 0}, "malformed_open"),
+        ({"priority": 10}, "malformed_open"),
+        ({"stage": 2}, "malformed_open"),
+        ({"chain": chain_with(1, first_layer=5)}, "malformed_open"),
+        ({"chain": chain_with(1, first_layer=3)}, "malformed_open"),
+        ({"chain": chain_with(1, end_layer=7)}, "chain_ends_early"),
+        ({"chain": chain_with(0, incarnation="s1.old")}, "wrong_incarnation"),
+        ({"chain": chain_with(0, upstream="s9")}, "wrong_upstream"),
+    ],
+)
+def test_an_open_that_cannot_be_served_is_refused(changes, reason):
+    # Guards against a chain that skips or doubles layers, and against bad values that
+    # would end the greenlet which serves the entry.
+    stage = StageUnderTest()
+    if "chain" in changes:
+        changes = {"chain": changes["chain"](stage.chain)}
+    refused = stage.open(**changes)
+    assert (refused.accepted, refused.outcome) == (False, "not_run")
+    assert refused.reason.startswith(reason)
+
+
+def test_limits_and_suspects_refuse_an_open():
+    # Guards against unbounded memory, and against two suspects on one engine.
+    stage = StageUnderTest(open_limit=2)
+    assert stage.open("r1", solo=True).accepted
+    assert stage.open("r2", solo=True).reason == "suspect_running"
+    assert stage.open("r3").accepted
+    assert stage.open("r4").reason == "upstream_full"
+    stage.status.update(draining=True)
+    assert stage.open("r5").reason == "upstream_draining"
+
+
+def test_the_memory_of_attempts_never_claims_too_much():
+    # Guards against "did not run" for a request that was evicted from the memory.
+    memory = AttemptMemory(limit=2)
+    assert not memory.may_have_run("r0")
+    for number in range(3):
+        memory.remember(f"r{number}", 1, ran=number == 0)
+    assert memory.may_have_run("r0") and not memory.may_have_run("r2")
+    memory.remember("r2", 3, ran=True)
+    memory.remember("r2", 2, ran=False)
+    assert memory.is_stale("r2", 3) and memory.may_have_run("r2")
