Patch the stand-ins before bottle is imported

The engine stand-in answered with the Content-Length of another answer, because bottle keeps request and response in a thread-local that all greenlets of an unpatched process share. Ruled out: the size of the answer (256 positions, 4,213 bytes, arrive whole when no other call runs).

--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -6,6 +6,13 @@
 replaces the faults before it. `expected_answer` says what a faultless chain answers.
 """
 
+if __name__ == "__main__":
+    # bottle keeps the request in a thread-local, which only the patched one keeps
+    # apart for each greenlet: answers had the length of other answers.
+    from gevent import monkey
+
+    monkey.patch_all()
+
 import argparse
 import json
 import random
--- a/bench/standins/objects.py
+++ b/bench/standins/objects.py
@@ -3,6 +3,13 @@
 Run as `python -m bench.standins.objects --address 127.0.0.1:21001`.
 """
 
+if __name__ == "__main__":
+    # bottle keeps the request in a thread-local, which only the patched one keeps
+    # apart for each greenlet: answers had the length of other answers.
+    from gevent import monkey
+
+    monkey.patch_all()
+
 import bisect
 
 import bottle
--- a/bench/standins/plain_service.py
+++ b/bench/standins/plain_service.py
@@ -11,6 +11,13 @@
 `ServiceFaults`; each call replaces the faults before it.
 """
 
+if __name__ == "__main__":
+    # bottle keeps the request in a thread-local, which only the patched one keeps
+    # apart for each greenlet: answers had the length of other answers.
+    from gevent import monkey
+
+    monkey.patch_all()
+
 import argparse
 import hashlib
 import json
--- a/bench/standins/vm_list.py
+++ b/bench/standins/vm_list.py
@@ -4,6 +4,13 @@
 `PUT /v1/vms` with `{"vms": [...], "lag_seconds": 2}` replaces the list after the lag.
 """
 
+if __name__ == "__main__":
+    # bottle keeps the request in a thread-local, which only the patched one keeps
+    # apart for each greenlet: answers had the length of other answers.
+    from gevent import monkey
+
+    monkey.patch_all()
+
 import hashlib
 import json
 
