--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -10,6 +10,12 @@
 "Up" is the direction from the dialling side to the target.
 """
 
+if __name__ == "__main__":
+    # bottle keeps the request in a thread local of the time of its import.
+    from gevent import monkey
+
+    monkey.patch_all()
+
 import argparse
 import json
 import random
@@ -20,7 +26,7 @@
 
 import bottle
 import gevent
-from gevent import monkey, socket
+from gevent import socket
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 from gevent.queue import Queue
@@ -348,5 +354,4 @@
 
 
 if __name__ == "__main__":
-    monkey.patch_all()
     main()
