--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -5,7 +5,8 @@
 - `POST /v1/links` `{"name", "target"}` -> `{"listen": "127.0.0.1:41234"}`
 - `POST /v1/faults` `{"link", "faults": {...}}` replaces the faults of a link; the
   fields are those of `Faults`, and those left out return to their defaults
-- `GET /v1/links` -> `{name: {"listen", "target", "open", "accepted", "up", "down"}}`
+- `GET /v1/links` -> `{name: {"listen", "target", "open", "accepted", "doubled",
+  "swapped", "up", "down"}}`
 
 "Up" is the direction from the dialling side to the target.
 """
@@ -103,6 +104,8 @@
         self._untouched = _HANDSHAKE_FRAMES[direction]
         self._buffer = b""
         self._held = b""
+        self.doubled = 0
+        self.swapped = 0
 
     def feed(self, data, faults, draw):
         self._buffer += data
@@ -119,6 +122,7 @@
             if self._held:
                 out += [frame, self._held]
                 self._held = b""
+                self.swapped += 1
             elif draw.random() < faults.swap_frames:
                 self._held = frame
                 continue
@@ -126,6 +130,7 @@
                 out.append(frame)
             if draw.random() < faults.double_frames:
                 out.append(frame)
+                self.doubled += 1
         return b"".join(out)
 
 
@@ -166,6 +171,10 @@
         if faults.cut or (self._swallowed and not faults.drop):
             self.reset()  # swallowed bytes leave the stream unusable
 
+    def shuffled(self, what):
+        shufflers = (self._shufflers or {}).values()
+        return sum(getattr(shuffler, what) for shuffler in shufflers)
+
     def _read(self, direction, queue):
         source = self._sockets[direction][0]
         while True:
@@ -260,9 +269,15 @@
             "target": f"{self._target[0]}:{self._target[1]}",
             "open": len(self._pairs),
             "accepted": self._accepted,
+            "doubled": self._shuffled("doubled"),
+            "swapped": self._shuffled("swapped"),
             **self._bytes,
         }
 
+    def _shuffled(self, what):
+        """Return how many frames of the open connections were doubled or swapped."""
+        return sum(pair.shuffled(what) for pair in self._pairs)
+
     def set_faults(self, faults: Faults):
         self.faults = faults
         self.draw = random.Random(faults.seed)
--- /dev/null
+++ b/tests/features/test_two_failures.py
@@ -0,0 +1,144 @@
+"""Steps of two_failures.feature.
+
+`BULRUSHDRUM_SEED=n` draws the failures of all its scenarios with another seed.
+"""
+
+import os
+import random
+
+import gevent
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+pytestmark = pytest.mark.slow
+scenarios("two_failures.feature")
+
+
+def engine_dies(cluster, draw):
+    engine = draw.choice(cluster.topology.upstream_names)
+    cluster.process(f"{engine}/upstream").kill()
+    return f"engine of {engine} dies"
+
+
+def vm_dies(cluster, draw):
+    upstream = draw.choice(cluster.topology.upstream_names)
+    cluster.kill_vm(upstream)
+    return f"VM of {upstream} dies"
+
+
+def sidecar_paused(cluster, draw):
+    upstream = draw.choice(cluster.topology.upstream_names)
+    process = cluster.process(upstream)
+    process.pause()
+    gevent.spawn_later(2.5, process.resume)
+    return f"sidecar of {upstream} is paused"
+
+
+def entry_dies(cluster, draw):
+    entry = draw.choice(cluster.entries)
+    cluster.process(entry).kill()
+    return f"{entry} dies"
+
+
+def entry_paused(cluster, draw):
+    entry = draw.choice(cluster.entries)
+    process = cluster.process(entry)
+    process.pause()
+    gevent.spawn_later(2.5, process.resume)
+    return f"{entry} is paused"
+
+
+def upstream_stops(cluster, draw):
+    upstream = draw.choice(cluster.topology.upstream_names)
+    cluster.process(upstream).terminate()
+    return f"sidecar of {upstream} is told to stop"
+
+
+def link_cut(cluster, draw):
+    pair = draw.choice(sorted(cluster.links_of(*cluster.topology.upstream_names)))
+    cluster.set_link(*pair, cut=True)
+    return f"link {pair} is cut"
+
+
+def link_one_way(cluster, draw):
+    pair = draw.choice(sorted(cluster.links_of(*cluster.entries)))
+    direction = draw.choice(["up", "down"])
+    cluster.set_link(*pair, stall=direction)
+    return f"link {pair} is cut {direction}"
+
+
+def links_slow(cluster, draw):
+    upstream = draw.choice(cluster.topology.upstream_names)
+    cluster.set_links_of(upstream, delay_up=0.05, delay_down=0.05, rate=200_000.0)
+    return f"links of {upstream} degrade"
+
+
+def store_down(cluster, draw):
+    cluster.set_faults("table", down=True)
+    cluster.set_faults("objects", down=True)
+    return "the store is down"
+
+
+def vm_list_wrong(cluster, draw):
+    upstream = draw.choice(cluster.topology.upstream_names)
+    cluster.list_vm(upstream, "gone")
+    return f"the VM list lacks {upstream}"
+
+
+FAILURES = (
+    engine_dies,
+    vm_dies,
+    sidecar_paused,
+    entry_dies,
+    entry_paused,
+    upstream_stops,
+    link_cut,
+    link_one_way,
+    links_slow,
+    store_down,
+    vm_list_wrong,
+)
+
+
+@given(parsers.parse("two failures drawn with seed {seed:d}"))
+def draw_failures(world, seed):
+    chosen = os.environ.get("BULRUSHDRUM_SEED")
+    world.draw = random.Random(int(chosen) if chosen else seed)
+    world.failures = world.draw.sample(FAILURES, 2)
+    names = " and ".join(failure.__name__ for failure in world.failures)
+    print(f"seed {chosen or seed}: {names}")
+
+
+@when(
+    parsers.parse(
+        "{count:d} requests of limited for {tokens:d} tokens come in while both "
+        "failures happen"
+    )
+)
+def requests_and_failures(world, count, tokens):
+    for number in range(count):
+        entry = world.draw.choice(world.cluster.entries)
+        world.ask_in_background(
+            entry=entry, customer=world.limited, number=number, max_tokens=tokens
+        )
+        gevent.sleep(world.draw.uniform(0.02, 0.1))
+        if number in (8, 12):
+            failure = world.failures[number == 12]
+            print(failure(world.cluster, world.draw))
+    world.join()
+
+
+@when("everything is repaired")
+def repaired(world):
+    world.cluster.repair()
+
+
+@then("a new request is answered whole at every entry")
+def serves_again(world):
+    # Guards against failures that leave permits, links or engines unusable.
+    for number, entry in enumerate(world.cluster.entries):
+        answer = world.ask(
+            entry=entry, customer=world.limited, number=800 + number, max_tokens=8
+        )
+        assert (answer.outcome, answer.error) == ("answered", {})
+        assert tuple(answer.texts) == world.expected(answer)
