--- a/src/bulrushdrum/_internal/limits/acknowledgements.py
+++ b/src/bulrushdrum/_internal/limits/acknowledgements.py
@@ -12,6 +12,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 
 from bulrushdrum._internal.limits.ownership import Ownership
 from bulrushdrum._internal.peering.messages import EntryMember, EntrySetAck
@@ -24,8 +25,9 @@
 class Acknowledgements:
     """What the peers have acknowledged, as seen by one entry."""
 
-    def __init__(self, entry_set):
+    def __init__(self, entry_set, own_revision: Callable[[], int]):
         self._entry_set = entry_set
+        self._own_revision = own_revision
         self._acks: dict[str, EntrySetAck] = {}
         self._guests: dict[str, EntryMember] = {}
         self._identities: dict[str, EntryMember] = {}
@@ -33,7 +35,6 @@
         self._history: deque[tuple[Ownership, int]] = deque(maxlen=_MAX_HISTORY)
         self._busy: dict[str, set[int]] = {}
         self._generation = 0
-        self._settle()
 
     @property
     def guests(self) -> tuple[EntryMember, ...]:
@@ -58,9 +59,10 @@
             or self._acks[incarnation].version != version
         ]
 
-    def adopted(self, previous: Ownership, own_revision: int):
+    def adopted(self, previous: Ownership):
         """Note that the entry set has changed from `previous`."""
-        self._history.append((previous, min(self._settled_revision, own_revision)))
+        settled_revision = min(self._settled_revision, self._own_revision())
+        self._history.append((previous, settled_revision))
         self._settled_revision = -1
         for incarnation, ack in self._acks.items():
             self._note_guests(incarnation, ack)
@@ -79,6 +81,11 @@
         self._settle()
         return incarnation in self._guests and not was_guest
 
+    def note_own_revision(self):
+        """Note that a later configuration revision is in force here."""
+        if self._settled_revision < 0:
+            self._settle()
+
     def settled(self, home_revision: int) -> bool:
         """Whether all peers have left every earlier owner behind."""
         return self._settled_revision >= home_revision
@@ -146,15 +153,23 @@
         required = self._required()
         acks = [self._acks.get(incarnation) for incarnation in required]
         if version and all(ack and ack.version == version for ack in acks):
-            revision = min((ack.config_revision for ack in acks), default=1 << 63)
+            revisions = [ack.config_revision for ack in acks]
+            # A peer with a later revision may keep a permit by a home region that is
+            # not known here yet.
+            behind = max(revisions, default=0) > self._own_revision()
+            if behind and self._settled_revision < 0:
+                revisions.append(-1)
+            revision = min(revisions, default=1 << 63)
             # The right outlasts an acknowledgement of a later version by a peer: it
             # ends only when this entry itself adopts that version.
             self._settled_revision = max(self._settled_revision, revision)
+        if self._settled_revision >= 0:
             # A former member's list counts until here: what it had lent is from now on
             # listed by the borrowers.
             for incarnation in self._acks.keys() - required.keys():
-                del self._acks[incarnation]
-                self._identities.pop(incarnation, None)
+                if self._acks[incarnation].version <= version:
+                    del self._acks[incarnation]
+                    del self._identities[incarnation]
         self._busy = {}
         for ack in self._acks.values():
             for permit in ack.busy:
--- a/src/bulrushdrum/_internal/limits/customer_permits.py
+++ b/src/bulrushdrum/_internal/limits/customer_permits.py
@@ -52,6 +52,7 @@
         self.last_used = 0.0
         self._owner_key = None
         self._own: list[int] = []
+        self._own_set: frozenset[int] = frozenset()
         self._available: list[int] = []
         self._available_key = None
 
@@ -75,6 +76,7 @@
                 for number, index in enumerate(owners)
                 if incarnations[index] == local
             ]
+            self._own_set = frozenset(self._own)
             ordered = [incarnations[index] for index in dict.fromkeys(owners)]
             start = sum(local.encode()) % len(ordered) if ordered else 0
             ordered = ordered[start:] + ordered[:start]
@@ -102,12 +104,13 @@
                 return number
         return None
 
-    def put_back(self, number, key):
-        """Make a released number available if the rights are as when it was taken."""
-        if self._available_key == key and number in self._own:
+    def put_back(self, number, key, is_usable):
+        """Make a released number available if this entry may use it.
+
+        It may not if it was borrowed, or if its owner has changed while it was in use.
+        """
+        if self._available_key == key and number in self._own_set and is_usable(number):
             self._available.append(number)
-        else:
-            self._available_key = None
 
     def invalidate(self):
         """Ask again which permits are usable."""
--- a/src/bulrushdrum/_internal/limits/entry_set.py
+++ b/src/bulrushdrum/_internal/limits/entry_set.py
@@ -15,7 +15,6 @@
 
 from bulrushdrum._internal.limits.errors import EntrySetInvalid
 from bulrushdrum._internal.limits.ownership import EntrySetVersion, Ownership, _hash
-from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.messages import (
@@ -29,6 +28,7 @@
     WriteOutcomeUnknown,
 )
 from bulrushdrum._internal.platform.table import Condition, Write
+from bulrushdrum._internal.settings.entry import EntrySettings
 
 ENTRY_SET_KEY = "entry-set"
 # A row of its own, because 380 entries that read the whole set every few seconds would
@@ -55,16 +55,16 @@
 class EntrySet:
     """This entry's view of the entry set, and its membership.
 
-    `is_known_dead(member)` says whether an `EntryMember` is known dead; time alone must
-    never make it so.
+    `is_known_dead(node, address, incarnation)` says whether an entry is known dead;
+    time alone must never make it so.
     """
 
     def __init__(
         self,
         hub,
         table,
-        settings: LimitSettings,
-        is_known_dead: Callable[[EntryMember], bool],
+        settings: EntrySettings,
+        is_known_dead: Callable[[str, str, str], bool],
     ):
         self._hub = hub
         self._table = table
@@ -83,6 +83,7 @@
         self._callbacks = []
         self._dead_polls: dict[str, int] = {}
         self._leaving = False
+        self._in_use = lambda: 0
         self._wake = Signal()
         self._loop = None
         self._random = random.Random(identity.incarnation)
@@ -109,8 +110,16 @@
     def is_member(self) -> bool:
         return self._ownership.entry_set.includes(self._local.incarnation)
 
+    @property
+    def leaving(self) -> bool:
+        return self._leaving
+
+    def keep_while(self, in_use: Callable[[], int]):
+        """Refuse to leave the set while `in_use()` is not zero."""
+        self._in_use = in_use
+
     def is_known_dead(self, member: EntryMember) -> bool:
-        return self._is_known_dead(member)
+        return self._is_known_dead(member.node, member.address, member.incarnation)
 
     def subscribe(self, callback: Callable[[Ownership, Ownership], None]):
         """Call `callback(previous, current)` after each adoption."""
@@ -130,12 +139,15 @@
         if self._loop is not None:
             self._loop.kill()
 
-    def leave(self):
-        """Leave the set; call it when no permit is in use here any more.
+    def leave(self) -> bool:
+        """Leave the set; return false if this entry is still a member.
 
-        While the table is down the entry stays a member, until it is known dead.
+        It stays one while a permit is in use here, and while the table is down, until
+        it is known dead.
         """
         self._leaving = True
+        if self._in_use():
+            return False
         return self._propose(
             lambda members: [
                 member
@@ -179,7 +191,7 @@
                 self.poll()
             except Exception as error:  # the loop must outlive any fault of one round
                 log_event(Event.INTERNAL_ERROR, error=repr(error))
-            pause = self._settings.entry_set_poll * self._random.uniform(0.8, 1.2)
+            pause = self._settings.entry_set_interval * self._random.uniform(0.8, 1.2)
             deadline = time.monotonic() + pause
             if self._wake.wait(pause):
                 # A version seen while the table is down must not make a busy loop.
@@ -212,7 +224,7 @@
         dead = {
             member.incarnation
             for member in self.members
-            if member != self._local and self._is_known_dead(member)
+            if member != self._local and self.is_known_dead(member)
         }
         self._dead_polls = {
             incarnation: self._dead_polls.get(incarnation, 0) + 1
--- a/src/bulrushdrum/_internal/limits/errors.py
+++ b/src/bulrushdrum/_internal/limits/errors.py
@@ -9,7 +9,7 @@
     """No permit of the customer became free in time; the request did not run."""
 
 
-class UnknownCustomer(LimitsError):
+class UnknownCustomer(ConcurrencyExceeded):
     """The customer has no contract, so there is no limit to grant permits from."""
 
 
--- a/src/bulrushdrum/_internal/limits/permits.py
+++ b/src/bulrushdrum/_internal/limits/permits.py
@@ -12,30 +12,30 @@
 import gevent
 from gevent.event import Event as Signal
 
+from bulrushdrum._internal.limits.ack_sending import AckSender
 from bulrushdrum._internal.limits.acknowledgements import Acknowledgements
 from bulrushdrum._internal.limits.customer_permits import (
     CustomerPermits,
     Permit,
     Waiter,
 )
+from bulrushdrum._internal.limits.customers import Customers
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.errors import ConcurrencyExceeded, UnknownCustomer
 from bulrushdrum._internal.limits.loans import Loans, PendingLoan
-from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.observability.events import Event, log_event
-from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.messages import (
     BusyPermit,
     EntryMember,
     EntrySetAck,
 )
+from bulrushdrum._internal.settings.entry import EntrySettings
 
 # One failed round over all owners in four shows that none has a free permit; more at
 # once would only load the owners.
 _MAX_SWEEPS = 4
 _MAX_PAUSE_FACTOR = 8
 _TICK_SECONDS = 0.25
-_IDLE_SECONDS = 60.0
 
 
 class Permits:
@@ -46,35 +46,36 @@
         hub,
         entry_set: EntrySet,
         replica,
-        settings: LimitSettings,
+        settings: EntrySettings,
         clock: Callable[[], float] = time.monotonic,
     ):
         self._hub = hub
         self._entry_set = entry_set
-        self._replica = replica
         self._settings = settings
         self._clock = clock
         self._local = entry_set.local.incarnation
         self._random = random.Random(self._local)
-        self._customers: dict[str, CustomerPermits] = {}
-        # Homes as last seen, kept for the life of the process: a contract edit that
-        # leaves the home as it is must not cost a round of acknowledgements.
-        self._homes: dict[str, str] = {}
-        self._home_revisions: dict[str, int] = {}
-        self._revision = self._home_floor = replica.revision
-        self._acks = Acknowledgements(entry_set)
+        self._acks = Acknowledgements(entry_set, self._own_revision)
         self._loans = Loans(hub, self, settings, clock)
-        self._sequence = 0
-        self._sent_revision: dict[str, int] = {}
-        self._wanted_revision: dict[str, int] = {}
-        self._ack_due = False
+        self._sender = AckSender(
+            hub, entry_set, self._acks, self._list_busy, self._own_revision
+        )
+        self._customers = Customers(
+            replica,
+            clock,
+            lambda state: self._sender.send_if_older(state.home_revision),
+            self.serve,
+            self._sender.send_to_all,
+            self._acks.note_own_revision,
+        )
         self._draining = False
         self._wake = Signal()
         self._loop = None
         hub.register(EntrySetAck, self._on_ack)
         hub.on_connected(self._on_connected)
+        hub.on_lost(self._sender.forget)
         entry_set.subscribe(self._on_entry_set)
-        replica.subscribe(self._on_config)
+        entry_set.keep_while(lambda: self.in_use)
 
     def start(self):
         """Run the periodic work in a greenlet."""
@@ -118,7 +119,7 @@
 
     def cancel(self, waiter: Waiter):
         """Take a request off the queue and give up a permit it may have got."""
-        state = self._customers.get(waiter.customer)
+        state = self._customers.in_use(waiter.customer)
         if waiter.permit is not None:
             self.release(waiter.permit)
         elif state is not None and waiter in state.waiters:
@@ -129,7 +130,7 @@
 
     def release(self, permit: Permit):
         """End the use of a permit; a second release has no effect."""
-        state = self._customers.get(permit.customer)
+        state = self._customers.in_use(permit.customer)
         if state is None or state.in_use.get(permit.number) != permit:
             return
         self.end_use(state, permit.number)
@@ -140,41 +141,28 @@
     def end_use(self, state: CustomerPermits, number: int):
         """Forget that a permit is in use here, and tell peers that wait for it."""
         del state.in_use[number]
-        state.put_back(number, self._rights_key())
+        state.put_back(
+            number, self._rights_key(), lambda number: self._is_usable(state, number)
+        )
         if number in state.carried:
             state.carried.discard(number)
-            self._ack_due = True
+            self._sender.make_due()
             self._wake.set()
 
     def customer(self, customer: str) -> CustomerPermits | None:
         """Return the permits of a customer, or `None` without a contract."""
-        if self._replica.revision > self._revision:
-            self._catch_up()
-        state = self._customers.get(customer)
-        if state is None:
-            contract = self._replica.contract(customer)
-            if contract is None:
-                return None
-            self._homes[customer] = contract.home_region
-            state = self._customers[customer] = CustomerPermits(
-                customer,
-                contract.concurrency,
-                contract.home_region,
-                max(self._home_floor, self._home_revisions.get(customer, 0)),
-            )
-        state.last_used = self._clock()
-        return state
-
-    def customer_in_use(self, customer: str) -> CustomerPermits:
+        return self._customers.get(customer)
+
+    def customer_in_use(self, customer: str) -> CustomerPermits | None:
         """Return the permits of a customer that has some in use here."""
-        return self._customers[customer]
+        return self._customers.in_use(customer)
 
     def is_known_dead(self, member: EntryMember) -> bool:
         return self._entry_set.is_known_dead(member)
 
     def take_own(self, state: CustomerPermits) -> int | None:
         """Return the number of a free permit that this entry may use, or `None`."""
-        if self._draining or not self._entry_set.is_member:
+        if self._entry_set.leaving or not self._entry_set.is_member:
             return None
         return state.take_available(
             self._rights_key(),
@@ -185,7 +173,7 @@
 
     def serve(self, state: CustomerPermits):
         """Give free permits to the requests that wait, in their order."""
-        while state.waiters:
+        while state.waiters and not self._draining:
             number = self.take_own(state)
             if number is None:
                 return
@@ -240,7 +228,11 @@
         return self._loans.ask(lender, waiter)
 
     def drain(self):
-        """Grant, borrow and lend nothing more; permits in use stay in use."""
+        """Grant and borrow nothing more; permits in use stay in use.
+
+        Free permits are lent until the entry leaves the set, as that may take as long
+        as the longest request.
+        """
         self._draining = True
 
     @property
@@ -248,7 +240,7 @@
         """Permits in use by requests of this entry."""
         return sum(
             not (permit.loan and permit.lender == self._local)
-            for state in self._customers.values()
+            for state in self._customers
             for permit in state.in_use.values()
         )
 
@@ -265,30 +257,20 @@
                     "carried": sorted(state.carried),
                     "busy_elsewhere": sorted(self._acks.busy(state.customer)),
                 }
-                for state in self._customers.values()
+                for state in self._customers
                 if not state.idle
             },
         }
 
     def tick(self):
         """Do the periodic work: late acknowledgements, lost loans, idle customers."""
-        if self._replica.revision > self._revision:
-            self._catch_up()
-        if self._ack_due:
-            self._send_ack_to_all()
-        for connection in self._hub.connections("entry"):
-            incarnation = connection.peer.incarnation
-            wanted = self._wanted_revision.get(incarnation, 0)
-            if self._sent_revision.get(incarnation, 0) < wanted <= self._revision:
-                self._send_ack(connection)
+        self._customers.catch_up()
+        self._sender.send_due()
         self._acks.forget_dead()
         self._loans.tick()
-        now = self._clock()
-        for customer, state in list(self._customers.items()):
-            if state.idle and now - state.last_used > _IDLE_SECONDS:
-                del self._customers[customer]
-            else:
-                self.serve(state)
+        self._customers.forget_idle()
+        for state in self._customers:
+            self.serve(state)
 
     def _run(self):
         while True:
@@ -338,7 +320,7 @@
         state.next_sweep = self._clock() + pause
 
     def _rights_key(self):
-        return self._acks.generation, self._entry_set.version, self._home_floor
+        return self._acks.generation, self._entry_set.version
 
     def _is_usable(self, state, number):
         if number in self._acks.busy(state.customer):
@@ -348,67 +330,31 @@
         )
 
     def _on_entry_set(self, previous, current):
-        for state in self._customers.values():
+        for state in self._customers:
             for number, permit in state.in_use.items():
                 holder = permit.lender or self._local
                 owner = current.owner(state.customer, number, state.home)
                 if owner != holder:
                     state.carried.add(number)
         self._loans.drop_pending_outside(current.entry_set)
-        self._acks.adopted(previous, self._revision)
-        self._send_ack_to_all()
-        for state in self._customers.values():
+        self._acks.adopted(previous)
+        self._sender.send_to_all()
+        for state in self._customers:
             self.serve(state)
 
-    def _on_config(self, entry):
-        if entry.revision > self._revision + 1:
-            self._catch_up()
-        self._revision = max(self._revision, entry.revision)
-        if entry.kind == "contract":
-            self._apply_contract(entry.key, entry.revision)
-
-    def _catch_up(self):
-        """Take the replica's state after entries that were not seen one by one.
-
-        Changes of homes may have been skipped, so no earlier right is kept.
-        """
-        self._home_floor = self._revision = self._replica.revision
-        for state in self._customers.values():
-            self._reload(state)
-            self._change_home(state, self._revision)
-        self._send_ack_to_all()
-
-    def _apply_contract(self, customer, revision):
-        contract = self._replica.contract(customer)
-        home = contract.home_region if contract else ""
-        changed = self._homes.get(customer) != home
-        self._homes[customer] = home
-        if changed:
-            self._home_revisions[customer] = revision
-        state = self._customers.get(customer)
-        if state is None:
-            return
-        self._reload(state)
-        if changed:
-            self._change_home(state, revision)
-            self._send_ack_to_all()
-        self.serve(state)
-
-    def _reload(self, state):
-        contract = self._replica.contract(state.customer)
-        state.concurrency = contract.concurrency if contract else 0
-        state.home = contract.home_region if contract else ""
-        self._homes[state.customer] = state.home
+    def _own_revision(self):
+        return self._customers.revision
 
-    def _change_home(self, state, revision):
-        state.home_revision = max(state.home_revision, revision)
-        state.carried.update(state.in_use)
-        state.invalidate()
+    def _list_busy(self):
+        return tuple(
+            BusyPermit(state.customer, number)
+            for state in self._customers
+            for number in sorted(state.carried)
+        )
 
     def _on_connected(self, connection):
         if connection.peer.kind == "entry":
-            self._sent_revision.pop(connection.peer.incarnation, None)
-            self._send_ack(connection)
+            self._sender.send_on_connection(connection)
             self._loans.reconcile(connection)
 
     def _on_ack(self, connection, ack):
@@ -420,41 +366,6 @@
             peer.node, peer.incarnation, peer.address, peer.data_centre
         )
         is_new_guest = self._acks.receive(identity, ack)
-        self._wanted_revision[peer.incarnation] = ack.config_revision
-        sent = self._sent_revision.get(peer.incarnation, 0)
-        if is_new_guest or sent < ack.config_revision <= self._revision:
-            self._send_ack(connection)
-        for state in self._customers.values():
+        self._sender.answer(connection, ack, is_new_guest)
+        for state in self._customers:
             self.serve(state)
-
-    def _make_ack(self):
-        self._sequence += 1
-        return EntrySetAck(
-            self._entry_set.version,
-            tuple(
-                BusyPermit(state.customer, number)
-                for state in self._customers.values()
-                for number in sorted(state.carried)
-            ),
-            self._sequence,
-            self._revision,
-            self._acks.guests,
-        )
-
-    def _send_ack(self, connection, ack=None):
-        # A draining entry that has left the set must not be taken for a guest.
-        if not self._entry_set.version or (
-            self._draining and not self._entry_set.is_member
-        ):
-            return
-        try:
-            connection.send(ack or self._make_ack())
-        except ConnectionLost:
-            return  # it is sent again when the peer is connected again
-        self._sent_revision[connection.peer.incarnation] = self._revision
-
-    def _send_ack_to_all(self):
-        self._ack_due = False
-        ack = self._make_ack()
-        for connection in self._hub.connections("entry"):
-            self._send_ack(connection, ack)
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -1,37 +1,82 @@
 """Permits of one entry, and loans between two entries, step by step."""
 
+import dataclasses
+
 import gevent
 import pytest
-from simulated_peers import Entry, Network, Replica, SimulatedTable
+from simulated_peers import Entry, Network, Replica, SimulatedTable, entry_settings
 
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.errors import ConcurrencyExceeded, UnknownCustomer
+from bulrushdrum._internal.limits.ownership import EntrySetVersion, Ownership
 from bulrushdrum._internal.limits.permits import Permits
-from bulrushdrum._internal.limits.settings import LimitSettings
+from bulrushdrum._internal.peering.messages import EntryMember
+
+SETTINGS = entry_settings(borrow_timeout=0.2, borrow_pause=0.005, loan_check_age=0.0)
 
-SETTINGS = LimitSettings(borrow_timeout=0.2, borrow_pause=0.005)
+
+def customer_owned_by(*owners_by_members):
+    """Return a customer whose permit 0 has the given owner for each list of members."""
+    for number in range(1000):
+        customer = f"c{number}"
+        if all(
+            Ownership(
+                EntrySetVersion(1, tuple(EntryMember(m, m) for m in members))
+            ).owner(customer, 0, "")
+            == owner
+            for owner, members in owners_by_members
+        ):
+            return customer
+    raise AssertionError("no such customer")
 
 
 class World:
-    def __init__(self, names, concurrency=2):
+    def __init__(self, names, concurrency=2, customer="warwick"):
         self.network, self.table = Network(), SimulatedTable()
-        self.log = [Entry(1, "warwick", concurrency, "")]
-        self.permits, self.sets, self.dead = {}, {}, set()
+        self.log = [Entry(1, customer, concurrency, "")]
+        self.permits, self.sets, self.replicas, self.dead = {}, {}, {}, set()
         for name in names:
-            hub = self.network.hub(name)
-            self.sets[name] = EntrySet(
-                hub,
-                self.table,
-                SETTINGS,
-                lambda member: member.incarnation in self.dead,
-            )
-            self.permits[name] = Permits(
-                hub, self.sets[name], Replica(self.log), SETTINGS
-            )
-            for other in list(self.sets)[:-1]:
-                self.network.connect(name, other)
+            self.start(name)
         self.settle()
 
+    def start(self, name, region="", revision=1):
+        hub = self.network.hub(name)
+        settings = dataclasses.replace(SETTINGS, region=region)
+        self.replicas[name] = Replica(self.log)
+        self.replicas[name].revision = revision
+        self.sets[name] = EntrySet(
+            hub,
+            self.table,
+            settings,
+            lambda node, address, incarnation: incarnation in self.dead,
+        )
+        self.permits[name] = Permits(
+            hub, self.sets[name], self.replicas[name], settings
+        )
+        for other in list(self.sets)[:-1]:
+            self.network.connect(name, other)
+
+    def lend(self, lender, borrower, customer):
+        """Ask for a loan and let the lender grant it; the answer is on its way."""
+        waiter = self.permits[borrower].enqueue(customer, "r")
+        assert waiter.permit is None
+        assert self.permits[borrower].borrow(lender, waiter)
+        self.network.deliver(borrower, lender)
+        return waiter
+
+    def kill(self, name):
+        self.dead.add(name)
+        del self.sets[name], self.permits[name]
+
+    def adopt(self, *names):
+        """Let `names` adopt the newest version and exchange all acknowledgements."""
+        for name in names:
+            self.sets[name].poll()
+        for source in names:
+            for target in names:
+                while self.network.queues.get((source, target)):
+                    self.network.deliver(source, target)
+
     def settle(self):
         for _ in range(3):
             for entry_set in self.sets.values():
@@ -102,3 +147,176 @@
         assert world.permits["b"].acquire("warwick", "r", 1.0).number in range(12)
     finally:
         carrier.kill()
+
+
+def test_loan_of_a_dead_lender_that_arrives_late_is_not_used():
+    # Guards against a permit used by its new owner and by a borrower whose loan was on
+    # the way when the lender died.
+    customer = customer_owned_by(("a", "abc"), ("c", "bc"))
+    world = World(["a", "b", "c"], concurrency=1, customer=customer)
+    waiter = world.lend("a", "b", customer)
+    world.kill("a")
+    world.adopt("b", "c")
+    world.network.deliver("a", "b")
+    assert waiter.permit is None
+    assert world.permits["c"].enqueue(customer, "r").permit is not None
+
+
+def test_loan_of_a_dead_lender_blocks_the_permit_until_it_is_returned():
+    # Guards against forgetting what a removed lender had listed as busy before the
+    # borrower has acknowledged the version without it.
+    customer = customer_owned_by(("a", "abc"), ("c", "bc"))
+    world = World(["a", "b", "c"], concurrency=1, customer=customer)
+    waiter = world.lend("a", "b", customer)
+    world.network.deliver("a", "b")
+    assert waiter.permit is not None
+    world.kill("a")
+    world.sets["b"].poll()
+    world.sets["c"].poll()
+    waiting = world.permits["c"].enqueue(customer, "r")
+    assert waiting.permit is None
+    world.adopt("b", "c")
+    assert waiting.permit is None
+    world.permits["b"].release(waiter.permit)
+    world.permits["b"].tick()
+    world.adopt("b", "c")
+    assert waiting.permit is not None
+
+
+def test_list_of_a_dead_former_owner_counts_until_the_borrower_has_acknowledged():
+    # Guards against dropping what a removed entry had listed as soon as it is removed.
+    customer = customer_owned_by(("a", "ab"), ("c", "abc"), ("c", "bc"))
+    world = World(["a", "b"], concurrency=1, customer=customer)
+    waiter = world.lend("a", "b", customer)
+    world.start("c")
+    answer = world.network.queues["a", "b"].popleft()
+    world.adopt("c", "a", "b", "c")
+    world.adopt("c", "a", "b", "c")
+    world.network.queues["a", "b"].appendleft(answer)
+    world.network.deliver("a", "b")
+    assert waiter.permit is not None
+    waiting = world.permits["c"].enqueue(customer, "r")
+    assert waiting.permit is None
+    world.kill("a")
+    for _ in range(5):  # after some polls it removes what others are to remove
+        world.sets["c"].poll()
+    assert world.sets["c"].version == 4 and waiting.permit is None
+    world.adopt("b", "c")
+    assert waiting.permit is None
+    world.permits["b"].release(waiter.permit)
+    world.permits["b"].tick()
+    world.adopt("b", "c")
+    assert waiting.permit is not None
+
+
+def test_entry_with_an_older_configuration_does_not_use_a_permit_that_has_moved():
+    # Guards against two owners while a change of the home region is under way: the new
+    # entry has the old home, by which it owns the permit that the other one keeps.
+    customer = customer_owned_by(("b", "ab"))
+    world = World([], concurrency=1, customer=customer)
+    world.start("a", region="south")
+    world.adopt("a")
+    world.log.append(Entry(2, customer, 1, "south"))
+    world.replicas["a"].apply(1)
+    assert world.permits["a"].enqueue(customer, "r").permit is not None
+    world.start("b", region="north", revision=1)
+    world.adopt("b", "a", "b", "a")
+    assert world.sets["b"].is_member
+    assert world.permits["b"].enqueue(customer, "r").permit is None
+    world.replicas["b"].apply(1)
+    world.adopt("b", "a", "b", "a")
+    assert world.permits["b"].take_own(world.permits["b"].customer(customer)) is None
+
+
+def test_loan_held_by_a_guest_blocks_the_new_owner():
+    # Guards against an entry that started while the table was down, so that no version
+    # lists it, and whose loan the new owner of the permit would not hear of.
+    customer = customer_owned_by(("a", "ac"), ("c", "cg"))
+    world = World(["a", "c"], concurrency=1, customer=customer)
+    world.table.fault = "down"
+    world.start("g")
+    world.sets["g"].poll()
+    world.network.deliver("g", "a")  # the query for the set
+    world.network.deliver("a", "g")  # an acknowledgement
+    world.network.deliver("a", "g")  # the set
+    waiter = world.permits["g"].enqueue(customer, "r")
+    # Only one member knows the guest, so it must not borrow yet.
+    while world.network.queues["g", "a"]:
+        world.network.deliver("g", "a")
+    while world.network.queues["a", "g"]:
+        world.network.deliver("a", "g")
+    assert world.permits["g"].borrow("a", waiter) is None
+    world.network.deliver_all()
+    assert world.permits["g"].borrow("a", waiter)
+    world.network.deliver_all()
+    assert waiter.permit is not None
+    world.kill("a")
+    world.table.fault = ""
+    world.sets["c"].poll()
+    waiting = world.permits["c"].enqueue(customer, "r")
+    assert world.sets["c"].version == 3 and waiting.permit is None
+    world.adopt("c", "g")
+    assert waiting.permit is None
+    world.permits["g"].release(waiter.permit)
+    world.permits["g"].tick()
+    world.adopt("c", "g")
+    assert waiting.permit is not None
+
+
+@pytest.mark.parametrize("lost", ["answer", "return"])
+def test_loan_with_a_lost_answer_or_return_is_recovered(lost):
+    # Guards against a permit that stays lent for ever after a broken connection.
+    customer = customer_owned_by(("a", "ab"))
+    world = World(["a", "b"], concurrency=1, customer=customer)
+    waiter = world.lend("a", "b", customer)
+    if lost == "return":
+        world.network.deliver("a", "b")
+        world.permits["b"].release(waiter.permit)
+    else:
+        world.permits["b"].cancel(waiter)
+    world.network.cut("a", "b")
+    assert world.permits["a"].enqueue(customer, "r").permit is None
+    world.network.connect("a", "b")
+    world.network.deliver_all()
+    assert world.permits["a"].in_use == 1
+
+
+def test_lost_return_on_a_lasting_connection_is_recovered():
+    # Guards against a permit that stays lent while the connection never breaks.
+    customer = customer_owned_by(("a", "ab"))
+    world = World(["a", "b"], concurrency=1, customer=customer)
+    waiter = world.lend("a", "b", customer)
+    world.network.deliver("a", "b")
+    world.permits["a"].tick()
+    world.network.deliver_all()
+    assert world.permits["a"].enqueue(customer, "r").permit is None  # still held
+    world.permits["b"].release(waiter.permit)
+    world.network.queues["b", "a"].clear()
+    world.permits["a"].tick()
+    world.network.deliver_all()
+    assert world.permits["a"].in_use == 1
+
+
+def test_lender_keeps_a_loan_of_a_lost_borrower_until_it_is_known_dead():
+    customer = customer_owned_by(("a", "ab"))
+    world = World(["a", "b"], concurrency=1, customer=customer)
+    world.lend("a", "b", customer)
+    world.network.cut("a", "b")
+    waiting = world.permits["a"].enqueue(customer, "r")
+    world.permits["a"].tick()
+    assert waiting.permit is None
+    world.kill("b")
+    world.permits["a"].tick()
+    assert waiting.permit is not None
+
+
+def test_permits_spread_evenly_over_entries():
+    # Guards against a hash that gives some entries many more permits than others.
+    members = tuple(EntryMember(f"e{n}", f"e{n}-{n * 7919:x}") for n in range(12))
+    ownership = Ownership(EntrySetVersion(1, members))
+    counts = dict.fromkeys((m.incarnation for m in members), 0)
+    for number in range(200):
+        for permit in range(30):
+            counts[ownership.owner(f"customer-{number}", permit, "")] += 1
+    # 6,000 permits, 500 expected, standard deviation 21: five of them on each side.
+    assert 395 < min(counts.values()) and max(counts.values()) < 605
