--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -5,16 +5,20 @@
 import signal
 import sys
 import time
+from dataclasses import replace
 
 import gevent
 from gevent.event import Event as Signal
 
 from bulrushdrum._internal.caller.frontend import Frontend
 from bulrushdrum._internal.caller.http import CallerApp, make_server
+from bulrushdrum._internal.caller.operators import OperatorApp, OperatorServices
 from bulrushdrum._internal.configuration.edits import ConfigurationEditor
+from bulrushdrum._internal.configuration.order_leases import OrderLeases
 from bulrushdrum._internal.configuration.replica import ContractReplica
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.permits import Permits
+from bulrushdrum._internal.observability.dump import DumpExchange
 from bulrushdrum._internal.observability.events import Event, log_event, start_logging
 from bulrushdrum._internal.observability.metrics import Metrics
 from bulrushdrum._internal.peering.connections import PeerServer
@@ -27,6 +31,7 @@
 from bulrushdrum._internal.routing.attempts import ModelRunner
 from bulrushdrum._internal.routing.calls import CallRunner
 from bulrushdrum._internal.routing.chains import POLICIES, ChainPlanner
+from bulrushdrum._internal.routing.claims import ClaimStore
 from bulrushdrum._internal.routing.membership import Membership
 from bulrushdrum._internal.routing.retries import RetryBudget
 from bulrushdrum._internal.routing.suspects import SuspectRegistry
@@ -34,6 +39,7 @@
 from bulrushdrum._internal.world.data_centres import Links
 from bulrushdrum._internal.world.upstreams import UpstreamState
 
+MAX_OPERATOR_CONNECTIONS = 100
 _DRAIN_POLL_SECONDS = 0.05
 _CONFIRM_POLL_SECONDS = 0.1
 
@@ -63,12 +69,12 @@
         self._membership = Membership(self._hub, settings, keys, vm_list)
         self._replica = ContractReplica(self._hub, table, settings)
         self._editor = ConfigurationEditor(self._hub, table, self._replica)
-        self._entry_set = EntrySet(
-            self._hub, table, settings, self._membership.is_known_dead
-        )
-        self._permits = Permits(self._hub, self._entry_set, self._replica, settings)
+        is_known_dead = self._membership.is_known_dead
+        limits = replace(settings.limits, region=settings.region)
+        self._entry_set = EntrySet(self._hub, table, limits, is_known_dead)
+        self._permits = Permits(self._hub, self._entry_set, self._replica, limits)
         self._records = RecordKeeper(
-            self._hub, objects, settings, self._membership.is_known_dead
+            self._hub, objects, settings.records, is_known_dead
         )
         links = Links(
             settings.link_delays, settings.local_delay, settings.default_delay
@@ -84,6 +90,8 @@
             self._membership, planner, budget, SuspectRegistry(), settings
         )
         calls = CallRunner(self._membership, budget, settings.seed)
+        claims = ClaimStore(table)
+        self._claims = claims
         self._frontend = Frontend(
             settings,
             self._replica,
@@ -92,6 +100,8 @@
             planner,
             runner,
             calls,
+            claims,
+            keys,
             self._metrics,
             identity.incarnation,
         )
@@ -102,6 +112,22 @@
         self._http = make_server(
             callers.wsgi, settings.http_listen, settings.max_connections
         )
+        self._order_leases = OrderLeases(self._hub, table, self._replica)
+        self._membership.on_describe = self._order_leases.observe_describe
+        self._dumps = DumpExchange(self._hub, self.dump)
+        operators = OperatorApp(
+            OperatorServices(
+                self._replica,
+                self._editor,
+                self._membership.dump_upstreams,
+                self._report,
+                self._dumps.dump,
+            ),
+            settings.operator_key,
+        )
+        self._operator_http = make_server(
+            operators.wsgi, settings.operator_listen, MAX_OPERATOR_CONNECTIONS
+        )
         self._membership.beat_fields = lambda: (
             self._replica.revision,
             self._entry_set.version,
@@ -121,7 +147,9 @@
         self._entry_set.start()
         self._permits.start()
         self._records.start()
+        self._claims.start()
         self._http.start()
+        self._operator_http.start()
         log_event(Event.ENTRY_READY, http=settings.http_listen, peers=settings.listen)
         self._stop.wait()
         self._drain()
@@ -139,6 +167,9 @@
             "metrics": self._metrics.dump(),
         }
 
+    def _report(self, customer, start, end):
+        raise NotImplementedError
+
     def _drain(self):
         log_event(Event.DRAIN_STARTED, in_progress=self._frontend.in_progress)
         self._frontend.start_draining()
@@ -148,6 +179,7 @@
             gevent.sleep(_DRAIN_POLL_SECONDS)
         # Bodies of answers that have ended may still be on their way out.
         self._http.stop(timeout=5)
+        self._permits.drain()
         self._records.drain()
         self._entry_set.leave()
         self._peer_server.stop()
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -132,6 +132,7 @@
   stage @2 :UInt16;
   accepted @3 :Bool;
   reason @4 :Text;
+  outcome @5 :Text;          # when refused: not_run, or unknown if the key may have run
 }
 
 struct Step {
@@ -201,7 +202,7 @@
   reason @5 :Text;
 }
 
-struct Resolve { call @0 :Text; customer @1 :Text; bindingKey @2 :Text; window @3 :UInt32; }
+struct Resolve { call @0 :Text; customer @1 :Text; bindingKey @2 :Text; window @3 :UInt32; generation @4 :UInt32; }
 
 struct Resolved {
   call @0 :Text;
@@ -217,8 +218,16 @@
   editId @4 :Text;
 }
 
-struct ConfigEntries { entries @0 :List(ConfigEntry); snapshot @1 :Bool; head @2 :UInt64; }
-struct ConfigQuery { after @0 :UInt64; }
+struct ConfigEntries {
+  entries @0 :List(ConfigEntry);
+  snapshot @1 :Bool;
+  head @2 :UInt64;           # highest revision in force at the sender
+  token @3 :UInt64;          # of the query that this answers; 0 for a push
+  part @4 :UInt32;           # a snapshot comes in parts 0, 1, 2...
+  last @5 :Bool;             # the answer is complete
+  ready @6 :Bool;            # false: the sender has not loaded its configuration
+}
+struct ConfigQuery { after @0 :UInt64; token @1 :UInt64; }
 struct ConfigConfirm { revision @0 :UInt64; }
 
 struct PermitBorrow { loan @0 :Text; customer @1 :Text; }
--- a/src/bulrushdrum/_internal/settings/entry.py
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
+from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.peering.connections import parse_address
+from bulrushdrum._internal.records.settings import RecordSettings
 from bulrushdrum._internal.settings.reading import setting
 
 
@@ -96,6 +98,8 @@
     # At full size an entry has 13.4 requests/s, so these last for 49 minutes.
     max_unflushed_records: int = setting(40_000, low=1, high=10_000_000)
     routing_policy: str = setting("least_delay", check=_is_policy)
+    limits: LimitSettings = setting(LimitSettings(), help="permits and entry set")
+    records: RecordSettings = setting(RecordSettings(), help="copies and flushes")
     seed: int = setting(0, low=0, high=2**63 - 1, help="0 takes a fresh seed")
 
     @property
