--- a/src/bulrushdrum/_internal/limits/entry_set.py
+++ b/src/bulrushdrum/_internal/limits/entry_set.py
@@ -15,6 +15,7 @@
 
 from bulrushdrum._internal.limits.errors import EntrySetInvalid
 from bulrushdrum._internal.limits.ownership import EntrySetVersion, Ownership, _hash
+from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.messages import (
@@ -28,7 +29,6 @@
     WriteOutcomeUnknown,
 )
 from bulrushdrum._internal.platform.table import Condition, Write
-from bulrushdrum._internal.settings.entry import EntrySettings
 
 ENTRY_SET_KEY = "entry-set"
 # A row of its own, because 380 entries that read the whole set every few seconds would
@@ -55,16 +55,16 @@
 class EntrySet:
     """This entry's view of the entry set, and its membership.
 
-    `is_known_dead(node, address, incarnation)` says whether an entry is known dead;
-    time alone must never make it so.
+    `is_known_dead(member)` says whether an `EntryMember` is known dead; time alone must
+    never make it so.
     """
 
     def __init__(
         self,
         hub,
         table,
-        settings: EntrySettings,
-        is_known_dead: Callable[[str, str, str], bool],
+        settings: LimitSettings,
+        is_known_dead: Callable[[EntryMember], bool],
     ):
         self._hub = hub
         self._table = table
@@ -119,7 +119,7 @@
         self._in_use = in_use
 
     def is_known_dead(self, member: EntryMember) -> bool:
-        return self._is_known_dead(member.node, member.address, member.incarnation)
+        return self._is_known_dead(member)
 
     def subscribe(self, callback: Callable[[Ownership, Ownership], None]):
         """Call `callback(previous, current)` after each adoption."""
@@ -191,7 +191,7 @@
                 self.poll()
             except Exception as error:  # the loop must outlive any fault of one round
                 log_event(Event.INTERNAL_ERROR, error=repr(error))
-            pause = self._settings.entry_set_interval * self._random.uniform(0.8, 1.2)
+            pause = self._settings.entry_set_poll * self._random.uniform(0.8, 1.2)
             deadline = time.monotonic() + pause
             if self._wake.wait(pause):
                 # A version seen while the table is down must not make a busy loop.
--- a/src/bulrushdrum/_internal/limits/loans.py
+++ b/src/bulrushdrum/_internal/limits/loans.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from bulrushdrum._internal.limits.customer_permits import Permit, Waiter
+from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.messages import (
@@ -20,7 +21,6 @@
     PermitLoan,
     PermitReturn,
 )
-from bulrushdrum._internal.settings.entry import EntrySettings
 
 
 class PendingLoan:
@@ -47,7 +47,7 @@
     """The loans that one entry has given and taken."""
 
     def __init__(
-        self, hub, permits, settings: EntrySettings, clock: Callable[[], float]
+        self, hub, permits, settings: LimitSettings, clock: Callable[[], float]
     ):
         self._hub = hub
         self._permits = permits
--- a/src/bulrushdrum/_internal/limits/permits.py
+++ b/src/bulrushdrum/_internal/limits/permits.py
@@ -23,13 +23,13 @@
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.errors import ConcurrencyExceeded, UnknownCustomer
 from bulrushdrum._internal.limits.loans import Loans, PendingLoan
+from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.messages import (
     BusyPermit,
     EntryMember,
     EntrySetAck,
 )
-from bulrushdrum._internal.settings.entry import EntrySettings
 
 # One failed round over all owners in four shows that none has a free permit; more at
 # once would only load the owners.
@@ -46,7 +46,7 @@
         hub,
         entry_set: EntrySet,
         replica,
-        settings: EntrySettings,
+        settings: LimitSettings,
         clock: Callable[[], float] = time.monotonic,
     ):
         self._hub = hub
--- a/src/bulrushdrum/_internal/records/partners.py
+++ b/src/bulrushdrum/_internal/records/partners.py
@@ -46,14 +46,14 @@
 
     def add(self, record: RequestRecord, text: str):
         """Hold a record; a closed one replaces the open one, and never the reverse."""
-        known = record.id in self._texts
+        known = record.request_id in self._texts
         if not record.closed:
-            if known and record.id not in self._open:
+            if known and record.request_id not in self._open:
                 return
-            self._open.add(record.id)
+            self._open.add(record.request_id)
         else:
-            self._open.discard(record.id)
-        self._texts[record.id] = text
+            self._open.discard(record.request_id)
+        self._texts[record.request_id] = text
         if len(self._texts) - len(self._open) >= _BLOCK_RECORDS:
             self._compress()
 
@@ -72,7 +72,7 @@
             lines = zlib.decompress(block).decode().splitlines()
             kept = []
             for line in lines:
-                request_id = decode_record(line).id
+                request_id = decode_record(line).request_id
                 if request_id in missing:
                     missing.discard(request_id)
                 else:
--- a/src/bulrushdrum/_internal/records/record.py
+++ b/src/bulrushdrum/_internal/records/record.py
@@ -19,14 +19,14 @@
 class RequestRecord(NamedTuple):
     """A request and how it ended. `outcome` is empty while the request is open.
 
-    `entry` is the incarnation that accepted it. `arrival` and `end` are in seconds
-    since the epoch; `wait` (in a queue, for `wait_cause`) and `first_token` are in
-    seconds after the arrival. `by_partner` marks a record that the partner closed for a
-    dead entry. `count` is more than one for refusals that were alike while there was no
-    room for a record of each.
+    `entry` is the incarnation that accepted it. `arrival` is in seconds since the
+    epoch; `wait` (in a queue, for `wait_cause`), `first_token` and `end` are in seconds
+    after the arrival. `by_partner` marks a record that the partner closed for a dead
+    entry. `count` is more than one for refusals that were alike while there was no room
+    for a record of each.
     """
 
-    id: str
+    request_id: str
     customer: str
     kind: str = ""
     outcome: str = ""
@@ -34,7 +34,7 @@
     entry: str = ""
     arrival: float = 0.0
     wait: float = 0.0
-    wait_cause: str = "permit"
+    wait_cause: str = ""
     first_token: float = 0.0
     end: float = 0.0
     prompt_tokens: int = 0
--- a/src/bulrushdrum/_internal/records/replication.py
+++ b/src/bulrushdrum/_internal/records/replication.py
@@ -28,7 +28,7 @@
     decode_record,
     encode_record,
 )
-from bulrushdrum._internal.settings.entry import EntrySettings
+from bulrushdrum._internal.records.settings import RecordSettings
 
 # Keeps one frame well under the limit of 16 MB.
 _MAX_BATCH = 2_000
@@ -37,15 +37,15 @@
 class RecordKeeper:
     """The records of one entry, and those that it holds as a partner.
 
-    `is_known_dead(node, address, incarnation)` says whether an entry is known dead.
+    `is_known_dead(member)` says whether an `EntryMember` is known dead.
     """
 
     def __init__(
         self,
         hub,
         objects,
-        settings: EntrySettings,
-        is_known_dead: Callable[[str, str, str], bool],
+        settings: RecordSettings,
+        is_known_dead: Callable[[EntryMember], bool],
     ):
         self._hub = hub
         self._settings = settings
@@ -83,7 +83,7 @@
 
     def has_room(self) -> bool:
         """Whether one more request can be accepted and its record kept."""
-        return self.unflushed < self._settings.max_unflushed_records
+        return self.unflushed < self._settings.max_unflushed
 
     def start(self):
         """Send copies and flush in greenlets."""
@@ -100,33 +100,33 @@
         if not self.has_room():
             raise NoRoomForRecords(
                 f"{self.unflushed} records wait for the object store, the limit is "
-                f"{self._settings.max_unflushed_records}"
+                f"{self._settings.max_unflushed}"
             )
-        self._open[record.id] = record
+        self._open[record.request_id] = record
         self._copy(record)
 
     def close(self, record: RequestRecord) -> bool:
         """Keep the closed record; return whether the partner holds it.
 
-        Waits up to `record_close_wait` for the partner. A refused request need not
+        Waits up to `close_wait` for the partner. A refused request need not
         have been opened. While there is no room, refusals of one customer
         with the same kind and reason share a record with a count.
         """
         if not record.closed:
-            raise ValueError(f"record {record.id!r} has no outcome")
-        was_open = self._open.pop(record.id, None) is not None
+            raise ValueError(f"record {record.request_id!r} has no outcome")
+        was_open = self._open.pop(record.request_id, None) is not None
         if not was_open and not self.has_room():
             self._count_refusal(record)
             return False
-        self._closed[record.id] = record
+        self._closed[record.request_id] = record
         self._copy(record)
         if not self._partner:
             return False
-        signal = self._waiting[record.id] = Signal()
+        signal = self._waiting[record.request_id] = Signal()
         try:
-            return bool(signal.wait(self._settings.record_close_wait))
+            return bool(signal.wait(self._settings.close_wait))
         finally:
-            self._waiting.pop(record.id, None)
+            self._waiting.pop(record.request_id, None)
 
     def drain(self) -> int:
         """Flush what is possible; return how many records are left to the partner.
@@ -178,8 +178,7 @@
     def tick(self):
         """Take over the records of dead entries and let former partners drop theirs."""
         for origin, held in [*self._held.items()]:
-            member = held.origin
-            if self._is_known_dead(member.node, member.address, member.incarnation):
+            if self._is_known_dead(held.origin):
                 self._take_over(origin)
         if not self._partner or self._unsent or self._in_flight:
             return
@@ -205,25 +204,25 @@
             self.send_copies()
 
     def _run(self):
-        flush_at = time.monotonic() + self._settings.record_flush_interval
+        flush_at = time.monotonic() + self._settings.flush_interval
         while True:
-            gevent.sleep(min(1.0, self._settings.record_flush_interval))
+            gevent.sleep(min(1.0, self._settings.flush_interval))
             try:
                 self.tick()
                 if time.monotonic() >= flush_at:
-                    flush_at = time.monotonic() + self._settings.record_flush_interval
+                    flush_at = time.monotonic() + self._settings.flush_interval
                     self.flush()
             except Exception as error:  # the loop must outlive any fault of one round
                 log_event(Event.INTERNAL_ERROR, error=repr(error))
 
     def _copy(self, record):
         if self._partner:
-            self._unsent[record.id] = encode_record(record)
+            self._unsent[record.request_id] = encode_record(record)
             self._wake.set()
 
     def _keep_refusals(self):
         for record in self._refused_alike.values():
-            self._closed[record.id] = record
+            self._closed[record.request_id] = record
         self._refused_alike.clear()
 
     def _count_refusal(self, record):
@@ -242,7 +241,9 @@
         return True
 
     def _notify_flushed(self, pending):
-        ids = tuple(decode_record(line).id for line in pending.lines().splitlines())
+        ids = tuple(
+            decode_record(line).request_id for line in pending.lines().splitlines()
+        )
         for request_id in ids:
             # A copy sent after the notice would stay with the partner.
             if self._unsent.pop(request_id, None) and request_id in self._waiting:
@@ -256,7 +257,7 @@
         for record in records:
             if not record.closed:
                 record = close_for_dead_entry(record)
-            self._closed.setdefault(record.id, record)
+            self._closed.setdefault(record.request_id, record)
             self._copy(record)
         log_event(
             Event.RECORDS_TAKEN_OVER, origin=held.origin.node, records=len(records)
@@ -285,13 +286,13 @@
         if not self._partner:
             return
         for line in self._flusher.lines():
-            self._unsent[decode_record(line).id] = line
+            self._unsent[decode_record(line).request_id] = line
         for record in [
             *self._closed.values(),
             *self._open.values(),
             *self._refused_alike.values(),
         ]:
-            self._unsent[record.id] = encode_record(record)
+            self._unsent[record.request_id] = encode_record(record)
         self._wake.set()
 
     def _on_connected(self, connection):
--- a/src/bulrushdrum/_internal/settings/entry.py
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -81,22 +81,6 @@
     max_running: int = setting(
         500, low=1, high=100_000, help="requests in progress and waiting at this entry"
     )
-    entry_set_interval: float = setting(
-        5.0, unit="s", low=0.05, high=300, help="pause between reads of its version"
-    )
-    borrow_timeout: float = setting(0.5, unit="s", low=0.01, high=30)
-    borrow_pause: float = setting(
-        0.02, unit="s", low=0.001, high=5, help="after all owners have refused a loan"
-    )
-    loan_check_age: float = setting(
-        10.0, unit="s", low=0, high=600, help="older loans are checked at the borrower"
-    )
-    record_flush_interval: float = setting(10.0, unit="s", low=0.05, high=3600)
-    record_close_wait: float = setting(
-        0.25, unit="s", low=0, high=10, help="longest wait for the partner's copy"
-    )
-    # At full size an entry has 13.4 requests/s, so these last for 49 minutes.
-    max_unflushed_records: int = setting(40_000, low=1, high=10_000_000)
     routing_policy: str = setting("least_delay", check=_is_policy)
     limits: LimitSettings = setting(LimitSettings(), help="permits and entry set")
     records: RecordSettings = setting(RecordSettings(), help="copies and flushes")
--- a/tests/unit/simulated_peers.py
+++ b/tests/unit/simulated_peers.py
@@ -5,7 +5,6 @@
 """
 
 from collections import deque
-from dataclasses import MISSING
 
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.handshake import PeerIdentity
@@ -15,18 +14,8 @@
     WriteOutcomeUnknown,
 )
 from bulrushdrum._internal.platform.table import Row
-from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.contracts import Contract
 
-_REQUIRED = EntrySettings.__dataclass_fields__
-
-
-def entry_settings(**fields):
-    required = dict.fromkeys(
-        (name for name, field in _REQUIRED.items() if field.default is MISSING), ""
-    )
-    return EntrySettings(**{**required, **fields})
-
 
 class Connection:
     def __init__(self, network, source, peer):
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -4,15 +4,16 @@
 
 import gevent
 import pytest
-from simulated_peers import Entry, Network, Replica, SimulatedTable, entry_settings
+from simulated_peers import Entry, Network, Replica, SimulatedTable
 
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.errors import ConcurrencyExceeded, UnknownCustomer
 from bulrushdrum._internal.limits.ownership import EntrySetVersion, Ownership
 from bulrushdrum._internal.limits.permits import Permits
+from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.peering.messages import EntryMember
 
-SETTINGS = entry_settings(borrow_timeout=0.2, borrow_pause=0.005, loan_check_age=0.0)
+SETTINGS = LimitSettings(borrow_timeout=0.2, borrow_pause=0.005, loan_check_age=0.0)
 
 
 def customer_owned_by(*owners_by_members):
@@ -48,7 +49,7 @@
             hub,
             self.table,
             settings,
-            lambda node, address, incarnation: incarnation in self.dead,
+            lambda member: member.incarnation in self.dead,
         )
         self.permits[name] = Permits(
             hub, self.sets[name], self.replicas[name], settings
--- a/tests/unit/test_permits_properties.py
+++ b/tests/unit/test_permits_properties.py
@@ -11,12 +11,13 @@
 import random
 
 import pytest
-from simulated_peers import Entry, Network, Replica, SimulatedTable, entry_settings
+from simulated_peers import Entry, Network, Replica, SimulatedTable
 
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.permits import Permits
+from bulrushdrum._internal.limits.settings import LimitSettings
 
-SETTINGS = entry_settings(borrow_timeout=1.0, loan_check_age=5.0)
+SETTINGS = LimitSettings(borrow_timeout=1.0, loan_check_age=5.0)
 CUSTOMERS = ("warwick", "alcester")
 REGIONS = ("north", "south")
 CASES = int(os.environ.get("PERMIT_CASES", "300"))
@@ -28,7 +29,7 @@
         self.name, self.dead_to_me = name, set()
         self.paused = False
         self.leaving = False
-        settings = entry_settings(
+        settings = LimitSettings(
             borrow_timeout=1.0, loan_check_age=5.0, region=world.random.choice(REGIONS)
         )
         hub = world.network.hub(name)
@@ -39,8 +40,8 @@
         )
         self.waiters, self.used = [], []
 
-    def is_known_dead(self, node, address, incarnation):
-        return incarnation in self.dead_to_me
+    def is_known_dead(self, member):
+        return member.incarnation in self.dead_to_me
 
     def collect(self):
         for waiter in [*self.waiters]:
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -2,14 +2,15 @@
 
 import gevent
 import pytest
-from simulated_peers import Network, entry_settings
+from simulated_peers import Network
 
 from bulrushdrum._internal.platform.errors import StoreUnavailable, WriteOutcomeUnknown
 from bulrushdrum._internal.records.errors import NoRoomForRecords
 from bulrushdrum._internal.records.record import RequestRecord, decode_record
 from bulrushdrum._internal.records.replication import RecordKeeper
+from bulrushdrum._internal.records.settings import RecordSettings
 
-SETTINGS = entry_settings(record_close_wait=0.0, max_unflushed_records=10)
+SETTINGS = RecordSettings(close_wait=0.0, max_unflushed=10)
 
 
 class SimulatedObjects:
@@ -56,7 +57,7 @@
                 self.network.hub(name, data_centre),
                 self.objects,
                 settings,
-                lambda node, address, incarnation: incarnation in self.dead,
+                lambda member: member.incarnation in self.dead,
             )
             for other in list(self.keepers)[:-1]:
                 self.network.connect(name, other)
@@ -107,7 +108,7 @@
     keeper.flush()
     keeper.flush()
     written = world.objects.records()
-    assert {r.id for r in written if r.outcome == "answered"} == {
+    assert {r.request_id for r in written if r.outcome == "answered"} == {
         f"r{index}" for index in range(10)
     }
     assert sum(r.count for r in written if r.outcome == "not_run") == 5
@@ -123,15 +124,13 @@
     world.kill("a")
     world.settle()
     world.keepers["b"].flush()
-    outcomes = {r.id: r.outcome for r in world.objects.records()}
+    outcomes = {r.request_id: r.outcome for r in world.objects.records()}
     assert outcomes == {"open": "unknown", "closed": "answered"}
 
 
 def test_acknowledged_open_copy_does_not_confirm_the_closed_record():
     # Guards against an answer that ends before the partner has the closed record.
-    world = World(
-        ("a", "d1"), ("b", "d2"), settings=entry_settings(record_close_wait=2.0)
-    )
+    world = World(("a", "d1"), ("b", "d2"), settings=RecordSettings(close_wait=2.0))
     keeper = world.keepers["a"]
     keeper.open(record("r"))
     keeper.send_copies()
