--- a/src/bulrushdrum/__main__.py
+++ b/src/bulrushdrum/__main__.py
@@ -7,10 +7,9 @@
 
 import sys  # noqa: E402
 
-import gevent  # noqa: E402
 
-
-def _run(arguments):
+def run(arguments: list[str]) -> int:
+    """Run the role or command in `arguments` and return its exit code."""
     # The roles are dispatched here, because the command line library takes memory that
     # a sidecar does not have.
     match arguments:
@@ -23,22 +22,8 @@
     return run_commands(arguments)
 
 
-def _run_to_exit_code(arguments):
-    try:
-        return _run(arguments)
-    except SystemExit as error:
-        return error.code
-
-
 def main():
-    # Everything runs in a greenlet that the hub started while this frame waits. An
-    # exception in Cap'n Proto walks the C stack down to the frames in which the hub was
-    # first entered, and crashes the process if those are gone.
-    greenlet = gevent.spawn(_run_to_exit_code, sys.argv[1:])
-    greenlet.join()
-    if not greenlet.successful():
-        sys.exit(1)
-    sys.exit(greenlet.value)
+    sys.exit(run(sys.argv[1:]))
 
 
 if __name__ == "__main__":
