--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -226,7 +226,10 @@
 
 
 class Resolve(NamedTuple):
-    """Asks what became of a bound key; cancels the key if it has not run."""
+    """Asks what became of a bound key; cancels the key if it has not run.
+
+    Only `generation` and those before it are cancelled.
+    """
 
     call: str = ""
     customer: str = ""
