--- a/src/bulrushdrum/_internal/configuration/edits.py
+++ b/src/bulrushdrum/_internal/configuration/edits.py
@@ -74,8 +74,8 @@
 class ConfigurationEditor:
     """Makes edits that operators ask for at this entry.
 
-    `entry_names` returns the names of all entries that should confirm an edit, by
-    default the connected ones.
+    `entry_names` returns the names of entries that should confirm an edit, in addition
+    to those that are connected.
     """
 
     def __init__(
@@ -91,7 +91,7 @@
         self._hub = hub
         self._table = table
         self._replica = replica
-        self._entry_names = entry_names or self._connected_names
+        self._entry_names = entry_names or (lambda: ())
         self._confirm_wait = confirm_wait
         self._settle_seconds = settle_seconds
         # Edits of one entry would only make each other's transactions fail.
@@ -241,7 +241,7 @@
         own = self._hub.local.node
         deadline = time.monotonic() + self._confirm_wait
         while True:
-            expected = {own, *self._entry_names()}
+            expected = {own, *self._entry_names(), *self._connected_names()}
             confirmed = self._replica.confirmed_by(revision)
             if self._replica.ready and self._replica.revision >= revision:
                 confirmed.add(own)
--- a/src/bulrushdrum/_internal/configuration/peers.py
+++ b/src/bulrushdrum/_internal/configuration/peers.py
@@ -1,6 +1,7 @@
 """Exchange of configuration entries and snapshots with the other entries."""
 
 import itertools
+import random
 import time
 
 import gevent
@@ -19,6 +20,9 @@
 
 # Above every revision, so that the answer has the peer's head and no entries.
 _HEAD_ONLY = 2**64 - 1
+# While the table is down, each of 380 entries asks every 2 s. To ask all others would
+# take 23 KB/s; heartbeats carry their revisions as well.
+_CONFIRMING_PEERS = 3
 # About 150 KB a frame. The sender yields after each, to keep serving requests.
 _SNAPSHOT_PART_ENTRIES = 500
 _SNAPSHOT_TIMEOUT_SECONDS = 30.0
@@ -41,10 +45,13 @@
     handed to `replica`.
     """
 
-    def __init__(self, hub: PeerHub, replica, wait_seconds: float):
+    def __init__(
+        self, hub: PeerHub, replica, wait_seconds: float, source: random.Random
+    ):
         self._hub = hub
         self._replica = replica
         self._wait_seconds = wait_seconds
+        self._random = source
         self._revisions: dict[str, int] = {}
         self._queries: dict[int, _Query] = {}
         # Heads of pushes that are not yet in force here, by the entry to be told.
@@ -78,8 +85,14 @@
         self._hub.broadcast("entry", message)
 
     def ask_heads(self):
-        """Ask all entries for their heads; each answer may confirm the revision."""
-        return self._ask_all(_HEAD_ONLY)
+        """Ask all entries for their heads; return the connections and answers."""
+        return self._ask_each(self._hub.connections("entry"), _HEAD_ONLY)
+
+    def ask_some_heads(self):
+        """Ask a few entries for their heads; an answer may confirm the revision."""
+        connections = self._hub.connections("entry")
+        few = min(_CONFIRMING_PEERS, len(connections))
+        self._ask_each(self._random.sample(connections, few), _HEAD_ONLY)
 
     def load_highest(self) -> bool:
         """Load the highest snapshot among the reachable entries."""
@@ -106,8 +119,7 @@
         best = max(connections, key=lambda c: self._revisions[c.peer.incarnation])
         return self._ask(best, after, _SNAPSHOT_TIMEOUT_SECONDS) is not None
 
-    def _ask_all(self, after):
-        connections = self._hub.connections("entry")
+    def _ask_each(self, connections, after):
         waiting = [
             (connection, gevent.spawn(self._ask, connection, after, self._wait_seconds))
             for connection in connections
--- a/src/bulrushdrum/_internal/configuration/replica.py
+++ b/src/bulrushdrum/_internal/configuration/replica.py
@@ -70,7 +70,7 @@
         self._wake = Signal()
         self._gap_filler = None
         self._greenlets = []
-        self._peers = ConfigPeers(hub, self, peer_wait)
+        self._peers = ConfigPeers(hub, self, peer_wait, self._random)
 
     # What is in force.
 
@@ -147,10 +147,10 @@
         return time.monotonic() - self._confirmed_at
 
     def confirm(self, timeout_seconds: float) -> bool:
-        """Ask the store and all peers now; true once one of them has confirmed."""
+        """Ask the store and some peers now; true once one of them has confirmed."""
         asked_at = time.monotonic()
         self._wake.set()
-        gevent.spawn(self._peers.ask_heads)
+        gevent.spawn(self._peers.ask_some_heads)
         while self._confirmed_at < asked_at:
             if time.monotonic() - asked_at >= timeout_seconds:
                 return False
@@ -296,7 +296,7 @@
 
     def _poll_peers(self, first):
         if self._ready:
-            self._peers.ask_heads()
+            self._peers.ask_some_heads()
             return
         if first:
             # Connections to the other entries are still being made.
--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -68,7 +68,12 @@
         vm_list = VmList(settings.vm_list_url, settings.store_timeout)
         self._membership = Membership(self._hub, settings, keys, vm_list)
         self._replica = ContractReplica(self._hub, table, settings)
-        self._editor = ConfigurationEditor(self._hub, table, self._replica)
+        self._editor = ConfigurationEditor(
+            self._hub,
+            table,
+            self._replica,
+            entry_names=self._membership.listed_entries,
+        )
         is_known_dead = self._membership.is_known_dead
         limits = replace(settings.limits, region=settings.region)
         self._entry_set = EntrySet(self._hub, table, limits, is_known_dead)
--- a/src/bulrushdrum/_internal/routing/membership.py
+++ b/src/bulrushdrum/_internal/routing/membership.py
@@ -197,6 +197,10 @@
         gevent.spawn(self._read_vm_list)
         gevent.spawn(self._send_beats)
 
+    def listed_entries(self) -> list[str]:
+        """Return the names of the entries that the VM list shows."""
+        return [vm.name for vm in self._listed.values() if vm.role == "entry"]
+
     def upstreams(self) -> list[Upstream]:
         return list(self._upstreams.values())
 
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -130,9 +130,11 @@
 def test_an_entry_that_is_cut_off_is_named_and_catches_up(cluster):
     # Guards against an answer that counts an entry which cannot have the change.
     cluster.set_links_of("entry2", drop=True)
+    wait_for(lambda: not peers(cluster, "entry2"), "the connections to be lost")
     status, answer = put(cluster, "entry0", "cut", share=8.0)
     assert status == 200, answer
-    assert "entry2" not in answer["confirmed"]
+    assert answer["confirmed"] == ["entry0", "entry1"]
+    assert answer["unconfirmed"] == ["entry2"]
     assert share(cluster, "entry2", "cut") is None
     assert put(cluster, "entry2", "cut", share=9.0)[0] == 503
     cluster.set_links_of("entry2")
