--- a/bench/standins/serving.py
+++ b/bench/standins/serving.py
@@ -116,8 +116,14 @@
     return body
 
 
+def _error_body(response):
+    bottle.response.content_type = "application/json"
+    return json.dumps({"error": str(response.body)})
+
+
 def new_app(faults: Faults) -> bottle.Bottle:
     app = bottle.Bottle()
+    app.default_error_handler = _error_body
     app.route("/v1/faults", "POST", lambda: faults.change(json_body()) or {})
     app.route("/v1/stats", "GET", lambda: faults.stats)
     return app
--- a/src/bulrushdrum/_internal/platform/service.py
+++ b/src/bulrushdrum/_internal/platform/service.py
@@ -91,6 +91,5 @@
             raise lost_answer(f"{self._name}: {error}") from error
 
     def _describe(self, response):
-        return (
-            f"status {response.status}: {response.data[:200].decode(errors='replace')}"
-        )
+        text = " ".join(response.data[:2000].decode(errors="replace").split())
+        return f"status {response.status}: {text[:200]}"
--- a/tests/integration/test_command.py
+++ b/tests/integration/test_command.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from bulrushdrum._internal.operator.commands import app
+
 ROOT = Path(__file__).resolve().parents[2]
 
 IMPORTS = """
@@ -54,3 +56,22 @@
     assert done.returncode == 2 and "settings" in done.stderr
     done = run_python("-m", "bulrushdrum", "entry", "--settings", "/nonexistent")
     assert done.returncode == 2 and "cannot be read" in done.stderr
+
+
+@pytest.mark.parametrize("role", ["entry", "sidecar"])
+def test_the_examples_are_valid_settings(role):
+    # Guards against an example that a new or renamed setting has made useless.
+    path = ROOT / "examples" / f"{role}.json5"
+    done = run_python("-m", "bulrushdrum", "check-settings", role, str(path))
+    assert (done.returncode, done.stderr) == (0, "")
+
+
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_completion_knows_the_commands(shell):
+    # Guards against completion that misses commands of the groups.
+    script = app.generate_completion(shell=shell)
+    for word in ("contracts", "upstreams", "check-settings", "expected-revision"):
+        assert word in script
+    if shell == "bash":
+        checked = subprocess.run(["bash", "-n"], input=script, text=True)
+        assert checked.returncode == 0
