--- a/src/bulrushdrum/_internal/caller/operators.py
+++ b/src/bulrushdrum/_internal/caller/operators.py
@@ -33,6 +33,7 @@
     "busy": 503,
     "not_ready": 503,
     "store_unavailable": 503,
+    "store_behind": 503,
     "outcome_unknown": 504,
     "internal_error": 500,
 }
--- a/src/bulrushdrum/_internal/configuration/edits.py
+++ b/src/bulrushdrum/_internal/configuration/edits.py
@@ -144,13 +144,14 @@
                 raise EditRefused("busy", "other edits kept coming first")
 
     def _read(self, kind, key):
+        in_force = self._replica.revision
         try:
             head = self._table.read(HEAD_KEY)
             row = self._table.read(row_key(kind, key))
         except StoreUnavailable as error:
             raise EditRefused("store_unavailable", str(error)) from error
         held = row.value if row else {}
-        return _Current(
+        current = _Current(
             held.get("value"),
             held.get("revision", 0),
             held.get("edit_id", ""),
@@ -158,6 +159,14 @@
             head.value["revision"] if head else 0,
             head.version if head else 0,
         )
+        if current.head < in_force:
+            # Entries would take the new revision for one that they have applied.
+            raise EditRefused(
+                "store_behind",
+                f"the table is at revision {current.head}, and {in_force} is in force: "
+                "it was set back to an older state",
+            )
+        return current
 
     def _made_before(self, kind, key, edit_id, current):
         """Return the entry that this edit made when it was sent an earlier time.
--- a/src/bulrushdrum/_internal/configuration/errors.py
+++ b/src/bulrushdrum/_internal/configuration/errors.py
@@ -17,7 +17,10 @@
 
 
 class EditRefused(ConfigurationError):
-    """The edit was not made. `code` is stable: invalid, store_unavailable or busy."""
+    """The edit was not made.
+
+    `code` is stable: invalid, store_unavailable, store_behind or busy.
+    """
 
     def __init__(self, code: str, message: str):
         super().__init__(message)
--- a/src/bulrushdrum/_internal/configuration/replica.py
+++ b/src/bulrushdrum/_internal/configuration/replica.py
@@ -67,6 +67,7 @@
         self._known_head = 0
         self._confirmed_at = float("-inf")
         self._store_available = True
+        self._table_behind = False
         self._wake = Signal()
         self._gap_filler = None
         self._greenlets = []
@@ -272,7 +273,9 @@
         asked_at = time.monotonic()
         if not self._ready:
             self._load_table()
+        in_force = self.revision
         head = read_head(self._table)
+        self._note_behind(head < in_force, head)
         self._follow_log(head)
         self.note_confirmed(asked_at, head)
 
@@ -315,6 +318,11 @@
         finally:
             self._gap_filler = None
 
+    def _note_behind(self, behind, head):
+        if behind and not self._table_behind:
+            log_event(Event.TABLE_BEHIND, head=head, in_force=self.revision)
+        self._table_behind = behind
+
     def _note_store(self, available, reason=""):
         if available != self._store_available:
             event = Event.STORE_AVAILABLE if available else Event.STORE_UNAVAILABLE
--- a/tests/unit/test_configuration_edits.py
+++ b/tests/unit/test_configuration_edits.py
@@ -174,6 +174,20 @@
     assert table.transactions == 4
 
 
+def test_a_table_that_was_set_back_is_not_edited(table, entry):
+    # Guards against an edit that is accepted and confirmed and never in force, because
+    # its revision is one that the entries have already applied.
+    for revision in range(3):
+        entry.editor.edit("contract", "c1", contract(), revision)
+    table.state = FakeTable().state
+    with pytest.raises(EditRefused) as refused:
+        entry.editor.edit("contract", "c2", contract("c2"), 0)
+    assert refused.value.code == "store_behind"
+    gevent.sleep(0.1)
+    assert entry.replica.revision == 3
+    assert entry.replica.contract("c1") is not None
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
