Give each request of the upstream stand-ins its own bottle request

The measurement with 256 requests read empty bodies in 2 of 3 engines, because bottle's request is local to a thread and the threading module was not patched before its import.

--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -6,6 +6,13 @@
 replaces the faults before it. `expected_answer` says what a faultless chain answers.
 """
 
+if __name__ == "__main__":
+    # Before bottle is imported: its request object is local to a thread otherwise, and
+    # overlapping calls would read each other's bodies.
+    from gevent import monkey
+
+    monkey.patch_all()
+
 import argparse
 import json
 import random
--- a/bench/standins/plain_service.py
+++ b/bench/standins/plain_service.py
@@ -11,6 +11,13 @@
 `ServiceFaults`; each call replaces the faults before it.
 """
 
+if __name__ == "__main__":
+    # Before bottle is imported: its request object is local to a thread otherwise, and
+    # overlapping calls would read each other's bodies.
+    from gevent import monkey
+
+    monkey.patch_all()
+
 import argparse
 import hashlib
 import json
