--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -7,8 +7,8 @@
 """
 
 if __name__ == "__main__":
-    # Before bottle is imported: its request object is local to a thread otherwise, and
-    # overlapping calls would read each other's bodies.
+    # bottle keeps the request in a thread-local, which only the patched one keeps
+    # apart for each greenlet: answers had the length of other answers.
     from gevent import monkey
 
     monkey.patch_all()
