--- a/src/bulrushdrum/_internal/sidecar/stages.py
+++ b/src/bulrushdrum/_internal/sidecar/stages.py
@@ -39,6 +39,8 @@
 from bulrushdrum._internal.sidecar.step_loop import StepLoop
 from bulrushdrum._internal.world.requests import Outcome
 
+# One call frees the sequences that end within this time; it is not on the step path.
+RELEASE_DELAY_SECONDS = 0.05
 # An entry that closes an attempt for this reason wants to hear whether it ran.
 CLOSE_AND_CONFIRM = "confirm"
 
@@ -353,6 +355,7 @@
             self._release.append(sequence.key)
 
     def _release_ended(self):
+        gevent.sleep(RELEASE_DELAY_SECONDS)
         ended, self._release = self._release, []
         try:
             self._engine.release(ended)
--- a/tests/unit/stage_fakes.py
+++ b/tests/unit/stage_fakes.py
@@ -146,6 +146,7 @@
         step = Step(request, attempt, position, len(tokens), tuple(tokens))
         self.hub.receive(peer or self.entry, Steps((step,)))
 
-    def settle(self):
+    def settle(self, seconds=0.0):
         for _ in range(20):
             gevent.sleep(0)
+        gevent.sleep(seconds)
