--- a/src/bulrushdrum/_internal/records/replication.py
+++ b/src/bulrushdrum/_internal/records/replication.py
@@ -108,9 +108,9 @@
     def close(self, record: RequestRecord) -> bool:
         """Keep the closed record; return whether the partner holds it.
 
-        Waits up to `close_wait` for the partner. A refused request need not have been
-        opened. While there is no room, refusals of one customer with the same kind and
-        reason share a record with a count.
+        Waits up to `close_wait` for the partner. A refused request need not
+        have been opened. While there is no room, refusals of one customer
+        with the same kind and reason share a record with a count.
         """
         if not record.closed:
             raise ValueError(f"record {record.request_id!r} has no outcome")
