--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -11,6 +11,7 @@
 import atexit
 import json
 import shutil
+import signal
 import tempfile
 from pathlib import Path
 
@@ -131,6 +132,11 @@
             self.wait_entry(name)
         self.wait_connected()
 
+    def kill_all(self):
+        """Kill every process at once, where nothing is to be learnt from the end."""
+        for process in self._processes.values():
+            process.signal(signal.SIGKILL)
+
     def close(self):
         """End every process that this cluster started and remove its directory."""
         atexit.unregister(self.close)
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -161,13 +161,11 @@
         log_event(Event.PROCESS_STOPPED, running=self._work_running)
 
     def _make_beat(self):
-        load = getattr(self._watch, "load", None)
         return Beat(
             state=self._status.state.value,
             window=self._bindings.window,
             running=self._work_running,
-            queued_tokens=self._stages.queued_tokens
-            + (load.queued_tokens if load else self._calls.waiting),
+            queued_tokens=self._stages.outstanding_tokens + self._calls.waiting,
         )
 
     def _on_connected(self, connection):
--- a/src/bulrushdrum/_internal/sidecar/stages.py
+++ b/src/bulrushdrum/_internal/sidecar/stages.py
@@ -81,9 +81,15 @@
         return len(self._sequences)
 
     @property
-    def queued_tokens(self) -> int:
+    def outstanding_tokens(self) -> int:
+        """Tokens of the open attempts that are still to run here.
+
+        Answer tokens that are not made yet count too: an entry that chooses a chain
+        must know of work that will come, not only of steps that wait now.
+        """
         return sum(
-            step.count for one in self._sequences.values() for step in one.pending
+            max(0, one.open.prompt_tokens + one.open.max_tokens - one.next_position)
+            for one in self._sequences.values()
         )
 
     def next_incarnations(self) -> set[str]:
