--- a/src/bulrushdrum/_internal/sidecar/stages.py
+++ b/src/bulrushdrum/_internal/sidecar/stages.py
@@ -39,6 +39,8 @@
 from bulrushdrum._internal.sidecar.step_loop import StepLoop
 from bulrushdrum._internal.world.requests import Outcome
 
+# One call frees the sequences that end within this time; it is not on the step path.
+RELEASE_DELAY_SECONDS = 0.05
 # An entry that closes an attempt for this reason wants to hear whether it ran.
 CLOSE_AND_CONFIRM = "confirm"
 
@@ -79,9 +81,15 @@
         return len(self._sequences)
 
     @property
-    def queued_tokens(self) -> int:
+    def outstanding_tokens(self) -> int:
+        """Tokens of the open attempts that are still to run here.
+
+        Answer tokens that are not made yet count too: an entry that chooses a chain
+        must know of work that will come, not only of steps that wait now.
+        """
         return sum(
-            step.count for one in self._sequences.values() for step in one.pending
+            max(0, one.open.prompt_tokens + one.open.max_tokens - one.next_position)
+            for one in self._sequences.values()
         )
 
     def next_incarnations(self) -> set[str]:
@@ -353,6 +361,7 @@
             self._release.append(sequence.key)
 
     def _release_ended(self):
+        gevent.sleep(RELEASE_DELAY_SECONDS)
         ended, self._release = self._release, []
         try:
             self._engine.release(ended)
