Send micro-batches to engines, one for each stage of a chain

The dump showed all 22 sequences of one chain in a single engine call: they moved from stage to stage together and each engine was idle two thirds of the time. Ruled out: processor time (0.02-0.08 cores a process) and the choice of chains (work was spread in proportion to speed). Change: one engine call takes at most the open sequences divided by the stages of the chain, and tokens for about call_seconds (25 ms) at the engine's speed.

--- a/src/bulrushdrum/_internal/settings/sidecar.py
+++ b/src/bulrushdrum/_internal/settings/sidecar.py
@@ -99,6 +99,13 @@
     call_tokens: int = setting(
         1024, unit="tokens", help="tokens in one engine call", low=1, high=262_144
     )
+    call_seconds: float = setting(
+        0.025,
+        unit="s",
+        help="time one engine call should take, by the engine's stated speed",
+        low=0.001,
+        high=10.0,
+    )
     service_concurrency: int = setting(
         32, unit="calls", help="calls running at once", low=1, high=10_000
     )
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -174,7 +174,8 @@
 
     def _on_status_changed(self):
         if self._status.engine is not None:
-            self._stages.loop.set_slots(self._status.engine.slots)
+            engine = self._status.engine
+            self._stages.loop.set_engine(engine.slots, engine.tokens_per_second)
         self._hub.broadcast("entry", self._status.describe(self._bindings.window))
 
     def _on_refused(self, address, error):
--- a/src/bulrushdrum/_internal/sidecar/step_loop.py
+++ b/src/bulrushdrum/_internal/sidecar/step_loop.py
@@ -22,6 +22,8 @@
 from bulrushdrum._internal.sidecar.sequences import Sequence
 
 CALLS_IN_FLIGHT = 2
+# Below this, the base time of each engine iteration outweighs the work in it.
+MIN_CALL_TOKENS = 4
 
 
 def _engine_step(sequence: Sequence, step: Step) -> dict:
@@ -43,6 +45,9 @@
 class StepResults(Protocol):
     """Receives what the engine made of steps."""
 
+    @property
+    def open_count(self) -> int: ...
+
     def step_done(self, sequence, step, model_version, result): ...
 
     def call_not_sent(self, sequences, reason): ...
@@ -67,6 +72,7 @@
         self._settings = settings
         self._results = results
         self._slots = 1
+        self._call_tokens = settings.call_tokens
         self._queue = FairQueue(settings.open_limit)
         self._ready = Event()
         self._calls: list[list[Sequence]] = []
@@ -93,9 +99,31 @@
         for _ in range(CALLS_IN_FLIGHT):
             gevent.spawn(self._run)
 
-    def set_slots(self, slots: int):
-        """Let one call carry steps of at most `slots` sequences."""
+    def set_engine(self, slots: int, tokens_per_second: float):
+        """Size the calls for an engine.
+
+        One call carries steps of at most `slots` sequences, and tokens for about
+        `call_seconds`, so that a long prompt does not hold up the answers of others.
+        """
         self._slots = max(1, slots)
+        self._call_tokens = self._settings.call_tokens
+        if tokens_per_second > 0:
+            tokens = int(tokens_per_second * self._settings.call_seconds)
+            self._call_tokens = max(MIN_CALL_TOKENS, min(tokens, self._call_tokens))
+
+    @property
+    def _chunk_tokens(self):
+        return min(self._settings.chunk_tokens, self._call_tokens)
+
+    def _batch_limit(self, sequence):
+        """Return how many sequences may share a call.
+
+        With all sequences of a chain in one call they would go from stage to stage
+        together, and each engine would be idle while the others work. One call for each
+        stage keeps all of them busy.
+        """
+        stages = len(sequence.open.chain)
+        return min(self._slots, -(-self._results.open_count // stages))
 
     def submit(self, sequence: Sequence):
         """Queue `sequence` if it has a step that may go to the engine now."""
@@ -103,22 +131,19 @@
             return
         sequence.queued = True
         asked = sequence.open
-        cost = min(sequence.pending[0].count, self._settings.chunk_tokens)
+        cost = min(sequence.pending[0].count, self._chunk_tokens)
         self._queue.push(sequence, asked.customer, asked.weight, asked.priority, cost)
         self._ready.set()
 
     def _next_batch(self):
-        batch, tokens = [], 0
-        while (
-            len(self._queue)
-            and len(batch) < self._slots
-            and tokens < self._settings.call_tokens
-        ):
+        batch, tokens, limit = [], 0, 1
+        while len(self._queue) and len(batch) < limit and tokens < self._call_tokens:
             sequence = self._queue.pop()
             sequence.queued = False
             if sequence.closed:
                 continue
-            step = sequence.take(self._settings.chunk_tokens)
+            limit = max(limit, self._batch_limit(sequence))
+            step = sequence.take(min(self._chunk_tokens, self._call_tokens - tokens))
             sequence.in_flight = True
             tokens += step.count
             batch.append((sequence, step))
--- a/tests/unit/stage_fakes.py
+++ b/tests/unit/stage_fakes.py
@@ -117,7 +117,7 @@
             self.bindings,
             next_hops,
         )
-        self.stages.loop.set_slots(8)
+        self.stages.loop.set_engine(8, 0.0)
         self.stages.loop.start()
         self.chain = (
             ChainStage("s1", LOCAL.incarnation, LOCAL.address, 0, 4),
