End old attempts on a refused open, bound waiting activations, count silence as loss

Activations that wait for the engine are limited to 8 MB. entry_lost_after runs from the last heartbeat heard.

--- a/bench/standins/batching.py
+++ b/bench/standins/batching.py
@@ -5,6 +5,7 @@
 sequence's digests (see `model_digest`).
 """
 
+import hashlib
 import os
 import time
 from collections import OrderedDict, deque
@@ -15,6 +16,7 @@
 from gevent.event import AsyncResult, Event
 
 from bench.standins.model_digest import (
+    POSITION_BYTES,
     embed,
     layer_constant,
     pack_activations,
@@ -25,7 +27,10 @@
 from bench.standins.web import JournalFile
 
 CRASH_STATUS = 70
-PREFIX_BLOCK = 16
+# Tokens in one block of the prefix cache. Only the blocks in the first step of a
+# sequence are looked up.
+PREFIX_BLOCK = 64
+_ACTIVATION_BLOCK = 2 * POSITION_BYTES * PREFIX_BLOCK  # in hexadecimal
 _REMEMBERED_LOADS = 400
 
 
@@ -105,6 +110,25 @@
     done: AsyncResult = field(default_factory=AsyncResult)
 
 
+def prefixes_of(step: dict) -> list[str]:
+    """Return the names of the prefixes of 1, 2, 3... whole blocks of a step's input.
+
+    At layer 0 the name is the SHA-256 of the token ids with commas between them; the
+    first 16 hexadecimal digits are used.
+    """
+    if "tokens" in step:
+        tokens = step["tokens"]
+        inputs = [
+            ",".join(map(str, tokens[:end]))
+            for end in range(PREFIX_BLOCK, len(tokens) + 1, PREFIX_BLOCK)
+        ]
+    else:
+        text = step["activation"]
+        ends = range(_ACTIVATION_BLOCK, len(text) + 1, _ACTIVATION_BLOCK)
+        inputs = [text[:end] for end in ends]
+    return [hashlib.sha256(text.encode()).hexdigest()[:16] for text in inputs]
+
+
 class PrefixCache:
     """Prefixes held in limited memory; its events come late and some are lost."""
 
@@ -115,7 +139,7 @@
         self._events = deque(maxlen=10_000)
         self._sequence = 0
 
-    def lookup(self, prefixes: list[int]) -> int:
+    def lookup(self, prefixes: list[str]) -> int:
         """Return how many leading blocks were held; all are held afterwards."""
         held = 0
         for prefix in prefixes:
@@ -139,7 +163,7 @@
         due = time.monotonic() + self._options.cache_event_delay_ms / 1000
         event = {
             "sequence": self._sequence,
-            "prefix": f"{prefix:016x}",
+            "prefix": prefix,
             "stored": stored,
         }
         self._events.append((due, event))
@@ -235,14 +259,9 @@
     def _new_tokens(self, step):
         """Return the positions of `step` that no held prefix saves."""
         step["cached"] = 0
-        if not self.options.prefix_blocks or step["position"] or "tokens" not in step:
+        if not self.options.prefix_blocks or step["position"]:
             return step["count"]
-        prefixes, prefix = [], 0
-        for index, value in enumerate(embed(step["tokens"])):
-            prefix = run_layer(1, prefix, [value])
-            if (index + 1) % PREFIX_BLOCK == 0:
-                prefixes.append(prefix)
-        held = self.prefix_cache.lookup(prefixes) * PREFIX_BLOCK
+        held = self.prefix_cache.lookup(prefixes_of(step)) * PREFIX_BLOCK
         step["cached"] = min(held, step["count"] - 1)
         return step["count"] - step["cached"]
 
--- a/src/bulrushdrum/_internal/settings/sidecar.py
+++ b/src/bulrushdrum/_internal/settings/sidecar.py
@@ -62,7 +62,11 @@
         {}, help="peer addresses to replace when dialling", check=_check_address_map
     )
     heartbeat_interval: float = setting(
-        0.5, unit="s", help="time between heartbeats", low=0.05, high=60.0
+        0.5,
+        unit="s",
+        help="time between heartbeats, the same in all processes",
+        low=0.05,
+        high=60.0,
     )
     missed_heartbeats: int = setting(
         3, help="heartbeats missed until a peer counts as lost", low=2, high=20
@@ -99,6 +103,13 @@
     call_tokens: int = setting(
         1024, unit="tokens", help="tokens in one engine call", low=1, high=262_144
     )
+    max_pending_bytes: int = setting(
+        8 * 1024 * 1024,
+        unit="bytes",
+        help="activations that wait for the engine; more fail their attempt",
+        low=65_536,
+        high=1024 * 1024 * 1024,
+    )
     service_concurrency: int = setting(
         32, unit="calls", help="calls running at once", low=1, high=10_000
     )
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -205,7 +205,9 @@
             open_connections.add(connection)
             if not connection.closed:
                 continue
-            lost_since = self._lost_since.setdefault(connection, now)
+            # Silence before the connection was closed counts as well.
+            heard_at = self._heartbeats.heard_at(connection)
+            lost_since = self._lost_since.setdefault(connection, heard_at or now)
             if now - lost_since >= self._settings.entry_lost_after:
                 self._stages.cancel(sequence)
         for connection in list(self._lost_since):
--- a/src/bulrushdrum/_internal/sidecar/sequences.py
+++ b/src/bulrushdrum/_internal/sidecar/sequences.py
@@ -23,6 +23,28 @@
     DUPLICATE = "duplicate"
     GAP = "position_gap"
     MALFORMED = "malformed_step"
+    OVERLOADED = "stage_overloaded"
+
+
+class PendingBytes:
+    """Bytes of activations that wait for the engine, over all sequences."""
+
+    def __init__(self, limit: int):
+        self._limit = limit
+        self._used = 0
+
+    @property
+    def used(self) -> int:
+        return self._used
+
+    def try_add(self, size: int) -> bool:
+        if self._used + size > self._limit:
+            return False
+        self._used += size
+        return True
+
+    def remove(self, size: int):
+        self._used -= size
 
 
 @dataclass(slots=True, eq=False)
@@ -36,6 +58,7 @@
 
     open: Open
     connection: PeerConnection
+    pending_bytes: PendingBytes
     next_position: int = 0
     pending: deque[Step] = field(default_factory=deque)
     opened: bool = False
@@ -76,6 +99,8 @@
             valid = valid and len(step.activation) % step.count == 0
         if not valid:
             return StepVerdict.MALFORMED
+        if not self.pending_bytes.try_add(len(step.activation)):
+            return StepVerdict.OVERLOADED
         self.next_position += step.count
         self.pending.append(step)
         return StepVerdict.ACCEPTED
@@ -84,8 +109,10 @@
         """Remove and return the next step, split if it has more than `most_tokens`."""
         step = self.pending.popleft()
         if step.count <= most_tokens:
+            self.pending_bytes.remove(len(step.activation))
             return step
         width = len(step.activation) // step.count * most_tokens
+        self.pending_bytes.remove(width)
         self.pending.appendleft(
             step._replace(
                 position=step.position + most_tokens,
@@ -100,6 +127,12 @@
             activation=step.activation[:width],
         )
 
+    def close(self):
+        """Drop what waits; results that still come are not used."""
+        self.closed = True
+        self.pending_bytes.remove(sum(len(step.activation) for step in self.pending))
+        self.pending.clear()
+
 
 class AttemptMemory:
     """The highest attempt that ended here for each recent request, and if it ran.
--- a/src/bulrushdrum/_internal/sidecar/stages.py
+++ b/src/bulrushdrum/_internal/sidecar/stages.py
@@ -32,6 +32,7 @@
 from bulrushdrum._internal.sidecar.opening import refusal_of
 from bulrushdrum._internal.sidecar.sequences import (
     AttemptMemory,
+    PendingBytes,
     Sequence,
     StepVerdict,
 )
@@ -66,6 +67,7 @@
         self._loop = StepLoop(engine, settings, self)
         self._sequences: dict[str, Sequence] = {}
         self._memory = AttemptMemory()
+        self._pending_bytes = PendingBytes(settings.max_pending_bytes)
         self._release: list[tuple[str, int]] = []
         self._refused_steps = 0
         hub.register(Open, self._on_open)
@@ -109,6 +111,7 @@
                 for one in self._sequences.values()
             ],
             "refused_steps": self._refused_steps,
+            "pending_bytes": self._pending_bytes.used,
             "loop": self._loop.dump(),
         }
 
@@ -121,12 +124,15 @@
                 self._answer_open(connection, message)
             return
         reason = self._refusal(message)
+        if message.attempt > 1:
+            # Seeing an attempt ends the earlier ones, even if this one is refused.
+            self._memory.remember(message.request, message.attempt - 1, ran=False)
+            if known is not None and known.open.attempt < message.attempt:
+                self._end(known)
         if reason:
             self._answer_open(connection, message, reason)
             return
-        if known is not None:
-            self._end(known)
-        sequence = Sequence(message, connection)
+        sequence = Sequence(message, connection, self._pending_bytes)
         self._sequences[message.request] = sequence
         if self._needs_no_dial(message):
             self._finish_opening(sequence)
@@ -336,8 +342,7 @@
             self._end(sequence)
 
     def _end(self, sequence):
-        sequence.closed = True
-        sequence.pending.clear()
+        sequence.close()
         request, attempt = sequence.key
         if self._sequences.get(request) is sequence:
             del self._sequences[request]
--- a/tests/unit/stage_fakes.py
+++ b/tests/unit/stage_fakes.py
@@ -124,7 +124,7 @@
             ChainStage("s2", LAST.incarnation, LAST.address, 4, 8),
         )[:stages]
 
-    def open(self, request="r", attempt=1, **changes):
+    def make_open(self, request="r", attempt=1, **changes):
         values = {
             "request": request,
             "attempt": attempt,
@@ -139,7 +139,11 @@
             "fingerprint": f"f-{request}",
             **changes,
         }
-        self.hub.receive(self.entry, Open(**values))
+        return Open(**values)
+
+    def open(self, *args, **changes):
+        """Let the stage receive an `Open` and return its answer."""
+        self.hub.receive(self.entry, self.make_open(*args, **changes))
         return self.entry.sent[-1]
 
     def step(self, position, tokens, request="r", attempt=1, peer=None):
--- a/tests/unit/test_engine_standin.py
+++ b/tests/unit/test_engine_standin.py
@@ -3,11 +3,18 @@
 import random
 
 import pytest
-from bench.standins.batching import BatchingEngine, EngineOptions, Faults
+from bench.standins.batching import (
+    BatchingEngine,
+    EngineOptions,
+    Faults,
+    prefixes_of,
+)
 from bench.standins.model_digest import expected_answer
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from bulrushdrum._internal.routing.chains import prefix_hash
+
 LAYERS = 6
 PROMPT = tuple(range(40, 60))
 
@@ -127,12 +134,18 @@
     assert chain.run(PROMPT, 22, [5])["error"] == "no_kv_cache"
 
 
+def test_prefixes_have_the_names_that_entries_use():
+    # Guards against cache events that no entry can match with a prompt.
+    prompt = PROMPT * 4
+    assert prefixes_of({"tokens": prompt})[0] == prefix_hash(prompt)
+
+
 def test_the_prefix_cache_is_limited_and_its_events_have_gaps():
     # Guards against a stand-in kinder than the engines: no eviction, no lost events.
     chain = Chain(cuts=(), prefix_blocks=4, cache_event_loss=0.3)
     chain.engines[0].options.cache_event_delay_ms = 0.0
     for number in range(20):
-        prompt = [number] * 48
+        prompt = [number] * 192
         chain.run(prompt, 0, prompt, request=f"r{number}")
     events = chain.engines[0].prefix_cache.events(after=0)
     sequences = [event["sequence"] for event in events]
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -11,7 +11,11 @@
     EngineRefused,
     EngineUnreachable,
 )
-from bulrushdrum._internal.sidecar.sequences import AttemptMemory
+from bulrushdrum._internal.sidecar.sequences import (
+    AttemptMemory,
+    PendingBytes,
+    Sequence,
+)
 from bulrushdrum._internal.sidecar.stages import (
     CLOSE_AND_CONFIRM,
     RELEASE_DELAY_SECONDS,
@@ -178,6 +182,33 @@
     }
 
 
+def test_a_refused_attempt_ends_the_one_before():
+    # Guards against an old attempt that goes on because the new one was refused (R3).
+    stage = StageUnderTest()
+    stage.open(attempt=1)
+    assert stage.open(attempt=3, model="other").reason.startswith("model_mismatch")
+    stage.step(0, [1, 2, 3], attempt=1)
+    stage.settle()
+    assert stage.engine.steps == []
+    assert stage.open(attempt=2).reason == "stale_attempt"
+    assert stage.open(attempt=3).accepted
+
+
+def test_waiting_activations_are_bounded():
+    # Guards against a slow stage whose sidecar holds the activations of all prompts.
+    stage = StageUnderTest(max_pending_bytes=65_536)
+    asked = stage.make_open(stage=1, chain=stage.chain[::-1])
+    pending = PendingBytes(limit=100)
+    sequence = Sequence(asked, stage.entry, pending)
+    assert sequence.accept(Step("r", 1, 0, 10, (), bytes(80))) == "accepted"
+    too_much = Step("r", 1, 10, 3, (), bytes(24))
+    assert sequence.accept(too_much) == "stage_overloaded"
+    assert sequence.take(4).activation == bytes(32) and pending.used == 48
+    assert sequence.accept(too_much) == "accepted"
+    sequence.close()
+    assert pending.used == 0
+
+
 def test_a_close_before_its_open_keeps_the_attempt_closed():
     # Guards against an attempt that nobody will close, because its messages overtook.
     stage = StageUnderTest()
