--- a/src/bulrushdrum/_internal/configuration/replica.py
+++ b/src/bulrushdrum/_internal/configuration/replica.py
@@ -67,10 +67,11 @@
         self._known_head = 0
         self._confirmed_at = float("-inf")
         self._store_available = True
+        self._table_behind = False
         self._wake = Signal()
         self._gap_filler = None
         self._greenlets = []
-        self._peers = ConfigPeers(hub, self, peer_wait)
+        self._peers = ConfigPeers(hub, self, peer_wait, self._random)
 
     # What is in force.
 
@@ -147,10 +148,10 @@
         return time.monotonic() - self._confirmed_at
 
     def confirm(self, timeout_seconds: float) -> bool:
-        """Ask the store and all peers now; true once one of them has confirmed."""
+        """Ask the store and some peers now; true once one of them has confirmed."""
         asked_at = time.monotonic()
         self._wake.set()
-        gevent.spawn(self._peers.ask_heads)
+        gevent.spawn(self._peers.ask_some_heads)
         while self._confirmed_at < asked_at:
             if time.monotonic() - asked_at >= timeout_seconds:
                 return False
@@ -272,7 +273,9 @@
         asked_at = time.monotonic()
         if not self._ready:
             self._load_table()
+        in_force = self.revision
         head = read_head(self._table)
+        self._note_behind(head < in_force, head)
         self._follow_log(head)
         self.note_confirmed(asked_at, head)
 
@@ -296,7 +299,7 @@
 
     def _poll_peers(self, first):
         if self._ready:
-            self._peers.ask_heads()
+            self._peers.ask_some_heads()
             return
         if first:
             # Connections to the other entries are still being made.
@@ -315,6 +318,11 @@
         finally:
             self._gap_filler = None
 
+    def _note_behind(self, behind, head):
+        if behind and not self._table_behind:
+            log_event(Event.TABLE_BEHIND, head=head, in_force=self.revision)
+        self._table_behind = behind
+
     def _note_store(self, available, reason=""):
         if available != self._store_available:
             event = Event.STORE_AVAILABLE if available else Event.STORE_UNAVAILABLE
