--- a/tests/unit/stage_fakes.py
+++ b/tests/unit/stage_fakes.py
@@ -67,20 +67,31 @@
 
 
 class Engine:
-    """Keeps every step it is given; `answers` may replace results or raise."""
+    """Keeps every step it is given; `fail(steps)` may block or raise.
+
+    `overlaps` has the sequences that were in two calls at once.
+    """
 
     def __init__(self):
         self.steps = []
         self.calls = 0
         self.released = []
         self.version = "1"
+        self.overlaps = []
+        self._running = []
         self.fail = lambda steps: None
 
     def run_steps(self, steps):
         self.calls += 1
         self.steps += steps
-        self.fail(steps)
-        gevent.sleep(0)
+        sequences = [(step["request"], step["attempt"]) for step in steps]
+        self.overlaps += [one for one in sequences if one in self._running]
+        self._running += sequences
+        try:
+            self.fail(steps)
+            gevent.sleep(0)
+        finally:
+            self._running = [one for one in self._running if one not in sequences]
         return self.version, [
             {
                 **{name: step[name] for name in ("request", "attempt", "position")},
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -162,12 +162,11 @@
 
 def test_an_expired_lease_gives_no_order(world):
     # Guards against a paused holder that goes on as if its lease had waited for it.
-    world.table.delay = 0.3
+    pauses = iter(range(0, 10**6, 10))
+    world.orders._leases._clock = pauses.__next__
     world.want("2", 1)
-    orders_module_time = world.orders._leases
-    orders_module_time._clock = iter(range(0, 10**6, 10)).__next__
-    gevent.sleep(1.0)
-    assert world.engine.orders == []
+    gevent.sleep(0.3)
+    assert world.engine.orders == [] and world.status.state == "stopped"
 
 
 def test_after_a_later_incarnation_nothing_is_opened_or_ordered(world):
@@ -235,7 +234,7 @@
     # invalid one that stops a working upstream.
     world.want("2", 5)
     assert world.wait(lambda: world.serves("2"))
-    late = [Desired("s1", 4, '{"model_version": "1"}'), Desired("s9", 9, "{}")]
+    late = [Desired("s1", 4, '{"serving": false}'), Desired("s9", 9, "{}")]
     for message in [*late, Desired("s1", 6, '{"serving": "no"}')]:
         world.hub.receive(world.entry, message)
     gevent.sleep(0.1)
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -1,5 +1,7 @@
 """A stage runs each position once, in order, and tells truly what ran."""
 
+import gevent
+import gevent.event
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
@@ -52,6 +54,7 @@
                 stage.step(position, range(count), attempt=attempt)
         stage.settle()
         assert all(s["attempt"] == highest for s in stage.engine.steps[before:])
+    assert stage.engine.overlaps == []
     for attempt in (1, 2, 3):
         ran = [s for s in stage.engine.steps if s["attempt"] == attempt]
         expected = 0
@@ -68,6 +71,7 @@
     stage.open(prompt_tokens=10, max_tokens=3)
     stage.step(0, range(10))
     stage.settle()
+    assert stage.engine.overlaps == []
     ran = [(step["position"], step["count"]) for step in stage.engine.steps]
     assert ran == [(0, 4), (4, 4), (8, 2), (10, 1), (11, 1)]
     tokens = stage.entry.of(Token)
@@ -125,6 +129,40 @@
     assert stage.open("r4").reason == "upstream_lost"
 
 
+def test_all_calls_in_flight_are_suspect_when_the_engine_dies():
+    # Guards against a crash blamed on one call while the other one caused it.
+    stage = StageUnderTest()
+    released = gevent.event.Event()
+
+    def block_first_and_lose_second(steps):
+        if steps[0]["request"] == "r1":
+            released.wait()
+        raise EngineLost("reset")
+
+    stage.engine.fail = block_first_and_lose_second
+    for request in ("r1", "r2"):
+        stage.open(request)
+        stage.step(0, [1, 2, 3], request)
+        gevent.sleep(0)
+    stage.settle()
+    released.set()
+    stage.settle()
+    failed = stage.entry.of(AttemptFailed)
+    assert [sorted(one.suspects) for one in failed] == [["f-r1", "f-r2"]] * 2
+
+
+def test_a_result_after_the_close_goes_nowhere():
+    # Guards against a step or token of an attempt that its entry has ended.
+    stage = StageUnderTest()
+    stage.open()
+    stage.step(0, [1, 2, 3])
+    while not stage.engine.steps:
+        gevent.sleep(0)
+    stage.hub.receive(stage.entry, Close("r", 1, "cancelled"))
+    stage.settle()
+    assert not stage.next.of(Step) and not stage.entry.of(AttemptFailed)
+
+
 def test_a_call_that_was_not_sent_did_not_run():
     # Guards against `ran` for a request whose call found no connection to the engine,
     # and against a suspect that never reached it.
