--- a/src/bulrushdrum/_internal/routing/claim_rows.py
+++ b/src/bulrushdrum/_internal/routing/claim_rows.py
@@ -24,9 +24,10 @@
 class Binding(NamedTuple):
     """Which incarnation may run a key, or that the key is released.
 
-    `done` is the result, once it is in the row. A released key did not run under its
-    generation and no incarnation may run it until it is bound again. `version` is the
-    version of the row, 0 for the binding of an issued key.
+    `done` is the result, once it is in the row. A released key did not run under this
+    generation or an earlier one, and nothing may run it until it is bound again.
+    `version` is the version of the row, 0 for the binding of an issued key. `own` tells
+    that the call that returned this binding wrote the row; it is not part of the row.
     """
 
     customer: str
@@ -40,6 +41,7 @@
     done: CallResult | None = None
     released: bool = False
     version: int = 0
+    own: bool = False
 
 
 class ClaimEpoch(NamedTuple):
--- a/src/bulrushdrum/_internal/routing/claims.py
+++ b/src/bulrushdrum/_internal/routing/claims.py
@@ -51,6 +51,7 @@
 _ROWS_PER_TRANSACTION = 50
 # Each round ends at least one claim, learns the epoch or meets a lost answer.
 _MAX_ROUNDS = 8
+_NOWHERE = Proposal("", "", 0)
 
 
 class _Claim(NamedTuple):
@@ -85,17 +86,25 @@
         return None if row is None else decode_binding(customer, key, row)
 
     def bind(
-        self, customer: str, key: str, fingerprint: str, proposal: Proposal
+        self, customer: str, key: str, fingerprint: str, proposal: Proposal | None
     ) -> Binding:
         """Bind the key to `proposal` if it is new; return the binding in force.
 
-        Raises `KeyReused` if the key was bound for another fingerprint.
+        Without a proposal a new key is released at once, so that no entry that was
+        paused before it wrote its claim can run it. Raises `KeyReused` if the key was
+        bound for another fingerprint.
         """
         row_key = claim_row_key(customer, key)
         claim = self._claims.get(row_key)
         if claim is None:
             binding = Binding(
-                customer, key, *proposal, 0, fingerprint, secrets.token_hex(16)
+                customer,
+                key,
+                *(proposal or _NOWHERE),
+                generation=0,
+                fingerprint=fingerprint,
+                claim_id=secrets.token_hex(16),
+                released=proposal is None,
             )
             claim = _Claim(binding, AsyncResult())
             self._claims[row_key] = claim
@@ -116,26 +125,15 @@
         Only for a binding that its sidecar has cancelled, or a released one: the old
         generation must be known not to run. Another entry may have moved it first.
         """
-        return self._replace(
-            binding,
-            binding._replace(
-                upstream=proposal.upstream,
-                incarnation=proposal.incarnation,
-                window=proposal.window,
-                generation=binding.generation + 1,
-                claim_id=secrets.token_hex(16),
-                released=False,
-            ),
-        )
+        return self._replace(binding, proposal)
 
     def release(self, binding: Binding) -> Binding:
-        """Mark a cancelled binding as released and return the binding in force.
+        """Release a cancelled binding, or a released one again, as `rebind` does.
 
-        An entry that still holds the old row can then neither run the key nor move it.
+        The write makes every other write that was prepared with the old row fail. So
+        after it, and only then, an entry may say that the key did not run.
         """
-        return self._replace(
-            binding, binding._replace(claim_id=secrets.token_hex(16), released=True)
-        )
+        return self._replace(binding, None)
 
     def mark_done(self, binding: Binding, result: CallResult):
         """Queue `result` for the row, so that it outlives the sidecar's windows.
@@ -219,10 +217,19 @@
             return
         for row_key, version in zip(list(unsettled), versions, strict=True):
             claim = unsettled.pop(row_key)
-            claim.settled.set(claim.binding._replace(version=version))
+            claim.settled.set(claim.binding._replace(version=version, own=True))
 
-    def _replace(self, old: Binding, new: Binding) -> Binding:
+    def _replace(self, old: Binding, proposal: Proposal | None) -> Binding:
         row_key = claim_row_key(old.customer, old.key)
+        new = Binding(
+            old.customer,
+            old.key,
+            *(proposal or _NOWHERE),
+            generation=old.generation + 1,
+            fingerprint=old.fingerprint,
+            claim_id=secrets.token_hex(16),
+            released=proposal is None,
+        )
         try:
             for _ in range(_MAX_ROUNDS):
                 epoch = self._current_epoch()
@@ -234,7 +241,7 @@
                     raise ClaimsUnavailable("the claim has expired")
                 current = decode_binding(old.customer, old.key, row)
                 if current.claim_id != old.claim_id or row.version != old.version:
-                    return current
+                    return current._replace(own=current.claim_id == new.claim_id)
                 try:
                     (version,) = self._table.transact(
                         [
@@ -243,7 +250,7 @@
                         ],
                         [Write(row_key, encode_binding(new, epoch.number))],
                     )
-                    return new._replace(version=version)
+                    return new._replace(version=version, own=True)
                 except WriteConflict as conflict:
                     self._learn_epoch(conflict)
                 except WriteOutcomeUnknown:
@@ -307,4 +314,5 @@
 def _settle(unsettled, row):
     claim = unsettled.pop(row.key)
     wanted = claim.binding
-    claim.settled.set(decode_binding(wanted.customer, wanted.key, row))
+    binding = decode_binding(wanted.customer, wanted.key, row)
+    claim.settled.set(binding._replace(own=binding.claim_id == wanted.claim_id))
--- a/src/bulrushdrum/_internal/routing/once.py
+++ b/src/bulrushdrum/_internal/routing/once.py
@@ -7,11 +7,11 @@
 The outcome speaks for the key, over all sendings of the caller:
 
 - `ANSWERED`: the key ran, and this is its result.
-- `NOT_RUN`: no sending ran the key, and nothing sent so far will. The row is marked as
-  released before this is said, so that another entry that was paused with the old row
-  can no longer run or move it. A later sending of the same key may run.
-- `UNKNOWN`: the key may have run. `sent` tells whether this sending may have; the
-  caller who knows that it sent the key only once can take false for "not run".
+- `NOT_RUN`: no sending ran the key, and nothing begun so far will. An entry says so
+  only after its own write has released the row, which makes the writes of entries that
+  were paused with the old row fail. A later sending of the same key may run.
+- `UNKNOWN`: the key may have run. `sent` tells whether this sending may have; a caller
+  who knows that it sent the key only once can take false for "not run".
 
 The way to the sidecar is an argument, so that calls of plain services and model
 requests share this procedure. Everything that a sidecar answers as `not_run` must come
@@ -44,6 +44,8 @@
 _ASK_PAUSE_SECONDS = 0.1
 RESOLVE_TIMEOUT_SECONDS = 1.0
 MAX_MOVES = 3
+# More are needed only if several entries refuse the same key at the same moment.
+_MAX_RELEASES = 4
 
 
 class OnceTransport(Protocol):
@@ -98,63 +100,74 @@
         fingerprint: str,
         timeout: float,
         issued: Binding | None = None,
+        caller_waits: Callable[[], bool] = lambda: True,
     ) -> OnceResult:
         """Run the request within `timeout` seconds and return how it ended.
 
-        `issued` is the binding from an issued key. The last `RESOLVE_TIMEOUT_SECONDS`
-        of the time are kept to ask what became of a call without an answer.
+        `issued` is the binding from an issued key. `caller_waits()` tells whether the
+        caller is still connected: a request whose caller has left does not bind a
+        released key again, because the caller may have been told that it did not run.
+        The last `RESOLVE_TIMEOUT_SECONDS` of the time are kept to ask what became of a
+        call without an answer.
         """
         deadline = self._clock() + max(0.0, timeout - RESOLVE_TIMEOUT_SECONDS)
-        try:
-            if issued is not None:
-                binding = issued._replace(fingerprint=fingerprint)
-            else:
-                binding = self._find_or_bind(customer, key, fingerprint)
-        except (KeyReused, InvalidIdempotencyKey) as error:
-            reason = KEY_REUSED if isinstance(error, KeyReused) else "invalid_key"
-            return OnceResult(Outcome.NOT_RUN, reason)
-        except ClaimsUnavailable:
-            return OnceResult(Outcome.UNKNOWN, "store_unavailable")
-        if binding is None:
-            return OnceResult(Outcome.NOT_RUN, "no_upstream")
-        return self._run_bound(binding, deadline)
+        if issued is not None:
+            binding = issued._replace(fingerprint=fingerprint)
+            return self._run_bound(binding, deadline, caller_waits)
+        proposal = self._choose(frozenset())
+        binding, ended = self._bind(customer, key, fingerprint, proposal)
+        if ended is not None:
+            return ended
+        if proposal is None and binding.released:
+            return self._release(binding, "no_upstream", False)
+        return self._run_bound(binding, deadline, caller_waits)
 
-    def refuse(self, customer: str, key: str, reason: str) -> OnceResult:
-        """End a request that is refused before it has a binding.
+    def refuse(
+        self,
+        customer: str,
+        key: str,
+        fingerprint: str,
+        reason: str,
+        issued: Binding | None = None,
+    ) -> OnceResult:
+        """End a request that is refused before it was sent, for example over its limit.
 
-        An earlier sending may have run the key, so the row decides what can be said.
+        An earlier sending may have run the key or be about to. So the key is released
+        or, if it was issued, cancelled at its sidecar; when that cannot be done, the
+        outcome is UNKNOWN.
         """
-        try:
-            binding = self._claims.find(customer, key)
-        except ClaimsUnavailable:
+        if issued is not None:
+            ended = self._resolve(issued)
+            if ended.outcome is Outcome.ANSWERED:
+                return ended
+            return ended._replace(reason=reason)
+        binding, ended = self._bind(customer, key, fingerprint, None)
+        if ended is not None:
+            return ended
+        if binding.done is not None:
+            return OnceResult(Outcome.ANSWERED, "", binding.done)
+        if not binding.released:
             return OnceResult(Outcome.UNKNOWN, reason)
+        return self._release(binding, reason, False)
+
+    def _bind(self, customer, key, fingerprint, proposal):
+        """Return the binding in force, or None and how the request ends without."""
+        try:
+            return self._claims.bind(customer, key, fingerprint, proposal), None
+        except KeyReused:
+            return None, OnceResult(Outcome.NOT_RUN, KEY_REUSED)
         except InvalidIdempotencyKey:
-            return OnceResult(Outcome.NOT_RUN, reason)
-        if binding is None or binding.released:
-            return OnceResult(Outcome.NOT_RUN, reason)
-        return OnceResult(Outcome.UNKNOWN, reason)
+            return None, OnceResult(Outcome.NOT_RUN, "invalid_key")
+        except ClaimsUnavailable:
+            return None, OnceResult(Outcome.UNKNOWN, "store_unavailable")
 
-    def _find_or_bind(self, customer, key, fingerprint):
-        proposal = self._choose(frozenset())
-        if proposal is not None:
-            return self._claims.bind(customer, key, fingerprint, proposal)
-        binding = self._claims.find(customer, key)
-        if binding is not None and binding.fingerprint != fingerprint:
-            raise KeyReused(f"idempotency key {key!r} belongs to another request")
-        return binding
-
-    def _run_bound(self, binding, deadline):
+    def _run_bound(self, binding, deadline, caller_waits):
         excluded, sent, reason = set(), False, "released"
-        may_reopen = True
-        for _ in range(MAX_MOVES + 1):
+        may_move = not binding.released or caller_waits()
+        for moves_left in range(MAX_MOVES, -1, -1):
             if binding.done is not None:
                 return OnceResult(Outcome.ANSWERED, "", binding.done, sent)
-            if binding.released:
-                # Released while this request was in progress: another entry has told
-                # the caller that the key did not run.
-                if not may_reopen:
-                    return OnceResult(Outcome.NOT_RUN, reason, None, sent)
-            else:
+            if not binding.released:
                 ended = self._ask(binding, deadline)
                 sent = sent or ended.sent
                 ended = ended._replace(sent=sent)
@@ -164,11 +177,17 @@
                     return ended
                 reason = ended.reason
                 excluded.add(binding.incarnation)
-            may_reopen = False
+            # Only a binding that its sidecar has cancelled, or a released one, comes
+            # to this point.
+            if not may_move or moves_left == 0:
+                break
             moved = self._move(binding, excluded, deadline)
             if moved is None:
                 break
             binding = moved
+            # A key released by another entry while this one worked on it was refused
+            # to the caller there.
+            may_move = not moved.released
         return self._release(binding, reason, sent)
 
     def _ask(self, binding, deadline) -> OnceResult:
@@ -243,14 +262,17 @@
         return moved
 
     def _release(self, binding, reason, sent):
-        if binding.released:
-            return OnceResult(Outcome.NOT_RUN, reason, None, sent)
+        """Release the key with a write of this entry, and only then say "not run"."""
+        latest = binding
         try:
-            latest = self._claims.release(binding)
+            for _ in range(_MAX_RELEASES):
+                if latest.released and latest.own:
+                    return OnceResult(Outcome.NOT_RUN, reason, None, sent)
+                if latest is not binding and not latest.released:
+                    break  # bound again by another entry
+                latest = self._claims.release(latest)
         except ClaimsUnavailable:
             return OnceResult(Outcome.UNKNOWN, "store_unavailable", None, sent)
-        if latest.released:
-            return OnceResult(Outcome.NOT_RUN, reason, None, sent)
         if latest.done is not None:
             return OnceResult(Outcome.ANSWERED, "", latest.done, sent)
         return OnceResult(Outcome.UNKNOWN, "running_elsewhere", None, sent)
