--- /dev/null
+++ b/src/bulrushdrum/__main__.py
@@ -0,0 +1,30 @@
+"""The `bulrushdrum` command: the roles `entry` and `sidecar`, and operator commands."""
+
+from gevent import monkey
+
+# Before anything else imports sockets, threads or the like.
+monkey.patch_all()
+
+import sys  # noqa: E402
+
+
+def run(arguments: list[str]) -> int:
+    """Run the role or command in `arguments` and return its exit code."""
+    # The roles are dispatched here, because the command line library takes memory that
+    # a sidecar does not have.
+    match arguments:
+        case ["entry" | "sidecar" as role, "--settings", path]:
+            from bulrushdrum._internal.operator.roles import run_role
+
+            return run_role(role, path)
+    from bulrushdrum._internal.operator.commands import run_commands
+
+    return run_commands(arguments)
+
+
+def main():
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bulrushdrum/_internal/routing/errors.py
+++ b/src/bulrushdrum/_internal/routing/errors.py
@@ -7,6 +7,40 @@
     """Base class of every error raised by this package."""
 
 
+class RequestFailed(RoutingError):
+    """A request ended without a whole answer. `code` is the stable code for callers."""
+
+    def __init__(self, code: str, message: str):
+        super().__init__(message)
+        self.code = code
+
+
+class RequestNotRun(RequestFailed):
+    """The request was refused, and no upstream ran or will run any of it."""
+
+
+class RequestOutcomeUnknown(RequestFailed):
+    """The request ended without a whole answer; an upstream may have run some of it."""
+
+
+class NoChain(RequestFailed):
+    """No chain of serving upstreams covers the model's layers."""
+
+
+class AttemptAborted(RoutingError):
+    """One attempt failed.
+
+    `ran` says whether a layer may have run in it; `upstream` is the sidecar incarnation
+    at fault, if known.
+    """
+
+    def __init__(self, cause: str, ran: bool, upstream: str = ""):
+        super().__init__(cause)
+        self.cause = cause
+        self.ran = ran
+        self.upstream = upstream
+
+
 class ClaimsUnavailable(RoutingError):
     """The table could not settle a claim.
 
