--- a/src/bulrushdrum/_internal/configuration/edits.py
+++ b/src/bulrushdrum/_internal/configuration/edits.py
@@ -5,6 +5,7 @@
 revision, and sending the same one again can never make the edit twice.
 """
 
+import random
 import re
 import secrets
 import time
@@ -46,6 +47,8 @@
 # Edits of other customers move the head; an edit gives way to them for this long.
 RACE_SECONDS = 5.0
 SETTLE_SECONDS = 10.0
+_RACE_PAUSE_SECONDS = 0.02
+_RACE_MAX_PAUSE_SECONDS = 0.3
 _SETTLE_INTERVAL_SECONDS = 0.2
 # An edit is sent again within a minute, in which there are about ten edits.
 _RESENT_ENTRIES = 500
@@ -96,6 +99,7 @@
         self._settle_seconds = settle_seconds
         # Edits of one entry would only make each other's transactions fail.
         self._turn = BoundedSemaphore()
+        self._random = random.Random(hub.local.incarnation)
 
     def edit(
         self,
@@ -124,6 +128,7 @@
 
     def _make(self, kind, key, value, expected_revision, edit_id):
         deadline = time.monotonic() + RACE_SECONDS
+        pause = _RACE_PAUSE_SECONDS
         while True:
             current = self._read(kind, key)
             if current.revision != expected_revision:
@@ -142,6 +147,9 @@
             # edit goes on from the new head.
             if time.monotonic() >= deadline:
                 raise EditRefused("busy", "other edits kept coming first")
+            # Entries that try again at once would use up the table's write rate.
+            gevent.sleep(self._random.uniform(0, pause))
+            pause = min(pause * 2, _RACE_MAX_PAUSE_SECONDS)
 
     def _read(self, kind, key):
         in_force = self._replica.revision
--- a/src/bulrushdrum/_internal/configuration/peers.py
+++ b/src/bulrushdrum/_internal/configuration/peers.py
@@ -23,8 +23,10 @@
 # While the table is down, each of 380 entries asks every 2 s. To ask all others would
 # take 23 KB/s; heartbeats carry their revisions as well.
 _CONFIRMING_PEERS = 3
-# About 150 KB a frame. The sender yields after each, to keep serving requests.
-_SNAPSHOT_PART_ENTRIES = 500
+# The sender pauses after each part, to keep serving requests and to leave the writer
+# time to send it: a part takes about 4 ms and all contracts together 20 MB.
+_SNAPSHOT_PART_ENTRIES = 200
+_SNAPSHOT_PAUSE_SECONDS = 0.01
 _SNAPSHOT_TIMEOUT_SECONDS = 30.0
 
 
@@ -226,7 +228,7 @@
                 return
             if last:
                 return
-            gevent.sleep(0)
+            gevent.sleep(_SNAPSHOT_PAUSE_SECONDS)
 
     def _on_confirm(self, connection: PeerConnection, message: ConfigConfirm):
         self.note_revision(connection.peer.incarnation, message.revision)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -87,8 +87,9 @@
 class FakeHub:
     """The interface of `PeerHub` over `FakeConnection`s made with `connect`."""
 
-    def __init__(self, node):
-        self.local = PeerIdentity("entry", node, f"{node}#1", "dc", "127.0.0.1:21000")
+    def __init__(self, node, start=1):
+        incarnation = f"{node}#{start}"
+        self.local = PeerIdentity("entry", node, incarnation, "dc", "127.0.0.1:21000")
         self.links = {}
         self._handlers = {}
 
