--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -363,10 +363,16 @@
 
 
 class RecordCopies(NamedTuple):
-    """Request records for the partner entry to keep; each is JSON."""
+    """Request records for the partner entry to keep; each is JSON.
+
+    A copy of all records that the sender keeps begins with the batch with `restart` and
+    ends with the one with `complete`.
+    """
 
     batch: int = 0
     records: tuple[str, ...] = ()
+    restart: bool = False
+    complete: bool = False
 
 
 class RecordsAck(NamedTuple):
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -258,7 +258,12 @@
 struct LoansQuery { loans @0 :List(Text); }
 struct LoansHeld { queried @0 :List(Text); held @1 :List(Text); }
 
-struct RecordCopies { batch @0 :UInt64; records @1 :List(Text); }
+struct RecordCopies {
+  batch @0 :UInt64;
+  records @1 :List(Text);
+  restart @2 :Bool;          # first batch of a copy of everything
+  complete @3 :Bool;         # last batch of it: what was held before may be dropped
+}
 struct RecordsAck { batch @0 :UInt64; }
 struct RecordsFlushed { ids @0 :List(Text); all @1 :Bool; }
 
--- a/src/bulrushdrum/_internal/records/partners.py
+++ b/src/bulrushdrum/_internal/records/partners.py
@@ -35,21 +35,35 @@
         self._open: set[str] = set()
         self._blocks: list[bytes] = []
         self._in_blocks = 0
+        self._earlier: HeldRecords | None = None
 
     def __len__(self):
-        return len(self._texts) + self._in_blocks
+        earlier = len(self._earlier) if self._earlier else 0
+        return len(self._texts) + self._in_blocks + earlier
 
     @property
     def bytes(self) -> int:
         plain = sum(len(text) for text in self._texts.values())
-        return plain + sum(len(block) for block in self._blocks)
+        earlier = self._earlier.bytes if self._earlier else 0
+        return plain + sum(len(block) for block in self._blocks) + earlier
+
+    def begin_copy(self):
+        """Keep what is held apart while the origin copies everything again."""
+        earlier = HeldRecords(self.origin)
+        earlier._texts, earlier._open = self._texts, self._open
+        earlier._blocks, earlier._in_blocks = self._blocks, self._in_blocks
+        # A copy that was not completed does not replace the one before it.
+        earlier._earlier = self._earlier
+        self._texts, self._open, self._blocks, self._in_blocks = {}, set(), [], 0
+        self._earlier = earlier
+
+    def end_copy(self):
+        """Drop what was held before the copy."""
+        self._earlier = None
 
     def add(self, record: RequestRecord, text: str):
-        """Hold a record; a closed one replaces the open one, and never the reverse."""
-        known = record.request_id in self._texts
+        """Hold a record, in place of an earlier state of it."""
         if not record.closed:
-            if known and record.request_id not in self._open:
-                return
             self._open.add(record.request_id)
         else:
             self._open.discard(record.request_id)
@@ -59,6 +73,8 @@
 
     def drop(self, ids):
         """Forget records that are in the object store."""
+        if self._earlier:
+            self._earlier.drop(ids)
         missing = set()
         for request_id in ids:
             self._open.discard(request_id)
@@ -83,10 +99,12 @@
         self._blocks = self._blocks if self._in_blocks else []
 
     def records(self) -> list[RequestRecord]:
+        """Return all records; one that was copied twice may be there twice."""
         lines = []
         for block in self._blocks:
             lines += zlib.decompress(block).decode().splitlines()
-        return [decode_record(text) for text in [*lines, *self._texts.values()]]
+        records = [decode_record(text) for text in [*lines, *self._texts.values()]]
+        return records + (self._earlier.records() if self._earlier else [])
 
     def _compress(self):
         closed = [
--- a/src/bulrushdrum/_internal/records/replication.py
+++ b/src/bulrushdrum/_internal/records/replication.py
@@ -27,6 +27,7 @@
     close_for_dead_entry,
     decode_record,
     encode_record,
+    preferred,
 )
 from bulrushdrum._internal.records.settings import RecordSettings
 
@@ -60,6 +61,8 @@
         self._batch = 0
         self._in_flight: dict[int, tuple[str, ...]] = {}
         self._latest_batch: dict[str, int] = {}
+        self._restart = False
+        self._restarting = False
         self._waiting: dict[str, Signal] = {}
         self._held: dict[str, HeldRecords] = {}
         self._wake = Signal()
@@ -128,6 +131,14 @@
         finally:
             self._waiting.pop(record.request_id, None)
 
+    def is_copied(self, request_id: str) -> bool:
+        """Whether the partner has acknowledged the newest state of a record."""
+        return (
+            self._partner != ""
+            and request_id not in self._unsent
+            and request_id not in self._latest_batch
+        )
+
     def drain(self) -> int:
         """Flush what is possible; return how many records are left to the partner.
 
@@ -180,7 +191,7 @@
         for origin, held in [*self._held.items()]:
             if self._is_known_dead(held.origin):
                 self._take_over(origin)
-        if not self._partner or self._unsent or self._in_flight:
+        if not self._partner or self._restart or self._unsent or self._in_flight:
             return
         for former in [*self._former_partners]:
             if self._send(former, RecordsFlushed((), True)):
@@ -188,14 +199,19 @@
 
     def send_copies(self):
         """Send all records that wait to be copied, in as few frames as possible."""
-        while self._unsent and self._partner:
+        while self._partner and (self._unsent or self._restart):
             ids = tuple(self._unsent)[:_MAX_BATCH]
             texts = tuple(self._unsent.pop(request_id) for request_id in ids)
             self._batch += 1
             self._in_flight[self._batch] = ids
             self._latest_batch.update(dict.fromkeys(ids, self._batch))
-            if not self._send(self._partner, RecordCopies(self._batch, texts)):
+            restart, self._restart = self._restart, False
+            self._restarting = self._restarting or restart
+            complete = self._restarting and not self._unsent
+            message = RecordCopies(self._batch, texts, restart, complete)
+            if not self._send(self._partner, message):
                 return  # the loss of the connection makes everything be sent again
+            self._restarting = self._restarting and not complete
 
     def _run_copies(self):
         while True:
@@ -257,8 +273,9 @@
         for record in records:
             if not record.closed:
                 record = close_for_dead_entry(record)
-            self._closed.setdefault(record.request_id, record)
-            self._copy(record)
+            known = self._closed.get(record.request_id, record)
+            self._closed[record.request_id] = preferred(known, record)
+            self._copy(self._closed[record.request_id])
         log_event(
             Event.RECORDS_TAKEN_OVER, origin=held.origin.node, records=len(records)
         )
@@ -285,6 +302,7 @@
         self._unsent.clear()
         if not self._partner:
             return
+        self._restart, self._restarting = True, False
         for line in self._flusher.lines():
             self._unsent[decode_record(line).request_id] = line
         for record in [
@@ -325,8 +343,12 @@
             # Without an acknowledgement the sender knows that they are not held.
             log_event(Event.INTERNAL_ERROR, error=str(error), peer=peer.node)
             return
+        if message.restart:
+            held.begin_copy()
         for record, text in records:
             held.add(record, text)
+        if message.complete:
+            held.end_copy()
         connection.send(RecordsAck(message.batch))
 
     def _on_ack(self, connection, message):
--- a/tests/unit/simulated_peers.py
+++ b/tests/unit/simulated_peers.py
@@ -90,6 +90,13 @@
                 for callback in self.hubs[source].lost:
                     callback(connection)
 
+    def replace(self, one, other):
+        """Make a new connection before the loss of the old one is noticed."""
+        if other in self.hubs[one].by_peer:
+            for source, target in ((one, other), (other, one)):
+                self.hubs[source].by_peer.pop(target).closed = True
+            self.connect(one, other)
+
     def deliver(self, source, target):
         message = self.queues[source, target].popleft()
         hub = self.hubs[target]
--- a/tests/unit/test_permits_properties.py
+++ b/tests/unit/test_permits_properties.py
@@ -149,6 +149,11 @@
         world.network.cut(*pair)
 
 
+def replace(world):
+    if pair := world.pair():
+        world.network.replace(*pair)
+
+
 def pause(world):
     if member := world.awake():
         member.paused = True
@@ -235,6 +240,7 @@
     deliver: 10,
     connect: 4,
     cut: 1,
+    replace: 0.5,
     pause: 1,
     resume: 1,
     kill: 0.5,
