--- a/src/bulrushdrum/_internal/configuration/edits.py
+++ b/src/bulrushdrum/_internal/configuration/edits.py
@@ -74,8 +74,8 @@
 class ConfigurationEditor:
     """Makes edits that operators ask for at this entry.
 
-    `entry_names` returns the names of all entries that should confirm an edit, by
-    default the connected ones.
+    `entry_names` returns the names of entries that should confirm an edit, in addition
+    to those that are connected.
     """
 
     def __init__(
@@ -91,7 +91,7 @@
         self._hub = hub
         self._table = table
         self._replica = replica
-        self._entry_names = entry_names or self._connected_names
+        self._entry_names = entry_names or (lambda: ())
         self._confirm_wait = confirm_wait
         self._settle_seconds = settle_seconds
         # Edits of one entry would only make each other's transactions fail.
@@ -144,13 +144,14 @@
                 raise EditRefused("busy", "other edits kept coming first")
 
     def _read(self, kind, key):
+        in_force = self._replica.revision
         try:
             head = self._table.read(HEAD_KEY)
             row = self._table.read(row_key(kind, key))
         except StoreUnavailable as error:
             raise EditRefused("store_unavailable", str(error)) from error
         held = row.value if row else {}
-        return _Current(
+        current = _Current(
             held.get("value"),
             held.get("revision", 0),
             held.get("edit_id", ""),
@@ -158,6 +159,14 @@
             head.value["revision"] if head else 0,
             head.version if head else 0,
         )
+        if current.head < in_force:
+            # Entries would take the new revision for one that they have applied.
+            raise EditRefused(
+                "store_behind",
+                f"the table is at revision {current.head}, and {in_force} is in force: "
+                "it was set back to an older state",
+            )
+        return current
 
     def _made_before(self, kind, key, edit_id, current):
         """Return the entry that this edit made when it was sent an earlier time.
@@ -241,7 +250,7 @@
         own = self._hub.local.node
         deadline = time.monotonic() + self._confirm_wait
         while True:
-            expected = {own, *self._entry_names()}
+            expected = {own, *self._entry_names(), *self._connected_names()}
             confirmed = self._replica.confirmed_by(revision)
             if self._replica.ready and self._replica.revision >= revision:
                 confirmed.add(own)
