--- a/tests/unit/simulated_peers.py
+++ b/bench/simulated_peers.py
@@ -1,7 +1,7 @@
 """A message layer, a table and a configuration for many entries in one process.
 
 Messages between two entries keep their order, as on a TCP connection, and wait until
-the test delivers them. Cutting a link loses what is on the way.
+the caller delivers them. Cutting a link loses what is on the way.
 """
 
 from collections import deque
--- a/src/bulrushdrum/_internal/limits/entry_set.py
+++ b/src/bulrushdrum/_internal/limits/entry_set.py
@@ -164,7 +164,7 @@
             self._ask_peers()
             return
         except EntrySetInvalid as error:
-            log_event(Event.INTERNAL_ERROR, error=str(error))
+            log_event(Event.ENTRY_SET_INVALID, error=str(error))
             return
         if not self._leaving and not self.is_member:
             self._propose(self._with_local)
@@ -287,6 +287,9 @@
             version=entry_set.version,
             members=len(entry_set.members),
         )
+        was_member = previous.entry_set.includes(self._local.incarnation)
+        if was_member and not self.is_member and not self._leaving:
+            log_event(Event.ENTRY_SET_REMOVED, version=entry_set.version)
         for callback in self._callbacks:
             callback(previous, self._ownership)
 
--- a/src/bulrushdrum/_internal/limits/permits.py
+++ b/src/bulrushdrum/_internal/limits/permits.py
@@ -188,8 +188,10 @@
         if state is None or permit.number in state.in_use:
             if state is not None:
                 log_event(
-                    Event.INTERNAL_ERROR,
-                    error=f"permit {permit.number} of {permit.customer} lent twice",
+                    Event.PERMIT_LENT_TWICE,
+                    customer=permit.customer,
+                    permit=permit.number,
+                    lender=permit.lender,
                 )
             self._loans.give_back(permit)
             return
--- a/src/bulrushdrum/_internal/records/replication.py
+++ b/src/bulrushdrum/_internal/records/replication.py
@@ -68,6 +68,7 @@
         self._wake = Signal()
         self._greenlets = []
         self._store_up = True
+        self._full = False
         hub.register(RecordCopies, self._on_copies)
         hub.register(RecordsAck, self._on_ack)
         hub.register(RecordsFlushed, self._on_flushed)
@@ -101,6 +102,7 @@
         Raises `NoRoomForRecords`; the request must then be refused.
         """
         if not self.has_room():
+            self._note_full(True)
             raise NoRoomForRecords(
                 f"{self.unflushed} records wait for the object store, the limit is "
                 f"{self._settings.max_unflushed}"
@@ -181,9 +183,12 @@
                 log_event(Event.STORE_UNAVAILABLE, service="objects", error=str(error))
             self._store_up = False
             return written
-        if written or not self._store_up:
+        if not self._store_up:
             self._store_up = True
+            log_event(Event.STORE_AVAILABLE, service="objects")
+        if written:
             log_event(Event.RECORDS_FLUSHED, records=written)
+        self._note_full(not self.has_room())
         return written
 
     def tick(self):
@@ -236,6 +241,11 @@
             self._unsent[record.request_id] = encode_record(record)
             self._wake.set()
 
+    def _note_full(self, full):
+        if full and not self._full:
+            log_event(Event.RECORDS_FULL, records=self.unflushed)
+        self._full = full
+
     def _keep_refusals(self):
         for record in self._refused_alike.values():
             self._closed[record.request_id] = record
@@ -293,6 +303,8 @@
         if self._partner:
             self._former_partners.add(self._partner)
         self._partner = chosen.incarnation if chosen else ""
+        if not self._partner:
+            log_event(Event.RECORDS_WITHOUT_PARTNER)
         self._former_partners.discard(self._partner)
         self._copy_everything()
 
@@ -341,7 +353,7 @@
             records = [(decode_record(text), text) for text in message.records]
         except RecordUnreadable as error:
             # Without an acknowledgement the sender knows that they are not held.
-            log_event(Event.INTERNAL_ERROR, error=str(error), peer=peer.node)
+            log_event(Event.RECORDS_UNREADABLE, peer=peer.node, error=str(error))
             return
         if message.restart:
             held.begin_copy()
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -4,7 +4,7 @@
 
 import gevent
 import pytest
-from simulated_peers import Entry, Network, Replica, SimulatedTable
+from bench.simulated_peers import Entry, Network, Replica, SimulatedTable
 
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.errors import ConcurrencyExceeded, UnknownCustomer
--- a/tests/unit/test_permits_properties.py
+++ b/tests/unit/test_permits_properties.py
@@ -11,7 +11,7 @@
 import random
 
 import pytest
-from simulated_peers import Entry, Network, Replica, SimulatedTable
+from bench.simulated_peers import Entry, Network, Replica, SimulatedTable
 
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.permits import Permits
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -2,7 +2,7 @@
 
 import gevent
 import pytest
-from simulated_peers import Network
+from bench.simulated_peers import Network
 
 from bulrushdrum._internal.platform.errors import StoreUnavailable, WriteOutcomeUnknown
 from bulrushdrum._internal.records import partners, replication
