--- a/src/bulrushdrum/_internal/records/replication.py
+++ b/src/bulrushdrum/_internal/records/replication.py
@@ -27,6 +27,7 @@
     close_for_dead_entry,
     decode_record,
     encode_record,
+    preferred,
 )
 from bulrushdrum._internal.records.settings import RecordSettings
 
@@ -60,11 +61,14 @@
         self._batch = 0
         self._in_flight: dict[int, tuple[str, ...]] = {}
         self._latest_batch: dict[str, int] = {}
+        self._restart = False
+        self._restarting = False
         self._waiting: dict[str, Signal] = {}
         self._held: dict[str, HeldRecords] = {}
         self._wake = Signal()
         self._greenlets = []
         self._store_up = True
+        self._full = False
         hub.register(RecordCopies, self._on_copies)
         hub.register(RecordsAck, self._on_ack)
         hub.register(RecordsFlushed, self._on_flushed)
@@ -98,6 +102,7 @@
         Raises `NoRoomForRecords`; the request must then be refused.
         """
         if not self.has_room():
+            self._note_full(True)
             raise NoRoomForRecords(
                 f"{self.unflushed} records wait for the object store, the limit is "
                 f"{self._settings.max_unflushed}"
@@ -128,6 +133,14 @@
         finally:
             self._waiting.pop(record.request_id, None)
 
+    def is_copied(self, request_id: str) -> bool:
+        """Whether the partner has acknowledged the newest state of a record."""
+        return (
+            self._partner != ""
+            and request_id not in self._unsent
+            and request_id not in self._latest_batch
+        )
+
     def drain(self) -> int:
         """Flush what is possible; return how many records are left to the partner.
 
@@ -170,9 +183,12 @@
                 log_event(Event.STORE_UNAVAILABLE, service="objects", error=str(error))
             self._store_up = False
             return written
-        if written or not self._store_up:
+        if not self._store_up:
             self._store_up = True
+            log_event(Event.STORE_AVAILABLE, service="objects")
+        if written:
             log_event(Event.RECORDS_FLUSHED, records=written)
+        self._note_full(not self.has_room())
         return written
 
     def tick(self):
@@ -180,7 +196,7 @@
         for origin, held in [*self._held.items()]:
             if self._is_known_dead(held.origin):
                 self._take_over(origin)
-        if not self._partner or self._unsent or self._in_flight:
+        if not self._partner or self._restart or self._unsent or self._in_flight:
             return
         for former in [*self._former_partners]:
             if self._send(former, RecordsFlushed((), True)):
@@ -188,14 +204,19 @@
 
     def send_copies(self):
         """Send all records that wait to be copied, in as few frames as possible."""
-        while self._unsent and self._partner:
+        while self._partner and (self._unsent or self._restart):
             ids = tuple(self._unsent)[:_MAX_BATCH]
             texts = tuple(self._unsent.pop(request_id) for request_id in ids)
             self._batch += 1
             self._in_flight[self._batch] = ids
             self._latest_batch.update(dict.fromkeys(ids, self._batch))
-            if not self._send(self._partner, RecordCopies(self._batch, texts)):
+            restart, self._restart = self._restart, False
+            self._restarting = self._restarting or restart
+            complete = self._restarting and not self._unsent
+            message = RecordCopies(self._batch, texts, restart, complete)
+            if not self._send(self._partner, message):
                 return  # the loss of the connection makes everything be sent again
+            self._restarting = self._restarting and not complete
 
     def _run_copies(self):
         while True:
@@ -220,6 +241,11 @@
             self._unsent[record.request_id] = encode_record(record)
             self._wake.set()
 
+    def _note_full(self, full):
+        if full and not self._full:
+            log_event(Event.RECORDS_FULL, records=self.unflushed)
+        self._full = full
+
     def _keep_refusals(self):
         for record in self._refused_alike.values():
             self._closed[record.request_id] = record
@@ -257,8 +283,9 @@
         for record in records:
             if not record.closed:
                 record = close_for_dead_entry(record)
-            self._closed.setdefault(record.request_id, record)
-            self._copy(record)
+            known = self._closed.get(record.request_id, record)
+            self._closed[record.request_id] = preferred(known, record)
+            self._copy(self._closed[record.request_id])
         log_event(
             Event.RECORDS_TAKEN_OVER, origin=held.origin.node, records=len(records)
         )
@@ -276,6 +303,8 @@
         if self._partner:
             self._former_partners.add(self._partner)
         self._partner = chosen.incarnation if chosen else ""
+        if not self._partner:
+            log_event(Event.RECORDS_WITHOUT_PARTNER)
         self._former_partners.discard(self._partner)
         self._copy_everything()
 
@@ -285,6 +314,7 @@
         self._unsent.clear()
         if not self._partner:
             return
+        self._restart, self._restarting = True, False
         for line in self._flusher.lines():
             self._unsent[decode_record(line).request_id] = line
         for record in [
@@ -323,10 +353,14 @@
             records = [(decode_record(text), text) for text in message.records]
         except RecordUnreadable as error:
             # Without an acknowledgement the sender knows that they are not held.
-            log_event(Event.INTERNAL_ERROR, error=str(error), peer=peer.node)
+            log_event(Event.RECORDS_UNREADABLE, peer=peer.node, error=str(error))
             return
+        if message.restart:
+            held.begin_copy()
         for record, text in records:
             held.add(record, text)
+        if message.complete:
+            held.end_copy()
         connection.send(RecordsAck(message.batch))
 
     def _on_ack(self, connection, message):
--- a/tests/unit/stage_fakes.py
+++ b/tests/unit/stage_fakes.py
@@ -67,20 +67,31 @@
 
 
 class Engine:
-    """Keeps every step it is given; `answers` may replace results or raise."""
+    """Keeps every step it is given; `fail(steps)` may block or raise.
+
+    `overlaps` has the sequences that were in two calls at once.
+    """
 
     def __init__(self):
         self.steps = []
         self.calls = 0
         self.released = []
         self.version = "1"
+        self.overlaps = []
+        self._running = []
         self.fail = lambda steps: None
 
     def run_steps(self, steps):
         self.calls += 1
         self.steps += steps
-        self.fail(steps)
-        gevent.sleep(0)
+        sequences = [(step["request"], step["attempt"]) for step in steps]
+        self.overlaps += [one for one in sequences if one in self._running]
+        self._running += sequences
+        try:
+            self.fail(steps)
+            gevent.sleep(0)
+        finally:
+            self._running = [one for one in self._running if one not in sequences]
         return self.version, [
             {
                 **{name: step[name] for name in ("request", "attempt", "position")},
@@ -117,14 +128,14 @@
             self.bindings,
             next_hops,
         )
-        self.stages.loop.set_slots(8)
+        self.stages.loop.set_engine(8, 0.0)
         self.stages.loop.start()
         self.chain = (
             ChainStage("s1", LOCAL.incarnation, LOCAL.address, 0, 4),
             ChainStage("s2", LAST.incarnation, LAST.address, 4, 8),
         )[:stages]
 
-    def open(self, request="r", attempt=1, **changes):
+    def make_open(self, request="r", attempt=1, **changes):
         values = {
             "request": request,
             "attempt": attempt,
@@ -139,7 +150,11 @@
             "fingerprint": f"f-{request}",
             **changes,
         }
-        self.hub.receive(self.entry, Open(**values))
+        return Open(**values)
+
+    def open(self, *args, **changes):
+        """Let the stage receive an `Open` and return its answer."""
+        self.hub.receive(self.entry, self.make_open(*args, **changes))
         return self.entry.sent[-1]
 
     def step(self, position, tokens, request="r", attempt=1, peer=None):
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -1,5 +1,7 @@
 """A stage runs each position once, in order, and tells truly what ran."""
 
+import gevent
+import gevent.event
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
@@ -11,7 +13,11 @@
     EngineRefused,
     EngineUnreachable,
 )
-from bulrushdrum._internal.sidecar.sequences import AttemptMemory
+from bulrushdrum._internal.sidecar.sequences import (
+    AttemptMemory,
+    PendingBytes,
+    Sequence,
+)
 from bulrushdrum._internal.sidecar.stages import (
     CLOSE_AND_CONFIRM,
     RELEASE_DELAY_SECONDS,
@@ -48,6 +54,7 @@
                 stage.step(position, range(count), attempt=attempt)
         stage.settle()
         assert all(s["attempt"] == highest for s in stage.engine.steps[before:])
+    assert stage.engine.overlaps == []
     for attempt in (1, 2, 3):
         ran = [s for s in stage.engine.steps if s["attempt"] == attempt]
         expected = 0
@@ -64,6 +71,7 @@
     stage.open(prompt_tokens=10, max_tokens=3)
     stage.step(0, range(10))
     stage.settle()
+    assert stage.engine.overlaps == []
     ran = [(step["position"], step["count"]) for step in stage.engine.steps]
     assert ran == [(0, 4), (4, 4), (8, 2), (10, 1), (11, 1)]
     tokens = stage.entry.of(Token)
@@ -121,6 +129,40 @@
     assert stage.open("r4").reason == "upstream_lost"
 
 
+def test_all_calls_in_flight_are_suspect_when_the_engine_dies():
+    # Guards against a crash blamed on one call while the other one caused it.
+    stage = StageUnderTest()
+    released = gevent.event.Event()
+
+    def block_first_and_lose_second(steps):
+        if steps[0]["request"] == "r1":
+            released.wait()
+        raise EngineLost("reset")
+
+    stage.engine.fail = block_first_and_lose_second
+    for request in ("r1", "r2"):
+        stage.open(request)
+        stage.step(0, [1, 2, 3], request)
+        gevent.sleep(0)
+    stage.settle()
+    released.set()
+    stage.settle()
+    failed = stage.entry.of(AttemptFailed)
+    assert [sorted(one.suspects) for one in failed] == [["f-r1", "f-r2"]] * 2
+
+
+def test_a_result_after_the_close_goes_nowhere():
+    # Guards against a step or token of an attempt that its entry has ended.
+    stage = StageUnderTest()
+    stage.open()
+    stage.step(0, [1, 2, 3])
+    while not stage.engine.steps:
+        gevent.sleep(0)
+    stage.hub.receive(stage.entry, Close("r", 1, "cancelled"))
+    stage.settle()
+    assert not stage.next.of(Step) and not stage.entry.of(AttemptFailed)
+
+
 def test_a_call_that_was_not_sent_did_not_run():
     # Guards against `ran` for a request whose call found no connection to the engine,
     # and against a suspect that never reached it.
@@ -178,6 +220,33 @@
     }
 
 
+def test_a_refused_attempt_ends_the_one_before():
+    # Guards against an old attempt that goes on because the new one was refused (R3).
+    stage = StageUnderTest()
+    stage.open(attempt=1)
+    assert stage.open(attempt=3, model="other").reason.startswith("model_mismatch")
+    stage.step(0, [1, 2, 3], attempt=1)
+    stage.settle()
+    assert stage.engine.steps == []
+    assert stage.open(attempt=2).reason == "stale_attempt"
+    assert stage.open(attempt=3).accepted
+
+
+def test_waiting_activations_are_bounded():
+    # Guards against a slow stage whose sidecar holds the activations of all prompts.
+    stage = StageUnderTest(max_pending_bytes=65_536)
+    asked = stage.make_open(stage=1, chain=stage.chain[::-1])
+    pending = PendingBytes(limit=100)
+    sequence = Sequence(asked, stage.entry, pending)
+    assert sequence.accept(Step("r", 1, 0, 10, (), bytes(80))) == "accepted"
+    too_much = Step("r", 1, 10, 3, (), bytes(24))
+    assert sequence.accept(too_much) == "stage_overloaded"
+    assert sequence.take(4).activation == bytes(32) and pending.used == 48
+    assert sequence.accept(too_much) == "accepted"
+    sequence.close()
+    assert pending.used == 0
+
+
 def test_a_close_before_its_open_keeps_the_attempt_closed():
     # Guards against an attempt that nobody will close, because its messages overtook.
     stage = StageUnderTest()
