Let a refused attempt wait for the queue timeout, not for 50 tries

Change: the pause between tries grows to 0.4 s, and the queue timeout or, once it may have run, the request's deadline ends the tries.

--- a/src/bulrushdrum/_internal/routing/attempts.py
+++ b/src/bulrushdrum/_internal/routing/attempts.py
@@ -42,6 +42,9 @@
 from bulrushdrum._internal.world.requests import ChatRequest
 
 _RETRY_POLL_SECONDS = 0.05
+_MAX_PAUSE_SECONDS = 0.4
+# Attempts that no stage accepted ran nothing; of those only the last few are kept.
+_MAX_NOTES = 64
 
 
 class DeliveredToken(NamedTuple):
@@ -98,7 +101,9 @@
         self._avoid: set[str] = set()
         self._cancelled = False
         self._may_have_run = False
+        self._started = 0.0
         self._deadline = 0.0
+        self._refusals = 0
 
     @property
     def request(self) -> ChatRequest:
@@ -148,9 +153,22 @@
     def set_may_have_run(self, value: bool):
         self._may_have_run = value
 
+    @property
+    def started(self) -> float:
+        return self._started
+
     def begin(self, deadline: float):
+        self._started = time.monotonic()
         self._deadline = deadline
 
+    def note_refusal(self) -> int:
+        """Count an attempt that no stage accepted; returns how many came before."""
+        self._refusals += 1
+        refused = [note for note in self._notes if not note.ran]
+        if len(refused) > _MAX_NOTES:
+            self._notes.remove(refused[0])
+        return self._refusals - 1
+
     def begin_attempt(self) -> int:
         self._attempt += 1
         return self._attempt
@@ -482,9 +500,18 @@
             self._check_cancelled(running)
             gevent.sleep(_RETRY_POLL_SECONDS)
         if not error.ran:
-            gevent.sleep(_RETRY_POLL_SECONDS)
-            if time.monotonic() >= running.deadline or len(running.notes) > 50:
-                self._end(running, "overloaded", f"no chain accepted it: {error.cause}")
+            self._pause_after_refusal(running, error)
+
+    def _pause_after_refusal(self, running, error):
+        """Wait before the next try of a request that a stage did not accept."""
+        limit = running.deadline
+        if not running.may_have_run:
+            limit = min(limit, running.started + self._settings.queue_timeout)
+        if time.monotonic() >= limit:
+            self._end(running, "overloaded", f"no chain accepted it: {error.cause}")
+        refusals = running.note_refusal()
+        pause = min(_RETRY_POLL_SECONDS * 2 ** min(refusals, 8), _MAX_PAUSE_SECONDS)
+        gevent.sleep(min(pause, max(0.0, limit - time.monotonic())))
 
     # Messages from sidecars and other entries.
 
