Build one binary as a zip application; fix the home region of a contract

Cause: PyInstaller and Nuitka one-file programs run as two processes, and the platform's signals reach the loader. Change: make binary builds a zip application with shiv; the test runs the thin path from it, looks for child processes and drains it. A contract's home region cannot change any more: it decides the owners of permits. Conclusion: needs a Python 3.11 on the VM; the file is one.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -10,6 +10,7 @@
 
 import atexit
 import json
+import os
 import shutil
 import signal
 import tempfile
@@ -206,7 +207,10 @@
         return name in self._processes and self._processes[name].running
 
     def _start_role(self, name, role, settings):
-        arguments = ["-m", "bulrushdrum", role, "--settings", str(settings)]
+        # The zip application of `make binary`, instead of the sources.
+        binary = os.environ.get("BULRUSHDRUM_BINARY")
+        program = [binary] if binary else ["-m", "bulrushdrum"]
+        arguments = [*program, role, "--settings", str(settings)]
         if name not in self._processes:
             self._processes[name] = Process(name, arguments, self._directory)
         self._processes[name].start()
--- a/src/bulrushdrum/_internal/configuration/edits.py
+++ b/src/bulrushdrum/_internal/configuration/edits.py
@@ -137,6 +137,7 @@
                     return made
                 raise EditConflict(key, current.value, current.revision)
             if kind == "contract":
+                _check_home(value, current.value)
                 self._check_api_keys(value, current.head)
             entry = ConfigEntry(
                 current.head + 1, kind, key, encode_value(value), edit_id
@@ -276,6 +277,19 @@
         return [connection.peer.node for connection in self._hub.connections("entry")]
 
 
+def _check_home(value, current):
+    """Refuse another home region: it decides which entries own the permits."""
+    if current is None:
+        return
+    home = current.get("home_region", "")
+    if value["home_region"] != home:
+        raise EditRefused(
+            "invalid",
+            f"home_region: {value['home_region']!r} is not {home!r}; it is fixed when "
+            "the contract is made",
+        )
+
+
 def _checked(kind, key, value):
     """Return the value in its complete form, or raise `EditRefused`."""
     pattern = CUSTOMER_PATTERN if kind == "contract" else _UPSTREAM_PATTERN
