--- a/src/bulrushdrum/_internal/configuration/log.py
+++ b/src/bulrushdrum/_internal/configuration/log.py
@@ -79,7 +79,7 @@
     """Return the whole configuration, consistent at one revision.
 
     Rows read while edits go on may be newer than the revision at which the scan began.
-    The log is therefore followed until it has passed the newest row.
+    The log is therefore followed from there until it has passed the newest row.
     """
     store = ConfigStore(read_head(table))
     newest = store.revision
--- a/src/bulrushdrum/_internal/configuration/store.py
+++ b/src/bulrushdrum/_internal/configuration/store.py
@@ -79,9 +79,6 @@
         if entry.revision != self._revision + 1:
             raise ValueError(f"{entry.revision} does not follow {self._revision}")
         self._revision = entry.revision
-        # A row read during a scan may already be newer than this entry.
-        if self.revision_of(entry.kind, entry.key) >= entry.revision:
-            return
         if entry.value:
             self.put(entry.kind, entry.key, entry.value, entry.revision)
         elif entry.key in self._rows.get(entry.kind, ()):
--- a/tests/unit/test_configuration_edits.py
+++ b/tests/unit/test_configuration_edits.py
@@ -145,6 +145,40 @@
     assert read_head(table) == other.revision == 2
 
 
+def test_outage_while_an_ambiguous_write_is_settled(table, entry):
+    # Guards against "refused" when the table goes down after it has shown that the
+    # revision exists and before it has shown whose it is.
+    table.on_write = ["lost"]
+    original = table.transact
+
+    def transact(conditions, writes):
+        try:
+            return original(conditions, writes)
+        finally:
+            table.down = table.transactions == 2
+
+    table.transact = transact
+    with pytest.raises(EditOutcomeUnknown):
+        entry.editor.edit("contract", "c1", contract(), 0)
+
+
+def test_outage_after_an_ambiguous_write_is_settled(table, entry):
+    # Guards against "refused" when the table goes down after it has shown that the
+    # edit was made.
+    table.on_write = ["lost"]
+    log_reads = []
+
+    def go_down_after_log_read(key):
+        table.down = bool(log_reads)
+        if key.startswith("config/log/0"):
+            log_reads.append(key)
+
+    table.before_read = go_down_after_log_read
+    entry.replica.stop()
+    assert entry.editor.edit("contract", "c1", contract(), 0).revision == 1
+    assert log_reads
+
+
 def test_an_api_key_has_one_customer(entry):
     # Guards against a request that is counted for the wrong customer.
     digest = "ab" * 32
--- a/tests/unit/test_configuration_replica.py
+++ b/tests/unit/test_configuration_replica.py
@@ -149,7 +149,7 @@
     assert replica.contract("c9").share == 10
 
 
-def test_scan_during_edits_is_consistent(entries):
+def test_scan_during_edits_is_consistent():
     # Guards against a start-up that mixes rows of several revisions.
     table = FakeTable()
     fill(table, 9)
@@ -161,10 +161,12 @@
             fill(table, 5, customers=20)
 
     table.before_read = edit_meanwhile
-    replica = entries("b", table)
-    eventually(lambda: replica.ready)
-    assert replica.revision == 14
-    assert [replica.contract(f"c{n}").share for n in range(5)] == [1, 2, 3, 4, 5]
+    store = load_store(table)
+    assert store.revision == 14
+    assert [store.revision_of("contract", f"c{n}") for n in range(7)] == [
+        *(10, 11, 12, 13, 14),
+        *(6, 7),
+    ]
 
 
 def test_starts_from_the_highest_peer_while_the_store_is_down(entries):
@@ -206,6 +208,19 @@
     return first, second, third, editor
 
 
+def test_an_edit_is_pushed(entries):
+    # Guards against edits that wait for the next poll, or for the table, which may go
+    # down right after the edit.
+    table = FakeTable()
+    first = entries("a", table, poll_interval=60.0)
+    second = entries("b", table, first, poll_interval=60.0)
+    eventually(lambda: first.ready and second.ready)
+    editor = ConfigurationEditor(first.hub, table, first, confirm_wait=1.0)
+    accepted = editor.edit("contract", "c0", contract("c0"), 0)
+    assert accepted == (1, ("a", "b"), ())
+    assert second.contract("c0") is not None
+
+
 def test_lost_push_is_filled_by_a_peer_while_the_store_is_down(entries):
     # Guards against an edit that was pushed and lost and then the store went down.
     first, _, third, editor = make_three(entries, FakeTable())
@@ -236,6 +251,9 @@
     replica = entries("a", table)
     eventually(lambda: replica.ready)
     assert replica.confirm(1.0)
+    table.before_read = lambda key: gevent.sleep(0.2)
+    assert replica.confirm(1.0)
+    assert replica.confirmed_seconds_ago() > 0.19
     table.down = True
     gevent.sleep(0.2)
     assert replica.confirmed_seconds_ago() > 0.15
