--- a/src/bulrushdrum/_internal/limits/entry_set.py
+++ b/src/bulrushdrum/_internal/limits/entry_set.py
@@ -83,6 +83,7 @@
         self._callbacks = []
         self._dead_polls: dict[str, int] = {}
         self._leaving = False
+        self._in_use = lambda: 0
         self._wake = Signal()
         self._loop = None
         self._random = random.Random(identity.incarnation)
@@ -109,6 +110,14 @@
     def is_member(self) -> bool:
         return self._ownership.entry_set.includes(self._local.incarnation)
 
+    @property
+    def leaving(self) -> bool:
+        return self._leaving
+
+    def keep_while(self, in_use: Callable[[], int]):
+        """Refuse to leave the set while `in_use()` is not zero."""
+        self._in_use = in_use
+
     def is_known_dead(self, member: EntryMember) -> bool:
         return self._is_known_dead(member)
 
@@ -130,12 +139,15 @@
         if self._loop is not None:
             self._loop.kill()
 
-    def leave(self):
-        """Leave the set; call it when no permit is in use here any more.
+    def leave(self) -> bool:
+        """Leave the set; return false if this entry is still a member.
 
-        While the table is down the entry stays a member, until it is known dead.
+        It stays one while a permit is in use here, and while the table is down, until
+        it is known dead.
         """
         self._leaving = True
+        if self._in_use():
+            return False
         return self._propose(
             lambda members: [
                 member
@@ -152,7 +164,7 @@
             self._ask_peers()
             return
         except EntrySetInvalid as error:
-            log_event(Event.INTERNAL_ERROR, error=str(error))
+            log_event(Event.ENTRY_SET_INVALID, error=str(error))
             return
         if not self._leaving and not self.is_member:
             self._propose(self._with_local)
@@ -212,7 +224,7 @@
         dead = {
             member.incarnation
             for member in self.members
-            if member != self._local and self._is_known_dead(member)
+            if member != self._local and self.is_known_dead(member)
         }
         self._dead_polls = {
             incarnation: self._dead_polls.get(incarnation, 0) + 1
@@ -275,6 +287,9 @@
             version=entry_set.version,
             members=len(entry_set.members),
         )
+        was_member = previous.entry_set.includes(self._local.incarnation)
+        if was_member and not self.is_member and not self._leaving:
+            log_event(Event.ENTRY_SET_REMOVED, version=entry_set.version)
         for callback in self._callbacks:
             callback(previous, self._ownership)
 
--- a/src/bulrushdrum/_internal/sidecar/stages.py
+++ b/src/bulrushdrum/_internal/sidecar/stages.py
@@ -32,6 +32,7 @@
 from bulrushdrum._internal.sidecar.opening import refusal_of
 from bulrushdrum._internal.sidecar.sequences import (
     AttemptMemory,
+    PendingBytes,
     Sequence,
     StepVerdict,
 )
@@ -39,6 +40,8 @@
 from bulrushdrum._internal.sidecar.step_loop import StepLoop
 from bulrushdrum._internal.world.requests import Outcome
 
+# One call frees the sequences that end within this time; it is not on the step path.
+RELEASE_DELAY_SECONDS = 0.05
 # An entry that closes an attempt for this reason wants to hear whether it ran.
 CLOSE_AND_CONFIRM = "confirm"
 
@@ -64,6 +67,7 @@
         self._loop = StepLoop(engine, settings, self)
         self._sequences: dict[str, Sequence] = {}
         self._memory = AttemptMemory()
+        self._pending_bytes = PendingBytes(settings.max_pending_bytes)
         self._release: list[tuple[str, int]] = []
         self._refused_steps = 0
         hub.register(Open, self._on_open)
@@ -79,9 +83,15 @@
         return len(self._sequences)
 
     @property
-    def queued_tokens(self) -> int:
+    def outstanding_tokens(self) -> int:
+        """Tokens of the open attempts that are still to run here.
+
+        Answer tokens that are not made yet count too: an entry that chooses a chain
+        must know of work that will come, not only of steps that wait now.
+        """
         return sum(
-            step.count for one in self._sequences.values() for step in one.pending
+            max(0, one.open.prompt_tokens + one.open.max_tokens - one.next_position)
+            for one in self._sequences.values()
         )
 
     def next_incarnations(self) -> set[str]:
@@ -107,6 +117,7 @@
                 for one in self._sequences.values()
             ],
             "refused_steps": self._refused_steps,
+            "pending_bytes": self._pending_bytes.used,
             "loop": self._loop.dump(),
         }
 
@@ -119,12 +130,15 @@
                 self._answer_open(connection, message)
             return
         reason = self._refusal(message)
+        if message.attempt > 1:
+            # Seeing an attempt ends the earlier ones, even if this one is refused.
+            self._memory.remember(message.request, message.attempt - 1, ran=False)
+            if known is not None and known.open.attempt < message.attempt:
+                self._end(known)
         if reason:
             self._answer_open(connection, message, reason)
             return
-        if known is not None:
-            self._end(known)
-        sequence = Sequence(message, connection)
+        sequence = Sequence(message, connection, self._pending_bytes)
         self._sequences[message.request] = sequence
         if self._needs_no_dial(message):
             self._finish_opening(sequence)
@@ -334,8 +348,7 @@
             self._end(sequence)
 
     def _end(self, sequence):
-        sequence.closed = True
-        sequence.pending.clear()
+        sequence.close()
         request, attempt = sequence.key
         if self._sequences.get(request) is sequence:
             del self._sequences[request]
@@ -353,6 +366,7 @@
             self._release.append(sequence.key)
 
     def _release_ended(self):
+        gevent.sleep(RELEASE_DELAY_SECONDS)
         ended, self._release = self._release, []
         try:
             self._engine.release(ended)
