--- a/src/bulrushdrum/_internal/settings/sidecar.py
+++ b/src/bulrushdrum/_internal/settings/sidecar.py
@@ -103,6 +103,13 @@
     call_tokens: int = setting(
         1024, unit="tokens", help="tokens in one engine call", low=1, high=262_144
     )
+    call_seconds: float = setting(
+        0.025,
+        unit="s",
+        help="time one engine call should take, by the engine's stated speed",
+        low=0.001,
+        high=10.0,
+    )
     max_pending_bytes: int = setting(
         8 * 1024 * 1024,
         unit="bytes",
