--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -141,10 +141,9 @@
         """End every process that this cluster started and remove its directory."""
         atexit.unregister(self.close)
         for process in self._processes.values():
-            process.resume()  # a paused process does not see SIGTERM
-            process.terminate()
+            process.signal(signal.SIGKILL)  # nothing of the system is kept
         for process in self._processes.values():
-            process.stop()
+            process.kill()
         self._ports.close()
         shutil.rmtree(self._directory, ignore_errors=True)
 
@@ -264,6 +263,10 @@
         else:
             self._faulty_links.discard((source, target))
 
+    def link_states(self) -> dict[str, dict]:
+        """Return the counters of all links by "<source>><target>"."""
+        return _json_request("GET", f"http://{self._addresses['proxy']}/v1/links")[1]
+
     def links_of(self, *names: str) -> list[tuple[str, str]]:
         """Return the links that begin or end at one of `names`."""
         return [pair for pair in self._links if set(pair) & set(names)]
@@ -377,25 +380,33 @@
 
     def add_customer(self, name: str, entry: str = "", **fields) -> dict:
         """Make a contract and wait until every entry knows it; returns it."""
+        contract = self.put_customer(entry or self.entries[0], name, **fields)
+        for other in self.entries:
+            self.wait_customer(other, name)
+        self._contracts[name] = contract
+        return contract
+
+    def put_customer(self, entry: str, name: str, **fields) -> dict:
+        """Make a contract through `entry` and return it."""
         contract = {
             "customer": name,
             "api_key_hashes": [hash_api_key(self.api_key(name))],
             **fields,
         }
-        entry = entry or self.entries[0]
         body = {"contract": contract, "expected_revision": 0}
         status, answer = self.operator(entry, "PUT", f"contracts/{name}", body)
         if status not in (200, 201):
             raise ClusterError(f"contract of {name}: {status} {answer}")
-        for other in self.entries:
-            wait_for(
-                lambda other=other: self._knows_customer(other, name),
-                f"{other} to know {name}",
-                READY_SECONDS,
-            )
-        self._contracts[name] = contract
         return contract
 
+    def wait_customer(self, entry: str, name: str):
+        """Wait until `entry` knows the customer."""
+        wait_for(
+            lambda: self._knows_customer(entry, name),
+            f"{entry} to know {name}",
+            READY_SECONDS,
+        )
+
     def ensure_customer(self, name: str, **fields) -> dict:
         """Make a customer's contract unless it was made before."""
         if name not in self._contracts:
