--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -171,6 +171,10 @@
             "permits": self._permits.dump(),
             "records": self._records.dump(),
             "metrics": self._metrics.dump(),
+            "connections": [
+                {"peer": one.peer.node, "sent_bytes": one.sent_bytes}
+                for one in self._hub.connections()
+            ],
         }
 
     def _report(self, customer, start, end):
