Let rights to permits depend on the entry set only

A contract's home region is fixed when the contract is made, and contracts cannot be deleted, so owners change with the entry set only. The rounds of acknowledgements for home regions kept a new customer's permits idle while one member was cut off. A guest no longer waits to be confirmed by a member that is known dead, such as the incarnation that it replaces.

--- a/bench/slopes_limits.py
+++ b/bench/slopes_limits.py
@@ -109,7 +109,7 @@
         """Let one entry adopt the newest version and receive all acknowledgements."""
         self.sets[name].poll()
         self.sequence += 1
-        ack = encode(EntrySetAck(self.version, (), self.sequence, len(self.log), ()))
+        ack = encode(EntrySetAck(self.version, (), self.sequence, ()))
         handler = self.hubs[name].handlers[EntrySetAck]
         for sink in self.sinks[name]:
             handler(sink, decode(ack))
--- a/src/bulrushdrum/_internal/limits/acknowledgements.py
+++ b/src/bulrushdrum/_internal/limits/acknowledgements.py
@@ -1,10 +1,10 @@
 """Acknowledgements of entry-set versions, and the rights that follow from them.
 
-A permit moves to a new owner when the entry set or its customer's home region changes.
-The new owner may use it only when every other member, and every guest, has acknowledged
-exactly the same version and at least the revision of the home region, and none of them
-lists the permit as busy. An owner that had the right before, under an unbroken chain of
-versions, keeps it: nobody else can have gained it without this entry's acknowledgement.
+A permit moves to a new owner when the entry set changes. The new owner may use it only
+when every other member, and every guest, has acknowledged exactly the same version, and
+none of them lists the permit as busy. An owner that had the right before, under an
+unbroken chain of versions, keeps it: nobody else can have gained it without this
+entry's acknowledgement.
 
 A guest is an entry that is not a member, for example because it started while the table
 was down. It may hold loans, so its acknowledgement is needed like a member's. It
@@ -12,7 +12,6 @@
 """
 
 from collections import deque
-from collections.abc import Callable
 
 from bulrushdrum._internal.limits.ownership import Ownership
 from bulrushdrum._internal.peering.messages import EntryMember, EntrySetAck
@@ -25,15 +24,14 @@
 class Acknowledgements:
     """What the peers have acknowledged, as seen by one entry."""
 
-    def __init__(self, entry_set, own_revision: Callable[[], int]):
+    def __init__(self, entry_set):
         self._entry_set = entry_set
-        self._own_revision = own_revision
         self._acks: dict[str, EntrySetAck] = {}
         self._guests: dict[str, EntryMember] = {}
         self._identities: dict[str, EntryMember] = {}
         self._outstanding: set[str] = set()
-        self._settled_revision = -1
-        self._history: deque[tuple[Ownership, int]] = deque(maxlen=_MAX_HISTORY)
+        self._settled = False
+        self._history: deque[tuple[Ownership, bool]] = deque(maxlen=_MAX_HISTORY)
         self._busy: dict[str, set[int]] = {}
         self._generation = 0
 
@@ -57,9 +55,8 @@
 
     def adopted(self, previous: Ownership):
         """Note that the entry set has changed from `previous`."""
-        settled_revision = min(self._settled_revision, self._own_revision())
-        self._history.append((previous, settled_revision))
-        self._settled_revision = -1
+        self._history.append((previous, self._settled))
+        self._settled = False
         for incarnation, ack in self._acks.items():
             self._note_guests(incarnation, ack)
         self._settle()
@@ -95,37 +92,40 @@
         self._outstanding.discard(incarnation)
         return bool(self._outstanding)
 
-    def note_own_revision(self):
-        """Note that a later configuration revision is in force here."""
-        if self._settled_revision < 0:
-            self._settle()
-
-    def settled(self, home_revision: int) -> bool:
+    @property
+    def settled(self) -> bool:
         """Whether all peers have left every earlier owner behind."""
-        return self._settled_revision >= home_revision
+        return self._settled
 
-    def was_owner(self, customer, number, home, home_revision) -> bool:
+    def was_owner(self, customer, number, home) -> bool:
         """Whether this entry's right has lasted since an earlier, settled version."""
         local = self._entry_set.local.incarnation
-        for ownership, settled_revision in reversed(self._history):
+        for ownership, settled in reversed(self._history):
             if ownership.owner(customer, number, home) != local:
                 return False
-            if settled_revision >= home_revision:
+            if settled:
                 return True
         return False
 
     def confirms_guest(self) -> bool:
-        """Whether every member knows this entry as a guest of the version in force."""
-        version = self._entry_set.version
-        local = self._entry_set.local.incarnation
-        acks = [
-            self._acks.get(member.incarnation) for member in self._entry_set.members
+        """Whether every live member knows this entry as a guest of this version.
+
+        A dead member needs no knowledge of guests: it will not use a permit again.
+        """
+        alive = [
+            member.incarnation
+            for member in self._entry_set.members
+            if not self._entry_set.is_known_dead(member)
         ]
-        return bool(acks) and all(
+        return bool(alive) and all(map(self._is_confirmed_by, alive))
+
+    def _is_confirmed_by(self, member):
+        ack = self._acks.get(member)
+        local = self._entry_set.local.incarnation
+        return (
             ack is not None
-            and ack.version == version
+            and ack.version == self._entry_set.version
             and any(guest.incarnation == local for guest in ack.guests)
-            for ack in acks
         )
 
     def forget_dead(self):
@@ -172,17 +172,10 @@
             or self._acks[incarnation].version != version
         }
         if version and not self._outstanding:
-            revisions = [self._acks[name].config_revision for name in required]
-            # A peer with a later revision may keep a permit by a home region that is
-            # not known here yet.
-            behind = max(revisions, default=0) > self._own_revision()
-            if behind and self._settled_revision < 0:
-                revisions.append(-1)
-            revision = min(revisions, default=1 << 63)
             # The right outlasts an acknowledgement of a later version by a peer: it
             # ends only when this entry itself adopts that version.
-            self._settled_revision = max(self._settled_revision, revision)
-        if self._settled_revision >= 0:
+            self._settled = True
+        if self._settled:
             # A former member's list counts until here: what it had lent is from now on
             # listed by the borrowers.
             for incarnation in self._acks.keys() - required.keys():
--- a/src/bulrushdrum/_internal/limits/customer_permits.py
+++ b/src/bulrushdrum/_internal/limits/customer_permits.py
@@ -42,16 +42,14 @@
 class CustomerPermits:
     """Permits of one customer that are owned, in use, lent or borrowed here.
 
-    `home_revision` is a configuration revision by which the home region had its present
-    value. `carried` are the permits in use here under an ownership that has ended; they
+    `carried` are the permits in use here under an ownership that has ended; they
     are listed in acknowledgements until they are released.
     """
 
-    def __init__(self, customer, concurrency, home, home_revision):
+    def __init__(self, customer, concurrency, home):
         self.customer = customer
         self.concurrency = concurrency
         self.home = home
-        self.home_revision = home_revision
         self.in_use: dict[int, Permit] = {}
         self.carried: set[int] = set()
         self.waiters: deque[Waiter | RemoteWaiter] = deque()
--- a/src/bulrushdrum/_internal/limits/permits.py
+++ b/src/bulrushdrum/_internal/limits/permits.py
@@ -50,28 +50,18 @@
         self._entry_set = entry_set
         self._clock = clock
         self._local = entry_set.local.incarnation
-        self._acks = Acknowledgements(entry_set, self._own_revision)
+        self._acks = Acknowledgements(entry_set)
         self._loans = Loans(hub, self, settings, clock)
         self._borrowing = Borrowing(
             hub, self._loans, self.may_borrow, self._order_lenders, settings, clock
         )
-        self._sender = AckSender(
-            hub, entry_set, self._acks, self._list_busy, self._own_revision
-        )
-        self._customers = Customers(
-            replica,
-            clock,
-            lambda state: self._sender.send_if_older(state.home_revision),
-            self.serve,
-            self._sender.send_to_all,
-            self._acks.note_own_revision,
-        )
+        self._sender = AckSender(hub, entry_set, self._acks, self._list_busy)
+        self._customers = Customers(replica, clock, self.serve)
         self._draining = False
         self._wake = Signal()
         self._loop = None
         hub.register(EntrySetAck, self._on_ack)
         hub.on_connected(self._on_connected)
-        hub.on_lost(self._sender.forget)
         entry_set.subscribe(self._on_entry_set)
         entry_set.keep_while(lambda: self.in_use)
 
@@ -275,7 +265,6 @@
 
     def tick(self):
         """Do the periodic work: late acknowledgements, lost loans, idle customers."""
-        self._customers.catch_up()
         self._sender.send_due()
         self._acks.forget_dead()
         self._loans.tick()
@@ -302,8 +291,8 @@
     def _is_usable(self, state, number):
         if number in self._acks.busy(state.customer):
             return False
-        return self._acks.settled(state.home_revision) or self._acks.was_owner(
-            state.customer, number, state.home, state.home_revision
+        return self._acks.settled or self._acks.was_owner(
+            state.customer, number, state.home
         )
 
     def _on_entry_set(self, previous, current):
@@ -319,9 +308,6 @@
         for state in self._customers:
             self.serve(state)
 
-    def _own_revision(self):
-        return self._customers.revision
-
     def _list_busy(self):
         return tuple(
             BusyPermit(state.customer, number)
@@ -344,7 +330,8 @@
         )
         generation = self._acks.generation
         is_new_guest = self._acks.receive(identity, ack)
-        self._sender.answer(connection, ack, is_new_guest)
+        if is_new_guest:
+            self._sender.send_on_connection(connection)
         if self._acks.generation != generation:
             for state in self._customers:
                 self.serve(state)
--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -332,7 +332,6 @@
     version: int = 0
     busy: tuple[BusyPermit, ...] = ()
     sequence: int = 0
-    config_revision: int = 0
     guests: tuple[EntryMember, ...] = ()
 
 
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -243,7 +243,7 @@
   version @0 :UInt64;
   busy @1 :List(BusyPermit);
   sequence @2 :UInt64;       # a later acknowledgement replaces an earlier one
-  configRevision @3 :UInt64;
+  unused @3 :UInt64;
   guests @4 :List(EntryMember);  # entries known to the sender that are not members
 }
 struct EntryMember {
