Say not run of a keyed request only after its key was released

A request that is refused before its key was looked up (over its limit, a stopping entry, no upstream) may be a resend of one that ran. A released key is not bound again for a caller who has left.

--- a/src/bulrushdrum/_internal/caller/frontend.py
+++ b/src/bulrushdrum/_internal/caller/frontend.py
@@ -6,16 +6,18 @@
 """
 
 import time
+from collections.abc import Callable
 from contextlib import contextmanager
 
 from bulrushdrum._internal.caller.completions import ChatSession, EndPart
 from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
+from bulrushdrum._internal.caller.keyed_requests import KeyedRequest
 from bulrushdrum._internal.configuration.replica import ContractReplica
 from bulrushdrum._internal.limits.permits import Permits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.observability.metrics import Metrics
 from bulrushdrum._internal.peering.handshake import PeeringKeys
-from bulrushdrum._internal.peering.messages import Call, CallResult, Header
+from bulrushdrum._internal.peering.messages import Call, Header
 from bulrushdrum._internal.records.record import RequestRecord
 from bulrushdrum._internal.records.replication import RecordKeeper
 from bulrushdrum._internal.routing.attempts import DeliveredToken, ModelRunner
@@ -28,12 +30,7 @@
 from bulrushdrum._internal.routing.calls import CallRunner, ServiceTransport
 from bulrushdrum._internal.routing.chains import ChainPlanner
 from bulrushdrum._internal.routing.claims import ClaimStore
-from bulrushdrum._internal.routing.errors import InvalidIssuedKey
-from bulrushdrum._internal.routing.issued_keys import (
-    is_issued_key,
-    issue_key,
-    read_issued_key,
-)
+from bulrushdrum._internal.routing.issued_keys import issue_key
 from bulrushdrum._internal.routing.once import OnceProcedure
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.contracts import Contract
@@ -122,11 +119,19 @@
     def models(self) -> set[str]:
         return self._planner.models()
 
-    def start_chat(self, contract: Contract, request: ChatRequest) -> ChatSession:
-        """Run a chat request in a greenlet of its own."""
+    def start_chat(
+        self,
+        contract: Contract,
+        request: ChatRequest,
+        caller_waits: Callable[[], bool] = lambda: True,
+    ) -> ChatSession:
+        """Run a chat request in a greenlet of its own.
+
+        `caller_waits()` tells whether the caller is still connected.
+        """
         return ChatSession(
             request,
-            lambda deliver: self._run_chat(contract, request, deliver),
+            lambda deliver: self._run_chat(contract, request, deliver, caller_waits),
             lambda: self._abandon(request),
         )
 
@@ -138,7 +143,17 @@
             raise CallerError("service_not_found", message)
         return issue_key(contract.customer, proposal, self._keys)
 
-    def call(self, contract, service, method, path, headers, body, key):
+    def call(
+        self,
+        contract,
+        service,
+        method,
+        path,
+        headers,
+        body,
+        key,
+        caller_waits: Callable[[], bool] = lambda: True,
+    ):
         """Run a call to a plain service; returns (request id, `CallResult`)."""
         request_id = new_request_id(self._settings.node)
         once = contract.is_non_idempotent_call(service, method, path.partition("?")[0])
@@ -158,16 +173,20 @@
             priority=contract.priority,
         )
         kind = f"{service}:{method}"
-        with self._recorded(contract, request_id, kind) as entry:
+        keyed = self._keyed_call(message, key, caller_waits) if once and key else None
+        with self._recorded(contract, request_id, kind, keyed) as entry:
             if service not in self._calls.services():
-                message = f"service {service!r} has no upstream now"
-                raise CallerError("service_not_found", message)
+                text = f"service {service!r} has no upstream now"
+                raise CallerError("service_not_found", text)
             if once and not key:
                 raise CallerError(
                     "idempotency_key_required",
                     f"{kind} runs at most once by contract; send an Idempotency-Key",
                 )
-            result = self._run_call(message, key if once else "")
+            if keyed is None:
+                result = self._calls.run(message)
+            else:
+                result = keyed.run(self._settings.service_timeout)
             entry.finish(0, 1)
         return request_id, result
 
@@ -178,49 +197,31 @@
             **self._runner.dump(),
         }
 
-    def _run_call(self, message: Call, key: str) -> CallResult:
-        if not key:
-            return self._calls.run(message)
-        transport = ServiceTransport(self._calls.pending, message)
+    def _keyed_call(self, message: Call, key: str, caller_waits) -> KeyedRequest:
         procedure = OnceProcedure(
             self._claims,
-            transport,
+            ServiceTransport(self._calls.pending, message),
             lambda excluded: self._calls.propose(message.service, excluded),
         )
-        timeout = self._settings.service_timeout
-        return self._run_once(procedure, message, key, timeout)
-
-    def _run_once(self, procedure, message, key, timeout) -> CallResult:
-        """Run a request with a key at most once; raises `CallerError`."""
-        customer = message.customer
-        issued = None
-        if is_issued_key(key):
-            try:
-                issued = read_issued_key(key, customer, self._keys)
-            except InvalidIssuedKey as error:
-                raise CallerError("invalid_request", str(error)) from error
-        ended = procedure.run(customer, key, message.fingerprint, timeout, issued)
-        match ended.outcome:
-            case Outcome.ANSWERED:
-                return ended.result
-            case Outcome.NOT_RUN:
-                code = ended.reason or "not_run"
-                raise CallerError(code, f"the request did not run: {ended.reason}")
-            case _:
-                # An earlier request with the same key may have run, so "no" would be
-                # wrong even if nothing was sent for this one.
-                sent = "" if ended.sent else "; nothing was sent for this request"
-                text = f"it is not known whether the key ran: {ended.reason}{sent}"
-                raise CallerError(ended.reason, text, "unknown")
+        customer, fingerprint = message.customer, message.fingerprint
+        return KeyedRequest(
+            procedure, customer, key, fingerprint, self._keys, caller_waits
+        )
 
     def _abandon(self, request):
         running = self._runner.running.get(request.request_id)
         if running is not None and not request.non_idempotent:
             running.cancel()
 
-    def _run_chat(self, contract, request, deliver):
+    def _run_chat(self, contract, request, deliver, caller_waits):
         kind = f"chat:{request.kind}"
-        with self._recorded(contract, request.request_id, kind) as entry:
+        transport = keyed = None
+        if request.non_idempotent and request.idempotency_key:
+            transport = ChatTransport(
+                self._calls.pending, self._runner, request, contract
+            )
+            keyed = self._keyed_chat(request, transport, caller_waits)
+        with self._recorded(contract, request.request_id, kind, keyed) as entry:
             if request.non_idempotent and not request.idempotency_key:
                 raise CallerError(
                     "idempotency_key_required",
@@ -233,7 +234,7 @@
                 deliver(token)
 
             if request.non_idempotent:
-                answer = self._run_bound_chat(contract, request, deliver_timed)
+                answer = self._run_bound_chat(request, transport, keyed, deliver_timed)
             else:
                 answer = self._run_free_chat(contract, request, deliver_timed)
             prompt_tokens = len(request.prompt)
@@ -249,10 +250,7 @@
         chain = running.notes[-1].chain
         return ChatAnswer("", reason, len(running.tokens), chain, len(running.notes))
 
-    def _run_bound_chat(self, contract, request, deliver) -> ChatAnswer:
-        transport = ChatTransport(
-            self._calls.pending, self._runner, request, contract, deliver
-        )
+    def _keyed_chat(self, request, transport, caller_waits) -> KeyedRequest:
         procedure = OnceProcedure(
             self._claims,
             transport,
@@ -260,17 +258,29 @@
                 self._planner, request, self._settings.data_centre, excluded
             ),
         )
-        timeout = self._settings.request_timeout
-        result = self._run_once(procedure, request, request.idempotency_key, timeout)
-        answer = decode_answer(result)
+        return KeyedRequest(
+            procedure,
+            request.customer,
+            request.idempotency_key,
+            request.fingerprint,
+            self._keys,
+            caller_waits,
+        )
+
+    def _run_bound_chat(self, request, transport, keyed, deliver) -> ChatAnswer:
+        transport.deliver_to(deliver)
+        answer = decode_answer(keyed.run(self._settings.request_timeout))
         if not transport.delivered:
             # The key ran before; the caller gets the stored answer in one piece.
             deliver(DeliveredToken(len(request.prompt), 0, answer.text))
         return answer
 
     @contextmanager
-    def _recorded(self, contract, request_id, kind):
-        """Admit a request: open its record, hold a permit, close the record."""
+    def _recorded(self, contract, request_id, kind, keyed=None):
+        """Admit a request: open its record, hold a permit, close the record.
+
+        `keyed` is the `KeyedRequest` of a request that must run at most once.
+        """
         entry = _RecordedRequest(
             contract, request_id, kind, self._incarnation, self._metrics
         )
@@ -289,6 +299,8 @@
             self._records.close(entry.closed(Outcome.ANSWERED, ""))
         except Exception as error:
             caller_error = to_caller_error(error)
+            if keyed is not None:
+                caller_error = keyed.refused(caller_error)
             outcome = _OUTCOMES[caller_error.ran]
             self._records.close(entry.closed(outcome, caller_error.code))
             event = (
@@ -297,8 +309,8 @@
                 else Event.REQUEST_OUTCOME_UNKNOWN
             )
             log_event(event, request=request_id, code=caller_error.code)
-            error.request_id = request_id
-            raise
+            caller_error.request_id = request_id
+            raise caller_error from error
         finally:
             self._in_progress -= 1
 
--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -4,6 +4,7 @@
 import os
 
 import bottle
+from gevent import select, socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -25,11 +26,32 @@
 _SERVICE_METHODS = ["GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH"]
 
 
+# Key of the WSGI environment: whether the caller is still connected.
+CALLER_WAITS = "bulrushdrum.caller_waits"
+
+
+def is_connected(sock) -> bool:
+    """Return whether the peer of `sock` has neither closed nor reset it.
+
+    Only for a connection on which nobody reads: what is there is left unread.
+    """
+    try:
+        readable, _, _ = select.select([sock], [], [], 0)
+        return not readable or sock.recv(1, socket.MSG_PEEK) != b""
+    except (OSError, ValueError):
+        return False
+
+
 class _Handler(WSGIHandler):
     """Reads one request; slow or oversized request heads end the connection."""
 
     MAX_REQUEST_LINE = 8192
 
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[CALLER_WAITS] = lambda: is_connected(self.socket)
+        return environ
+
     def read_requestline(self):
         self.socket.settimeout(REQUEST_READ_TIMEOUT_SECONDS)
         return super().read_requestline()
@@ -168,7 +190,8 @@
         raw = read_body(self._settings.max_body_bytes)
         key = parse_key(bottle.request.get_header("Idempotency-Key", ""))
         parsed = parse_chat(raw, key, contract, self._settings)
-        session = self._frontend.start_chat(contract, parsed.request)
+        caller_waits = bottle.request.environ[CALLER_WAITS]
+        session = self._frontend.start_chat(contract, parsed.request, caller_waits)
         request = session.request
         bottle.response.set_header("X-Request-Id", request.request_id)
         if not parsed.stream:
@@ -228,6 +251,7 @@
             headers,
             read_body(self._settings.max_body_bytes),
             parse_key(request.get_header("Idempotency-Key", "")),
+            request.environ[CALLER_WAITS],
         )
         response = bottle.HTTPResponse(result.body, status=result.status)
         for header in result.headers:
--- a/src/bulrushdrum/_internal/routing/bound_chat.py
+++ b/src/bulrushdrum/_internal/routing/bound_chat.py
@@ -53,13 +53,12 @@
         runner: ModelRunner,
         request: ChatRequest,
         contract: Contract,
-        deliver: Callable[[DeliveredToken], None],
     ):
         self._pending = pending
         self._runner = runner
         self._request = request
         self._contract = contract
-        self._deliver = deliver
+        self._deliver: Callable[[DeliveredToken], None] = lambda token: None
         self._delivered = False
 
     @property
@@ -67,6 +66,10 @@
         """Whether a token has been given to the caller."""
         return self._delivered
 
+    def deliver_to(self, deliver: Callable[[DeliveredToken], None]):
+        """Give the tokens of the answer to `deliver` from now on."""
+        self._deliver = deliver
+
     def send(self, binding: Binding, timeout: float) -> CallResult:
         started = []
         bound = BoundStage(
