--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -42,7 +42,7 @@
 
 MAX_OPERATOR_CONNECTIONS = 100
 _DRAIN_POLL_SECONDS = 0.05
-_CONFIRM_POLL_SECONDS = 0.1
+_CONFIRM_TIMEOUT_SECONDS = 1.0
 
 
 class EntryProcess:
@@ -52,6 +52,8 @@
         self._settings = settings
         self._metrics = Metrics()
         self._stop = Signal()
+        self._resumed = 0.0
+        self._confirming = None
         identity = PeerIdentity(
             kind="entry",
             node=settings.node,
@@ -200,12 +202,16 @@
     def _confirm_after_gap(self, seconds):
         """Admit no request until the configuration is confirmed after a pause."""
         self._frontend.set_confirming(True)
-        gevent.spawn(self._wait_confirmed, time.monotonic())
-
-    def _wait_confirmed(self, resumed):
-        while self._replica.confirmed_seconds_ago() > time.monotonic() - resumed:
-            gevent.sleep(_CONFIRM_POLL_SECONDS)
+        self._resumed = time.monotonic()
+        if not self._confirming:
+            self._confirming = gevent.spawn(self._wait_confirmed)
+
+    def _wait_confirmed(self):
+        # Another pause may begin and end while this one is being confirmed.
+        while self._replica.confirmed_seconds_ago() > time.monotonic() - self._resumed:
+            self._replica.confirm(_CONFIRM_TIMEOUT_SECONDS)
         self._frontend.set_confirming(False)
+        self._confirming = None
 
     def _log_refused(self, address, error):
         log_event(Event.PEER_REFUSED, peer=address, reason=str(error))
