--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -176,6 +176,8 @@
         }
 
     def _report(self, customer, start, end):
+        # The records of other entries are at most one flush interval old.
+        self._records.flush()
         return build_report(self._objects, customer, start, end).to_json()
 
     def _drain(self):
