Tell a crashed engine from a stalled one, and one loss from the next

A stalled engine fails everything open without making its requests suspects. The second call in flight may fail long after the first; it no longer fails attempts that were opened on the engine that came back meanwhile.

--- a/src/bulrushdrum/_internal/settings/sidecar.py
+++ b/src/bulrushdrum/_internal/settings/sidecar.py
@@ -85,7 +85,11 @@
         120.0, unit="s", help="time an engine may take to obey", low=0.5, high=3600.0
     )
     engine_timeout: float = setting(
-        30.0, unit="s", help="time one engine call may take", low=0.1, high=600.0
+        4.0,
+        unit="s",
+        help="time one engine call may take; less than the entries' token_timeout",
+        low=0.1,
+        high=600.0,
     )
     engine_poll_interval: float = setting(
         0.5, unit="s", help="time between load reports", low=0.05, high=60.0
--- a/src/bulrushdrum/_internal/sidecar/engine.py
+++ b/src/bulrushdrum/_internal/sidecar/engine.py
@@ -15,6 +15,7 @@
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
+    ReadTimeoutError,
 )
 
 from bulrushdrum._internal.peering.connections import parse_address
@@ -86,7 +87,8 @@
             return response.status, response.read()
         except (OSError, http.client.HTTPException) as error:
             self._connection.close()
-            raise EngineLost(f"{type(error).__name__}: {error}") from error
+            crashed = not isinstance(error, TimeoutError)
+            raise EngineLost(f"{type(error).__name__}: {error}", crashed) from error
 
     def _ensure_connected(self):
         sock = self._connection.sock
@@ -127,7 +129,8 @@
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise EngineUnreachable(str(error)) from error
         except (HTTPError, OSError) as error:
-            raise EngineLost(f"{type(error).__name__}: {error}") from error
+            crashed = not isinstance(error, (ReadTimeoutError, TimeoutError))
+            raise EngineLost(f"{type(error).__name__}: {error}", crashed) from error
         return _decoded(response.status, response.data)
 
     def describe(self) -> EngineState:
--- a/src/bulrushdrum/_internal/sidecar/errors.py
+++ b/src/bulrushdrum/_internal/sidecar/errors.py
@@ -10,7 +10,14 @@
 
 
 class EngineLost(SidecarError):
-    """The engine did not answer; it may have run what was sent to it."""
+    """The engine did not answer; it may have run what was sent to it.
+
+    `crashed` is false if it only took too long.
+    """
+
+    def __init__(self, message: str, crashed: bool):
+        super().__init__(message)
+        self.crashed = crashed
 
 
 class EngineRefused(SidecarError):
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -127,7 +127,7 @@
             self._status,
             self._settings,
             lambda: self._stages.loop.in_flight,
-            lambda: self._stages.fail_all("engine_lost"),
+            lambda reason: self._stages.loop.engine_lost(reason, crashed=False),
             self._on_cache_changes,
         )
 
--- a/src/bulrushdrum/_internal/sidecar/stages.py
+++ b/src/bulrushdrum/_internal/sidecar/stages.py
@@ -381,21 +381,28 @@
         for sequence in sequences:
             self.fail(sequence, f"engine_refused: {reason}")
 
-    def call_unanswered(self, sequences, reason):
-        """The engine died: all KV cache is lost, so every open attempt fails."""
-        incident = secrets.token_hex(8)
-        suspects = tuple({one.open.fingerprint for one in sequences})
+    def call_unanswered(self, sequences, reason, crashed):
+        """The engine died or stalled: its KV cache is lost, so all attempts fail.
+
+        Only a crash makes the requests on board suspects; an engine that is paused or
+        overloaded says nothing of them.
+        """
+        incident, suspects = "", ()
+        if crashed and sequences:
+            incident = secrets.token_hex(8)
+            suspects = tuple({one.open.fingerprint for one in sequences})
         self._status.update(engine=None)
-        log_event(Event.ENGINE_LOST, reason=reason, open=len(self._sequences))
+        log_event(
+            Event.ENGINE_LOST,
+            reason=reason,
+            open=len(self._sequences),
+            suspects=list(suspects),
+        )
         # Every report names the same requests, so an entry may learn of the incident
         # from whichever it receives first.
         for sequence in self.sequences():
             self.fail(sequence, "engine_lost", suspects=suspects, incident=incident)
 
-    def fail_all(self, cause: str):
-        for sequence in self.sequences():
-            self.fail(sequence, cause)
-
     def next_hop_lost(self, incarnation: str, reason: str):
         """Fail the attempts that send to the sidecar `incarnation`."""
         for sequence in self.sequences():
--- a/src/bulrushdrum/_internal/sidecar/step_loop.py
+++ b/src/bulrushdrum/_internal/sidecar/step_loop.py
@@ -52,7 +52,7 @@
 
     def call_not_sent(self, sequences, reason): ...
 
-    def call_unanswered(self, sequences, reason): ...
+    def call_unanswered(self, sequences, reason, crashed): ...
 
     def call_refused(self, sequences, reason): ...
 
@@ -76,6 +76,7 @@
         self._queue = FairQueue(settings.open_limit)
         self._ready = Event()
         self._calls: list[list[Sequence]] = []
+        self._engine_losses = 0
         self._steps_done = 0
         self._calls_done = 0
 
@@ -169,6 +170,7 @@
         for sequence in fresh:
             sequence.passed = True
         self._calls.append(sequences)
+        losses = self._engine_losses
         try:
             version, results = self._engine.run_steps(
                 [_engine_step(sequence, step) for sequence, step in batch]
@@ -178,8 +180,10 @@
                 sequence.passed = False
             self._results.call_not_sent(sequences, str(error))
         except EngineLost as error:
-            dying = [sequence for call in self._calls for sequence in call]
-            self._results.call_unanswered(dying, str(error))
+            # The other call in flight fails with the first one. Its own failure comes
+            # later and says nothing of what was opened meanwhile.
+            if losses == self._engine_losses:
+                self.engine_lost(str(error), error.crashed)
         except EngineRefused as error:
             self._results.call_refused(sequences, str(error))
         else:
@@ -187,6 +191,12 @@
         finally:
             self._calls.remove(sequences)
 
+    def engine_lost(self, reason: str, crashed: bool):
+        """Report all calls in flight as unanswered."""
+        self._engine_losses += 1
+        dying = [sequence for call in self._calls for sequence in call]
+        self._results.call_unanswered(dying, reason, crashed)
+
     def _deliver(self, batch, version, results):
         self._calls_done += 1
         self._steps_done += len(batch)
--- a/src/bulrushdrum/_internal/sidecar/watching.py
+++ b/src/bulrushdrum/_internal/sidecar/watching.py
@@ -15,7 +15,7 @@
     EngineLoad,
     EngineState,
 )
-from bulrushdrum._internal.sidecar.errors import SidecarError
+from bulrushdrum._internal.sidecar.errors import EngineLost, SidecarError
 from bulrushdrum._internal.sidecar.loops import spawn_loop
 from bulrushdrum._internal.sidecar.status import UpstreamStatus
 
@@ -23,7 +23,7 @@
 class EngineWatch:
     """Polls the engine's state and load, and its cache events.
 
-    `on_lost()` is called when the engine is found gone between calls, and
+    `on_lost(reason)` is called when the engine is found gone or stalled, and
     `on_cache_changes(changes)` with new changes of its prefix cache.
     """
 
@@ -33,7 +33,7 @@
         status: UpstreamStatus,
         settings: SidecarSettings,
         calls_in_flight: Callable[[], int],
-        on_lost: Callable[[], None],
+        on_lost: Callable[[str], None],
         on_cache_changes: Callable[[list[CacheChange]], None],
     ):
         self._engine = engine
@@ -59,18 +59,25 @@
     def _poll(self):
         try:
             state = self._engine.describe()
+        except SidecarError as error:
+            self._not_found(error)
+            return
+        self._found(state)
+        try:
             self._load = self._engine.load()
             if state.first_layer == 0:
                 self._read_cache_changes()
-        except SidecarError as error:
-            # Calls in flight find out for themselves, and know which requests were on
-            # board.
-            if self._status.engine is not None and not self._calls_in_flight():
-                self._status.update(engine=None)
-                log_event(Event.ENGINE_LOST, reason=str(error))
-                self._on_lost()
+        except SidecarError:
+            pass  # the next poll tells whether the engine is there
+
+    def _not_found(self, error):
+        if self._status.engine is None:
             return
-        self._found(state)
+        crashed = not isinstance(error, EngineLost) or error.crashed
+        if crashed and self._calls_in_flight():
+            # These calls fail by themselves, and know which requests were on board.
+            return
+        self._on_lost(str(error))
 
     def _found(self, state: EngineState):
         if self._status.engine is None:
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -205,7 +205,7 @@
 @pytest.mark.parametrize("obeyed", [True, False])
 def test_a_lost_answer_is_settled_by_reading_back(world, obeyed):
     # Guards against a guess about an order whose answer was lost.
-    failures = iter([EngineLost("no answer")])
+    failures = iter([EngineLost("no answer", crashed=True)])
 
     def lose(order):
         for error in failures:
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
-from tests.unit.stage_fakes import LAST, StageUnderTest
+from tests.unit.stage_fakes import LAST, STATE, StageUnderTest
 
 from bulrushdrum._internal.peering.messages import AttemptFailed, Close, Step, Token
 from bulrushdrum._internal.sidecar.errors import (
@@ -127,7 +127,7 @@
         stage.open(request)
     stage.step(0, [1, 2, 3], "r1")
     stage.settle()
-    stage.engine.fail = fails_with(EngineLost("reset"))
+    stage.engine.fail = fails_with(EngineLost("reset", crashed=True))
     stage.step(0, [1, 2, 3], "r2")
     stage.settle()
     failed = {one.request: one for one in stage.entry.of(AttemptFailed)}
@@ -150,7 +150,7 @@
     def block_first_and_lose_second(steps):
         if steps[0]["request"] == "r1":
             released.wait()
-        raise EngineLost("reset")
+        raise EngineLost("reset", crashed=True)
 
     stage.engine.fail = block_first_and_lose_second
     for request in ("r1", "r2"):
@@ -164,6 +164,43 @@
     assert [sorted(one.suspects) for one in failed] == [["f-r1", "f-r2"]] * 2
 
 
+def test_a_stalled_engine_makes_no_suspects():
+    # Guards against innocent requests that are kept apart after a pause of their VM.
+    stage = StageUnderTest()
+    stage.open()
+    stage.engine.fail = fails_with(EngineLost("timed out", crashed=False))
+    stage.step(0, [1, 2, 3])
+    stage.settle()
+    (failed,) = stage.entry.of(AttemptFailed)
+    assert failed.ran and (failed.suspects, failed.incident) == ((), "")
+
+
+def test_a_late_failure_spares_what_was_opened_after_the_loss():
+    # Guards against attempts on a new engine that fail with a call to the old one.
+    stage = StageUnderTest()
+    released = gevent.event.Event()
+
+    def block_first_and_lose_second(steps):
+        if steps[0]["request"] == "r1":
+            released.wait()
+            raise EngineLost("timed out", crashed=False)
+        if steps[0]["request"] == "r2":
+            raise EngineLost("reset", crashed=True)
+
+    stage.engine.fail = block_first_and_lose_second
+    for request in ("r1", "r2"):
+        stage.open(request)
+        stage.step(0, [1, 2, 3], request)
+        gevent.sleep(0)
+    stage.settle()
+    stage.status.update(engine=STATE)
+    stage.open("r3")
+    released.set()
+    stage.settle()
+    assert [one.request for one in stage.entry.of(AttemptFailed)] == ["r1", "r2"]
+    assert stage.stages.open_count == 1
+
+
 def test_a_result_after_the_close_goes_nowhere():
     # Guards against a step or token of an attempt that its entry has ended.
     stage = StageUnderTest()
