--- a/tests/integration/test_sidecar_processes.py
+++ b/tests/integration/test_sidecar_processes.py
@@ -194,6 +194,44 @@
     assert (answer.failure.upstream, answer.failure.ran) == ("s1", True)
 
 
+def test_a_stalled_engine_fails_its_attempts_and_serves_again(system):
+    # Guards against requests that wait for a paused engine, and against its late
+    # results in a new attempt.
+    chain = system.chain(2, engine={"iteration_ms": 5}, engine_timeout=0.5)
+    running = gevent.spawn(system.probe.request, chain, PROMPT, 200, request="r")
+    gevent.sleep(0.5)
+    system.processes["e1"].pause()
+    failed = running.get(timeout=5)
+    assert (failed.failure.cause, failed.failure.suspects) == ("engine_lost", ())
+    system.processes["e1"].resume()
+    wait_for(lambda: system.probe.described["s1"].state == "serving", "the engine")
+    prefix = [token.token for token in failed.tokens]
+    again = system.probe.request(chain, [*PROMPT, *prefix], 5, request="r", attempt=2)
+    assert prefix + [token.token for token in again.tokens] == expected(len(prefix) + 5)
+
+
+def test_a_paused_sidecar_does_not_disturb_the_next_attempt(system):
+    # Guards against steps of an old attempt that a resumed sidecar still runs.
+    chain = system.chain(2, engine={"iteration_ms": 5}, entry_lost_after=0.5)
+    running = gevent.spawn(system.probe.request, chain, PROMPT, 200, request="r")
+    gevent.sleep(0.5)
+    system.processes["s1"].pause()
+    failed = running.get(timeout=5)
+    assert failed.failure.cause.startswith("link_lost")
+    gevent.sleep(1.0)
+    system.processes["s1"].resume()
+    chain[1] = system.probe.connect(system.port["s1"])
+    prefix = [token.token for token in failed.tokens]
+    again = system.probe.request(chain, [*PROMPT, *prefix], 5, request="r", attempt=2)
+    tokens = prefix + [token.token for token in again.tokens]
+    assert tokens == expected(len(prefix) + 5)
+    delivered = tuple((len(PROMPT) + i, token) for i, token in enumerate(tokens))
+    attempts = (Attempt(1), Attempt(2, "link_lost"))
+    delivery = Delivery("r", len(PROMPT), delivered, "answered", attempts)
+    verdict = check_history(runs_of(system, "e0", "e1"), [delivery], LAYERS)
+    assert verdict.violations == []
+
+
 def test_only_one_sidecar_holds_the_slot(system):
     # Guards against two sidecars that give orders to one engine.
     system.chain(1)
