--- a/src/bulrushdrum/_internal/records/record.py
+++ b/src/bulrushdrum/_internal/records/record.py
@@ -53,10 +53,10 @@
         return day_of(self.arrival)
 
 
-_TYPES = tuple(
-    (int, float) if kind is float else kind
-    for kind in RequestRecord.__annotations__.values()
-)
+_TYPES = {
+    name: (int, float) if kind is float else kind
+    for name, kind in RequestRecord.__annotations__.items()
+}
 _OUTCOMES = {"", *Outcome}
 _RANKS = {Outcome.ANSWERED: 3, Outcome.NOT_RUN: 2, Outcome.UNKNOWN: 1, "": 0}
 
@@ -67,25 +67,37 @@
 
 
 def encode_record(record: RequestRecord) -> str:
-    """Return the record as one line of JSON. Times are kept to the millisecond."""
-    values = [
-        round(value, 3) if isinstance(value, float) else value for value in record
-    ]
+    """Return the record as one line of JSON, an object without the default values.
+
+    The request's id is under "id". Times are kept to the millisecond.
+    """
+    values = {"id": record.request_id}
+    for name, value in zip(RequestRecord._fields[1:], record[1:], strict=True):
+        if value != RequestRecord._field_defaults.get(name):
+            values[name] = round(value, 3) if isinstance(value, float) else value
     return json.dumps(values, separators=(",", ":"))
 
 
 def decode_record(text: str | bytes) -> RequestRecord:
-    """Return the record in `text`; raises `RecordUnreadable`."""
+    """Return the record in `text`; raises `RecordUnreadable`.
+
+    Fields that a newer release has added are left out.
+    """
     try:
         values = json.loads(text)
     except ValueError as error:
         raise RecordUnreadable(f"{text!r} is not JSON: {error}") from error
-    if not isinstance(values, list) or len(values) != len(_TYPES):
-        raise RecordUnreadable(f"{text!r} is not a list of {len(_TYPES)} values")
-    for name, kind, value in zip(RequestRecord._fields, _TYPES, values, strict=True):
-        if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+    if not isinstance(values, dict) or not {"id", "customer"} <= values.keys():
+        raise RecordUnreadable(f"{text!r} is not an object with id and customer")
+    values["request_id"] = values.pop("id")
+    values = {name: values[name] for name in _TYPES if name in values}
+    for name, value in values.items():
+        kind = _TYPES[name]
+        if not isinstance(value, kind) or (
+            isinstance(value, bool) and kind is not bool
+        ):
             raise RecordUnreadable(f"{name}: {value!r} has the wrong type")
-    record = RequestRecord._make(values)
+    record = RequestRecord(**values)
     if record.outcome not in _OUTCOMES:
         raise RecordUnreadable(f"outcome: {record.outcome!r} is not an outcome")
     return record
