--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -63,7 +63,8 @@
         waiter = self.permits[borrower].enqueue(customer, "r")
         assert waiter.permit is None
         assert self.permits[borrower].borrow(lender, customer)
-        self.network.deliver(borrower, lender)
+        while self.network.queues[borrower, lender]:
+            self.network.deliver(borrower, lender)
         return waiter
 
     def kill(self, name):
@@ -264,6 +265,23 @@
     assert world.permits["a"].in_use == 1
 
 
+def test_returned_loan_is_not_taken_for_an_own_permit():
+    # Guards against a borrower that will own the permit, but may not use it yet, and
+    # keeps it after it has returned it.
+    customer = customer_owned_by(("a", "a"), ("b", "ab"))
+    world = World(["a"], concurrency=1, customer=customer)
+    world.start("b")
+    world.sets["b"].poll()
+    waiter = world.lend("a", "b", customer)
+    while waiter.permit is None:
+        world.network.deliver("a", "b")
+    world.permits["b"].release(waiter.permit)
+    assert world.permits["b"].enqueue(customer, "r").permit is None
+    while world.network.queues["b", "a"]:
+        world.network.deliver("b", "a")
+    assert world.permits["a"].enqueue(customer, "r").permit is not None
+
+
 def test_lost_return_on_a_lasting_connection_is_recovered():
     # Guards against a permit that stays lent while the connection never breaks.
     customer = customer_owned_by(("a", "ab"))
@@ -321,10 +339,11 @@
     world.network.deliver_all()
     assert first.permit is not None and second.permit is None
     world.permits["b"].cancel(gone)
+    world.network.deliver_all()
+    assert world.permits["a"].dump()["loans"]["queued"] == 0
     world.permits["b"].release(first.permit)
     world.network.deliver_all()
     assert second.permit is not None
-    assert world.permits["a"].dump()["loans"]["queued"] == 0
 
 
 def test_entry_does_not_leave_the_set_while_a_permit_is_in_use():
