--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -148,19 +148,40 @@
 
 
 def test_loss_during_a_repeated_copy_keeps_the_earlier_copy(monkeypatch):
-    # Guards against a partner that drops what it has before the new copy is complete.
+    # Guards against a partner that drops what it has before the new copy is complete,
+    # and against an older state that goes before the newer one.
     monkeypatch.setattr(copying, "_MAX_BATCH", 1)
     world = World(("a", "d1"), ("b", "d2"))
     for index in range(3):
         world.keepers["a"].open(record(f"r{index}"))
     world.settle()
+    world.keepers["a"].close(record("r0", "answered"))
     world.network.replace("a", "b")
     world.keepers["a"].send_copies()
     world.network.deliver("a", "b")
     world.kill("a")
     world.settle()
     world.keepers["b"].flush()
-    assert len({r.request_id for r in world.objects.records()}) == 3
+    outcomes = {r.request_id: r.outcome for r in world.objects.records()}
+    assert outcomes == {"r0": "answered", "r1": "unknown", "r2": "unknown"}
+
+
+def test_object_written_before_its_copy_is_sent_is_not_copied(monkeypatch):
+    # Guards against records that stay with the partner after its notice has come.
+    monkeypatch.setattr(copying, "_MAX_UNACKNOWLEDGED", 1)
+    world = World(("a", "d1"), ("b", "d2"))
+    keeper = world.keepers["a"]
+    world.objects.fault = "down"
+    for index in range(2):
+        keeper.close(record(f"r{index}", "answered"))
+        keeper.flush()
+    world.settle()
+    world.network.replace("a", "b")
+    keeper.send_copies()  # the first object; the second waits for an acknowledgement
+    world.objects.fault = ""
+    keeper.flush()
+    world.settle()
+    assert world.keepers["b"].dump()["held"] == {"a": 0}
 
 
 def test_compressed_copies_are_dropped_and_taken_over(monkeypatch):
