--- a/src/bulrushdrum/_internal/sidecar/watching.py
+++ b/src/bulrushdrum/_internal/sidecar/watching.py
@@ -10,19 +10,21 @@
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.engine import (
     CONNECT_TIMEOUT_SECONDS,
+    CacheChange,
     EngineClient,
     EngineLoad,
     EngineState,
 )
-from bulrushdrum._internal.sidecar.errors import SidecarError
+from bulrushdrum._internal.sidecar.errors import EngineLost, SidecarError
+from bulrushdrum._internal.sidecar.loops import spawn_loop
 from bulrushdrum._internal.sidecar.status import UpstreamStatus
 
 
 class EngineWatch:
     """Polls the engine's state and load, and its cache events.
 
-    `on_lost()` is called when the engine is found gone between calls, and
-    `on_cache_events(events)` with new events of its prefix cache.
+    `on_lost(reason)` is called when the engine is found gone or stalled, and
+    `on_cache_changes(changes)` with new changes of its prefix cache.
     """
 
     def __init__(
@@ -31,15 +33,15 @@
         status: UpstreamStatus,
         settings: SidecarSettings,
         calls_in_flight: Callable[[], int],
-        on_lost: Callable[[], None],
-        on_cache_events: Callable[[list[dict]], None],
+        on_lost: Callable[[str], None],
+        on_cache_changes: Callable[[list[CacheChange]], None],
     ):
         self._engine = engine
         self._status = status
         self._settings = settings
         self._calls_in_flight = calls_in_flight
         self._on_lost = on_lost
-        self._on_cache_events = on_cache_events
+        self._on_cache_changes = on_cache_changes
         self._load = EngineLoad(0, 0, 0.0)
         self._cache_sequence = 0
 
@@ -48,28 +50,34 @@
         return self._load
 
     def start(self):
-        gevent.spawn(self._run)
+        spawn_loop("engine watch", self._poll_and_wait)
 
-    def _run(self):
-        while True:
-            self._poll()
-            gevent.sleep(self._settings.engine_poll_interval)
+    def _poll_and_wait(self):
+        self._poll()
+        gevent.sleep(self._settings.engine_poll_interval)
 
     def _poll(self):
         try:
             state = self._engine.describe()
-            self._load = self._engine.load()
-            if state.first_layer == 0:
-                self._read_cache_events()
         except SidecarError as error:
-            # Calls in flight find out for themselves, and know which requests were on
-            # board.
-            if self._status.engine is not None and not self._calls_in_flight():
-                self._status.update(engine=None)
-                log_event(Event.ENGINE_LOST, reason=str(error))
-                self._on_lost()
+            self._not_found(error)
             return
         self._found(state)
+        try:
+            self._load = self._engine.load()
+            if state.first_layer == 0:
+                self._read_cache_changes()
+        except SidecarError:
+            pass  # the next poll tells whether the engine is there
+
+    def _not_found(self, error):
+        if self._status.engine is None:
+            return
+        crashed = not isinstance(error, EngineLost) or error.crashed
+        if crashed and self._calls_in_flight():
+            # These calls fail by themselves, and know which requests were on board.
+            return
+        self._on_lost(str(error))
 
     def _found(self, state: EngineState):
         if self._status.engine is None:
@@ -82,11 +90,11 @@
             )
         self._status.update(engine=state)
 
-    def _read_cache_events(self):
-        events = self._engine.cache_events(self._cache_sequence)
-        if events:
-            self._cache_sequence = max(event["sequence"] for event in events)
-            self._on_cache_events(events)
+    def _read_cache_changes(self):
+        changes = self._engine.cache_changes(self._cache_sequence)
+        if changes:
+            self._cache_sequence = max(change.sequence for change in changes)
+            self._on_cache_changes(changes)
 
 
 class ServiceWatch:
@@ -99,15 +107,14 @@
         self._address = parse_address(url)
 
     def start(self):
-        gevent.spawn(self._run)
-
-    def _run(self):
-        while True:
-            try:
-                socket.create_connection(
-                    self._address, timeout=CONNECT_TIMEOUT_SECONDS
-                ).close()
-                self._status.update(reachable=True)
-            except OSError:
-                self._status.update(reachable=False)
-            gevent.sleep(self._settings.engine_poll_interval)
+        spawn_loop("service watch", self._poll_and_wait)
+
+    def _poll_and_wait(self):
+        try:
+            socket.create_connection(
+                self._address, timeout=CONNECT_TIMEOUT_SECONDS
+            ).close()
+            self._status.update(reachable=True)
+        except OSError:
+            self._status.update(reachable=False)
+        gevent.sleep(self._settings.engine_poll_interval)
