--- a/src/bulrushdrum/__main__.py
+++ b/src/bulrushdrum/__main__.py
@@ -12,7 +12,7 @@
     """Run the role or command in `arguments` and return its exit code."""
     # The roles are dispatched here, because the command line library takes memory that
     # a sidecar does not have.
-    match arguments:
+    match [part for argument in arguments for part in argument.split("=", 1)]:
         case ["entry" | "sidecar" as role, "--settings", path]:
             from bulrushdrum._internal.operator.roles import run_role
 
--- a/src/bulrushdrum/_internal/operator/client.py
+++ b/src/bulrushdrum/_internal/operator/client.py
@@ -28,8 +28,11 @@
             raise CommandFailed(
                 "usage", "set --operator or BULRUSHDRUM_OPERATOR to an entry's address"
             )
-        if not key:
-            raise CommandFailed("usage", "set --key or BULRUSHDRUM_OPERATOR_KEY")
+        if not key or not key.isascii() or not key.isprintable():
+            raise CommandFailed(
+                "usage",
+                "set --key or BULRUSHDRUM_OPERATOR_KEY to a key of printable ASCII",
+            )
         try:
             host, port = parse_address(address)
         except ValueError as error:
--- a/src/bulrushdrum/_internal/operator/commands.py
+++ b/src/bulrushdrum/_internal/operator/commands.py
@@ -164,11 +164,10 @@
     }
     contract |= {name: value for name, value in changes.items() if value is not None}
     contract.setdefault("customer", customer)
-    hashes = [
-        digest
-        for digest in contract.get("api_key_hashes", [])
-        if digest not in (remove_api_key_hash or [])
-    ]
+    listed = contract.get("api_key_hashes", [])
+    if not isinstance(listed, list):
+        raise CommandFailed("usage", f"{file}: api_key_hashes is not a list")
+    hashes = [one for one in listed if one not in (remove_api_key_hash or [])]
     api_key = f"bd-{secrets.token_urlsafe(32)}" if new_api_key else ""
     added = [*(api_key_hash or []), *([hash_api_key(api_key)] if api_key else [])]
     contract["api_key_hashes"] = hashes + [one for one in added if one not in hashes]
--- a/src/bulrushdrum/_internal/settings/entry.py
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -25,6 +25,11 @@
         raise ValueError(f"{value!r} is not one of {', '.join(policies)}")
 
 
+def _is_operator_key(value):
+    if len(value) < 16 or not value.isascii() or not value.isprintable():
+        raise ValueError("the value is not 16 or more printable ASCII characters")
+
+
 @dataclass(frozen=True)
 class EntrySettings:
     """All settings of `bulrushdrum entry`; times are in seconds."""
@@ -35,7 +40,9 @@
     listen: str = setting(check=parse_address, help="address for other processes")
     http_listen: str = setting(check=parse_address, help="address for callers")
     operator_listen: str = setting(check=parse_address, help="address for operators")
-    operator_key: str = setting(secret=True, help="bearer token of operators")
+    operator_key: str = setting(
+        secret=True, check=_is_operator_key, help="bearer token of operators"
+    )
     keys: dict[str, str] = setting(secret=True, help="shared peer keys by key id")
     current_key: str = setting(help="id of the key used when dialling")
     table_url: str = setting(check=_is_url, help="the platform's table service")
--- a/tests/integration/test_command.py
+++ b/tests/integration/test_command.py
@@ -14,7 +14,8 @@
 IMPORTS = """
 import sys
 from bulrushdrum.__main__ import run
-status = run(["{role}", "--settings", "{path}"])
+status = run(["{role}", "--settings={path}"])
+assert status == run(["{role}", "--settings", "{path}"])
 print(status, *sorted({{name.split(".")[0] for name in sys.modules}}))
 if "{role}" == "sidecar":
     import bulrushdrum._internal.sidecar.process
--- a/tests/unit/test_operators.py
+++ b/tests/unit/test_operators.py
@@ -177,10 +177,35 @@
     assert bulrushdrum("contracts", "list", "--operator", "nonsense")[0] == 2
     assert bulrushdrum("contracts", "list", "--operator", "127.0.0.1:21998")[0] == 1
     assert bulrushdrum("contracts", "list", "--key", "wrong")[0] == 1
+    assert bulrushdrum("contracts", "list", "--key", "\u65e5")[0] == 2
     code, _, err = bulrushdrum("report", "down", "--json")
     assert code == 1 and json.loads(err)["error"]["code"] == "store_unavailable"
 
 
+@pytest.mark.parametrize(
+    ("text", "code"),
+    [
+        ('{"customer": "f1", "share": 4, "api_key_hashes": ["' + "ab" * 32 + '"]}', 0),
+        ('{"customer": "f2"}', 1),
+        ('{"api_key_hashes": 7}', 2),
+        ("[]", 2),
+        ("{", 2),
+    ],
+)
+def test_contract_from_a_file(entry, bulrushdrum, tmp_path, text, code):
+    # Guards against a traceback, or half of a contract, from a file that is wrong.
+    path = tmp_path / "contract.json"
+    path.write_text(text)
+    before = entry.replica.contract("f1")
+    arguments = ("contracts", "set", "f1", "--file", str(path), "--priority", "7")
+    assert bulrushdrum(*arguments)[0] == code
+    made = entry.replica.contract("f1")
+    if code:
+        assert made == before
+    else:
+        assert (made.share, made.priority, len(made.api_key_hashes)) == (4.0, 7, 1)
+
+
 def test_edit_during_an_outage(entry, bulrushdrum):
     # Guards against "refused" for an edit that may have been made, and against a change
     # of contracts while the store is down.
@@ -244,7 +269,9 @@
 def test_check_settings(bulrushdrum, tmp_path):
     # Guards against a check that passes whatever the file holds.
     path = tmp_path / "entry.json5"
-    path.write_text("{node: 'a', /* comment */ nod: 1}")
+    path.write_text("{node: 'a', /* comment */ nod: 1, operator_key: ''}")
     code, _, err = bulrushdrum("check-settings", "entry", str(path))
     assert code == 1
     assert "nod: unknown field" in err and "data_centre: missing" in err
+    # An empty key would let everybody in.
+    assert "operator_key: the value is not 16 or more" in err
