--- a/src/bulrushdrum/_internal/configuration/peers.py
+++ b/src/bulrushdrum/_internal/configuration/peers.py
@@ -27,7 +27,9 @@
 # time to send it: a part takes about 4 ms and all contracts together 20 MB.
 _SNAPSHOT_PART_ENTRIES = 200
 _SNAPSHOT_PAUSE_SECONDS = 0.01
-_SNAPSHOT_TIMEOUT_SECONDS = 30.0
+# One that is cut off may look connected for some seconds; a change must be in force
+# within 10 s.
+_FILLING_PEERS = 3
 
 
 class _Query:
@@ -104,26 +106,27 @@
             if message.ready
         ]
         for _, connection in sorted(heads, key=lambda pair: -pair[0]):
-            answer = self._ask(connection, 0, _SNAPSHOT_TIMEOUT_SECONDS)
+            answer = self._ask(connection, 0)
             if answer is not None and answer.ready:
                 return self._replica.ready
         return False
 
     def fill(self, after: int) -> bool:
-        """Ask the entry with the highest revision for what follows `after`."""
+        """Ask the entries with the highest revisions for what follows `after`."""
         connections = [
-            connection
+            (self._revisions.get(connection.peer.incarnation, 0), connection)
             for connection in self._hub.connections("entry")
-            if self._revisions.get(connection.peer.incarnation, 0) > after
         ]
-        if not connections:
-            return False
-        best = max(connections, key=lambda c: self._revisions[c.peer.incarnation])
-        return self._ask(best, after, _SNAPSHOT_TIMEOUT_SECONDS) is not None
+        newer = [pair for pair in connections if pair[0] > after]
+        newer.sort(key=lambda pair: -pair[0])
+        return any(
+            self._ask(connection, after) is not None
+            for _, connection in newer[:_FILLING_PEERS]
+        )
 
     def _ask_each(self, connections, after):
         waiting = [
-            (connection, gevent.spawn(self._ask, connection, after, self._wait_seconds))
+            (connection, gevent.spawn(self._ask, connection, after))
             for connection in connections
         ]
         gevent.joinall([greenlet for _, greenlet in waiting])
@@ -133,13 +136,19 @@
             if greenlet.value is not None
         ]
 
-    def _ask(self, connection, after, timeout_seconds):
+    def _ask(self, connection, after):
+        """Return the last message of the answer, or `None` if the peer falls silent."""
         token = next(self._tokens)
         query = self._queries[token] = _Query()
         try:
             connection.send(ConfigQuery(after, token))
-            return query.answer.get(timeout=timeout_seconds)
-        except (ConnectionLost, gevent.Timeout):
+            received = -1
+            while query.parts > received:
+                received = query.parts
+                if query.answer.wait(timeout=self._wait_seconds) is not None:
+                    return query.answer.value
+            return None
+        except ConnectionLost:
             return None
         finally:
             del self._queries[token]
--- a/tests/unit/test_configuration_replica.py
+++ b/tests/unit/test_configuration_replica.py
@@ -258,6 +258,18 @@
     eventually(lambda: third.revision == 2)
 
 
+def test_a_gap_is_filled_although_the_best_peer_is_silent(entries):
+    # Guards against waiting for a peer that was cut off, while the table is down and
+    # another peer has the entry.
+    first, second, third, editor = make_three(entries, FakeTable())
+    for peer in (first, second):
+        peer.hub.links["c#1"].drop = lambda message: True
+    assert editor.edit("contract", "c0", contract("c0"), 1).unconfirmed == ("c",)
+    second.hub.links["c#1"].drop = lambda message: False
+    third.observe_revision("a#1", 3)
+    eventually(lambda: third.revision == 2, seconds=1.5)
+
+
 def test_confirmation_is_counted_from_the_question(entries):
     # Guards against a paused entry that takes an old answer for a fresh one.
     table = FakeTable()
