--- a/src/bulrushdrum/_internal/settings/reading.py
+++ b/src/bulrushdrum/_internal/settings/reading.py
@@ -2,7 +2,8 @@
 
 A role describes its settings as a frozen dataclass. `read_settings` checks every field
 of the file against it and reports all faults at once, each with the field, the value
-and what would be right. Constraints stand in the field's metadata, see `setting`.
+and what would be right. Constraints stand in the field's metadata, see `setting`; a
+dataclass may have a method `contradictions` that returns what is wrong between fields.
 """
 
 import dataclasses
@@ -135,7 +136,12 @@
         elif field.default is _REQUIRED and field.default_factory is _REQUIRED:
             what = field.metadata.get("help") or _describe(hints[name])
             problems.append(f"{where}: missing; it must be set ({what})")
-    return None if problems else kind(**values)
+    if problems:
+        return None
+    settings = kind(**values)
+    if hasattr(settings, "contradictions"):
+        problems += [f"{prefix}{text}" for text in settings.contradictions()]
+    return settings
 
 
 def parse_settings(text: str, kind: type, source: str = "settings"):
--- a/src/bulrushdrum/_internal/settings/sidecar.py
+++ b/src/bulrushdrum/_internal/settings/sidecar.py
@@ -152,6 +152,19 @@
         600.0, unit="s", help="longest wait for running work", low=0.0, high=86_400.0
     )
 
+    def contradictions(self) -> list[str]:
+        """Return what is wrong between fields that are right by themselves."""
+        problems = []
+        if self.current_key not in self.keys:
+            known = ", ".join(self.keys)
+            problems.append(f"current_key: {self.current_key!r} is not one of {known}")
+        if (self.kind == "service") != bool(self.service):
+            problems.append(
+                f"service: {self.service!r} does not fit kind {self.kind!r}; a plain "
+                "service needs a name and an engine has none"
+            )
+        return problems
+
     @property
     def upstream_id(self) -> str:
         return self.upstream or self.node
--- a/src/bulrushdrum/_internal/sidecar/sequences.py
+++ b/src/bulrushdrum/_internal/sidecar/sequences.py
@@ -127,6 +127,18 @@
             activation=step.activation[:width],
         )
 
+    def dump(self) -> dict:
+        return {
+            "request": self.open.request,
+            "attempt": self.open.attempt,
+            "stage": self.open.stage,
+            "customer": self.open.customer,
+            "next_position": self.next_position,
+            "pending": len(self.pending),
+            "in_flight": self.in_flight,
+            "passed": self.passed,
+        }
+
     def close(self):
         """Drop what waits; results that still come are not used."""
         self.closed = True
--- a/src/bulrushdrum/_internal/sidecar/stages.py
+++ b/src/bulrushdrum/_internal/sidecar/stages.py
@@ -27,9 +27,10 @@
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.bindings import BindingTable, Run
 from bulrushdrum._internal.sidecar.engine import EngineClient
-from bulrushdrum._internal.sidecar.errors import NextStageUnreachable, SidecarError
+from bulrushdrum._internal.sidecar.errors import NextStageUnreachable
 from bulrushdrum._internal.sidecar.next_hops import NextHops
 from bulrushdrum._internal.sidecar.opening import refusal_of
+from bulrushdrum._internal.sidecar.releases import Releases
 from bulrushdrum._internal.sidecar.sequences import (
     AttemptMemory,
     PendingBytes,
@@ -40,8 +41,6 @@
 from bulrushdrum._internal.sidecar.step_loop import StepLoop
 from bulrushdrum._internal.world.requests import Outcome
 
-# One call frees the sequences that end within this time; it is not on the step path.
-RELEASE_DELAY_SECONDS = 0.05
 # An entry that closes an attempt for this reason wants to hear whether it ran.
 CLOSE_AND_CONFIRM = "confirm"
 
@@ -60,7 +59,6 @@
     ):
         self._hub = hub
         self._settings = settings
-        self._engine = engine
         self._status = status
         self._bindings = bindings
         self._next_hops = next_hops
@@ -68,7 +66,7 @@
         self._sequences: dict[str, Sequence] = {}
         self._memory = AttemptMemory()
         self._pending_bytes = PendingBytes(settings.max_pending_bytes)
-        self._release: list[tuple[str, int]] = []
+        self._releases = Releases(engine)
         self._refused_steps = 0
         hub.register(Open, self._on_open)
         hub.register(Steps, self._on_steps)
@@ -103,19 +101,7 @@
 
     def dump(self) -> dict:
         return {
-            "open": [
-                {
-                    "request": one.open.request,
-                    "attempt": one.open.attempt,
-                    "stage": one.open.stage,
-                    "customer": one.open.customer,
-                    "next_position": one.next_position,
-                    "pending": len(one.pending),
-                    "in_flight": one.in_flight,
-                    "passed": one.passed,
-                }
-                for one in self._sequences.values()
-            ],
+            "open": [one.dump() for one in self._sequences.values()],
             "refused_steps": self._refused_steps,
             "pending_bytes": self._pending_bytes.used,
             "loop": self._loop.dump(),
@@ -361,17 +347,7 @@
                 sequence.open.customer, sequence.open.binding_key, result
             )
         if sequence.passed:
-            if not self._release:
-                gevent.spawn(self._release_ended)
-            self._release.append(sequence.key)
-
-    def _release_ended(self):
-        gevent.sleep(RELEASE_DELAY_SECONDS)
-        ended, self._release = self._release, []
-        try:
-            self._engine.release(ended)
-        except SidecarError:
-            pass  # an engine that is gone holds no KV cache
+            self._releases.add(*sequence.key)
 
     def call_not_sent(self, sequences, reason):
         for sequence in sequences:
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -13,15 +13,13 @@
     EngineRefused,
     EngineUnreachable,
 )
+from bulrushdrum._internal.sidecar.releases import DELAY_SECONDS
 from bulrushdrum._internal.sidecar.sequences import (
     AttemptMemory,
     PendingBytes,
     Sequence,
 )
-from bulrushdrum._internal.sidecar.stages import (
-    CLOSE_AND_CONFIRM,
-    RELEASE_DELAY_SECONDS,
-)
+from bulrushdrum._internal.sidecar.stages import CLOSE_AND_CONFIRM
 
 steps_of_any_attempt = st.tuples(
     st.just("step"), st.integers(1, 3), st.integers(0, 5), st.integers(1, 3)
@@ -253,7 +251,7 @@
 
     stage.engine.run_steps = answer
     stage.step(0, [1, 2, 3])
-    stage.settle(2 * RELEASE_DELAY_SECONDS)
+    stage.settle(2 * DELAY_SECONDS)
     (failed,) = stage.entry.of(AttemptFailed)
     assert failed.ran and failed.upstream == "s1"
     assert not stage.next.of(Step)
