--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -28,6 +28,7 @@
 from bulrushdrum._internal.platform.table import Table
 from bulrushdrum._internal.platform.vm_list import VmList
 from bulrushdrum._internal.records.replication import RecordKeeper
+from bulrushdrum._internal.records.report import build_report
 from bulrushdrum._internal.routing.attempts import ModelRunner
 from bulrushdrum._internal.routing.calls import CallRunner
 from bulrushdrum._internal.routing.chains import POLICIES, ChainPlanner
@@ -41,7 +42,7 @@
 
 MAX_OPERATOR_CONNECTIONS = 100
 _DRAIN_POLL_SECONDS = 0.05
-_CONFIRM_POLL_SECONDS = 0.1
+_CONFIRM_TIMEOUT_SECONDS = 1.0
 
 
 class EntryProcess:
@@ -51,6 +52,8 @@
         self._settings = settings
         self._metrics = Metrics()
         self._stop = Signal()
+        self._resumed = 0.0
+        self._confirming = None
         identity = PeerIdentity(
             kind="entry",
             node=settings.node,
@@ -64,7 +67,7 @@
         )
         self._hub = PeerHub(identity)
         table = Table(settings.table_url, settings.store_timeout)
-        objects = ObjectStore(settings.objects_url, settings.store_timeout)
+        self._objects = ObjectStore(settings.objects_url, settings.store_timeout)
         vm_list = VmList(settings.vm_list_url, settings.store_timeout)
         self._membership = Membership(self._hub, settings, keys, vm_list)
         self._replica = ContractReplica(self._hub, table, settings)
@@ -79,7 +82,7 @@
         self._entry_set = EntrySet(self._hub, table, limits, is_known_dead)
         self._permits = Permits(self._hub, self._entry_set, self._replica, limits)
         self._records = RecordKeeper(
-            self._hub, objects, settings.records, is_known_dead
+            self._hub, self._objects, settings.records, is_known_dead
         )
         links = Links(
             settings.link_delays, settings.local_delay, settings.default_delay
@@ -170,10 +173,16 @@
             "permits": self._permits.dump(),
             "records": self._records.dump(),
             "metrics": self._metrics.dump(),
+            "connections": [
+                {"peer": one.peer.node, "sent_bytes": one.sent_bytes}
+                for one in self._hub.connections()
+            ],
         }
 
     def _report(self, customer, start, end):
-        raise NotImplementedError
+        # The records of other entries are at most one flush interval old.
+        self._records.flush()
+        return build_report(self._objects, customer, start, end).to_json()
 
     def _drain(self):
         log_event(Event.DRAIN_STARTED, in_progress=self._frontend.in_progress)
@@ -199,12 +208,16 @@
     def _confirm_after_gap(self, seconds):
         """Admit no request until the configuration is confirmed after a pause."""
         self._frontend.set_confirming(True)
-        gevent.spawn(self._wait_confirmed, time.monotonic())
-
-    def _wait_confirmed(self, resumed):
-        while self._replica.confirmed_seconds_ago() > time.monotonic() - resumed:
-            gevent.sleep(_CONFIRM_POLL_SECONDS)
+        self._resumed = time.monotonic()
+        if not self._confirming:
+            self._confirming = gevent.spawn(self._wait_confirmed)
+
+    def _wait_confirmed(self):
+        # Another pause may begin and end while this one is being confirmed.
+        while self._replica.confirmed_seconds_ago() > time.monotonic() - self._resumed:
+            self._replica.confirm(_CONFIRM_TIMEOUT_SECONDS)
         self._frontend.set_confirming(False)
+        self._confirming = None
 
     def _log_refused(self, address, error):
         log_event(Event.PEER_REFUSED, peer=address, reason=str(error))
