--- a/bench/entry_probe.py
+++ b/bench/entry_probe.py
@@ -131,13 +131,19 @@
 class EntryProbe:
     """Speaks to sidecars as an entry does."""
 
-    def __init__(self, name: str = "entry-1", desired: dict | None = None):
+    def __init__(
+        self,
+        name: str = "entry-1",
+        desired: dict | None = None,
+        beat_interval: float = 0.1,
+    ):
         self.hub = PeerHub(PeerIdentity("entry", name, f"{name}.x", "dc1", ""))
         self.described: dict[str, Describe] = {}
         self.beats: dict[str, Beat] = {}
         self.events: list = []
         self.desired = desired or {}
         self.leases_granted = 0
+        self._beat_interval = beat_interval
         self._queues: dict[str, Queue] = {}
         self._answers: dict[str, AsyncResult] = {}
         self._numbers = itertools.count(1)
@@ -280,7 +286,7 @@
                 told = self.beats.get(connection.peer.node)
                 echoed = told.sequence if told else 0
                 connection.send(Beat(sequence=next(self._sent), echoed=echoed))
-            gevent.sleep(0.1)
+            gevent.sleep(self._beat_interval)
 
     def _on_describe(self, connection, message):
         self.described[connection.peer.node] = message
