Give each order to an engine its own fencing number

The model of orders found that an order which timed out could be obeyed after a later one of the same incarnation, because both had the same number.

--- a/src/bulrushdrum/_internal/sidecar/orders.py
+++ b/src/bulrushdrum/_internal/sidecar/orders.py
@@ -35,6 +35,10 @@
 # While the table is down, 3,900 sidecars must not keep the entries busy with leases.
 LONGEST_PAUSE_SECONDS = 30.0
 STALE_FENCING_STATUS = 409
+# An order that timed out may still be obeyed after a later one of this incarnation, so
+# each has its own number: the epoch, then a count. At an order every 30 s, 24 bits last
+# for 15 years, and the number stays exact in a JSON double up to epoch 2**29.
+_ORDER_COUNT_BITS = 24
 
 
 def is_as_desired(engine: EngineState, desired: DesiredState) -> bool:
@@ -69,6 +73,7 @@
         self._leases = LeaseHolder(hub, settings)
         self._revision = 0
         self._desired: DesiredState | None = None
+        self._given = 0
         self._doubtful = False  # an order was given whose effect is not confirmed
         self._wanted = Flag()
         hub.register(Desired, self._on_desired)
@@ -166,9 +171,10 @@
             return False
         started = time.monotonic()
         self._doubtful = True
+        self._given += 1
         try:
             self._engine.give_order(
-                lease.epoch,
+                (lease.epoch << _ORDER_COUNT_BITS) + self._given,
                 {
                     "model": desired.model,
                     "model_version": desired.model_version,
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -19,11 +19,15 @@
 
 
 class Engine:
-    """Obeys every order, whatever its number; a hook runs before each one."""
+    """Obeys every order, whatever its number; a hook runs before each one.
+
+    `orders` has the epoch and version of each order; their numbers must grow.
+    """
 
     def __init__(self):
         self.state = STATE
         self.orders = []
+        self.highest = 0
         self.before = lambda order: None
         self.after = lambda order: None
 
@@ -31,8 +35,11 @@
         return self.state
 
     def give_order(self, fencing, order):
+        # Guards against two orders that an engine cannot put into their order.
+        assert fencing > self.highest
+        self.highest = fencing
         self.before(order)
-        self.orders.append((fencing, order["model_version"]))
+        self.orders.append((fencing >> 24, order["model_version"]))
         self.state = self.state._replace(model_version=order["model_version"])
         self.after(order)
         return self.state
