--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -47,6 +47,12 @@
 
     MAX_REQUEST_LINE = 8192
 
+    def handle(self):
+        # Headers and body are written apart. Without this the body waits for the
+        # client's delayed acknowledgement, 44 ms on a connection that is kept alive.
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
     def get_environ(self):
         environ = super().get_environ()
         environ[CALLER_WAITS] = lambda: is_connected(self.socket)
