--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -32,6 +32,7 @@
 from bulrushdrum._internal.routing.attempts import ModelRunner
 from bulrushdrum._internal.routing.calls import CallRunner
 from bulrushdrum._internal.routing.chains import POLICIES, ChainPlanner
+from bulrushdrum._internal.routing.claim_expiry import ClaimExpiry
 from bulrushdrum._internal.routing.claims import ClaimStore
 from bulrushdrum._internal.routing.membership import Membership
 from bulrushdrum._internal.routing.retries import RetryBudget
@@ -100,6 +101,7 @@
         calls = CallRunner(self._membership, budget, settings.seed)
         claims = ClaimStore(table)
         self._claims = claims
+        self._claim_expiry = ClaimExpiry(table)
         self._frontend = Frontend(
             settings,
             self._replica,
@@ -156,6 +158,7 @@
         self._permits.start()
         self._records.start()
         self._claims.start()
+        self._claim_expiry.start()
         self._http.start()
         self._operator_http.start()
         log_event(Event.ENTRY_READY, http=settings.http_listen, peers=settings.listen)
@@ -194,6 +197,7 @@
         # Bodies of answers that have ended may still be on their way out.
         self._http.stop(timeout=5)
         self._permits.drain()
+        self._claims.drain()
         self._records.drain()
         self._entry_set.leave()
         self._peer_server.stop()
--- a/src/bulrushdrum/_internal/routing/claims.py
+++ b/src/bulrushdrum/_internal/routing/claims.py
@@ -166,6 +166,22 @@
                 # A retry meets its own write as a conflict and drops the result.
                 raise ClaimsUnavailable(f"results not written: {error}") from error
 
+    def drain(self):
+        """Write the queued results before the process ends.
+
+        Those that cannot be written now are lost here; their sidecars keep them for
+        their windows.
+        """
+        try:
+            self.write_results()
+        except ClaimsUnavailable as error:
+            log_event(
+                LogEvent.CLAIM_RESULTS_DELAYED,
+                waiting=len(self._results),
+                dropped=self._dropped_results,
+                reason=str(error),
+            )
+
     def dump(self) -> dict:
         return {
             "claims_waiting": len(self._claims),
@@ -291,7 +307,10 @@
             self._drop_result(row_key)
 
     def _drop_result(self, row_key):
-        self._result_bytes -= stored_bytes(self._results.pop(row_key).done)
+        # `drain` may have written the same batch meanwhile.
+        binding = self._results.pop(row_key, None)
+        if binding is not None:
+            self._result_bytes -= stored_bytes(binding.done)
 
     def _write_results_forever(self):
         while True:
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -131,7 +131,8 @@
     table.down, table.lose_answers, before = False, 1, table.transactions
     with pytest.raises(ClaimsUnavailable):
         store.write_results()
-    store.write_results()
+    for greenlet in [gevent.spawn(store.drain) for _ in range(2)]:
+        greenlet.get(timeout=5)
     assert table.transactions - before <= 3
     for key in ("k0", "k1", "k2", "issued"):
         assert store.find("c", key).done == RECEIPT
