Check contradictions in entry settings; use cache events; notice pauses at admission

Cause: reports of the developers of the sidecar and the configuration: a header that is not UTF-8 gave an internal error; a request read just after a pause was admitted before the heartbeat loop saw the pause; an idle entry took 5 s to exit because of kept connections; cache events of sidecars had no receiver. Change: read_header, check_clock at each admission, 1 s for the HTTP stop, observe_cache and forget_upstream, contradictions() for EntrySettings, and a bound open refused as unknown counts as possibly run.

--- a/src/bulrushdrum/_internal/caller/frontend.py
+++ b/src/bulrushdrum/_internal/caller/frontend.py
@@ -62,6 +62,7 @@
         keys: PeeringKeys,
         metrics: Metrics,
         incarnation: str,
+        check_clock: Callable[[], None],
     ):
         self._settings = settings
         self._replica = replica
@@ -74,6 +75,7 @@
         self._keys = keys
         self._metrics = metrics
         self._incarnation = incarnation
+        self._check_clock = check_clock
         self._draining = False
         self._confirming = False
         self._in_progress = 0
@@ -317,6 +319,7 @@
     def _check_admission(self):
         if self._draining:
             raise CallerError("draining", "this entry is stopping; use another one")
+        self._check_clock()
         if self._confirming:
             message = "this entry is confirming its configuration after a pause"
             raise CallerError("not_ready", message)
--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -89,6 +89,19 @@
     return bottle.HTTPResponse(body, status=error.status, headers=headers)
 
 
+def read_header(name: str) -> str:
+    """Return a header of the current request; raises `CallerError` if not UTF-8.
+
+    bottle's own access raises on such a header, which would look like a fault of ours.
+    """
+    raw = bottle.request.headers.raw(name, "")
+    try:
+        return raw.encode("latin-1").decode()
+    except UnicodeError as error:
+        message = f"the header {name} is not valid UTF-8"
+        raise CallerError("invalid_request", message) from error
+
+
 def read_body(limit: int) -> bytes:
     """Return the body of the current request; raises `CallerError` over the limit."""
     request = bottle.request
@@ -180,8 +193,7 @@
         return {"ready": not reasons, "reasons": reasons, "process": os.getpid()}
 
     def _contract(self):
-        header = bottle.request.get_header("Authorization", "")
-        return self._frontend.authenticate(header)
+        return self._frontend.authenticate(read_header("Authorization"))
 
     def _models(self):
         self._contract()
@@ -194,7 +206,7 @@
     def _chat(self):
         contract = self._contract()
         raw = read_body(self._settings.max_body_bytes)
-        key = parse_key(bottle.request.get_header("Idempotency-Key", ""))
+        key = parse_key(read_header("Idempotency-Key"))
         parsed = parse_chat(raw, key, contract, self._settings)
         caller_waits = bottle.request.environ[CALLER_WAITS]
         session = self._frontend.start_chat(contract, parsed.request, caller_waits)
@@ -244,8 +256,8 @@
         request = bottle.request
         query = f"?{request.query_string}" if request.query_string else ""
         headers = [
-            (name, value)
-            for name, value in request.headers.items()
+            (name, read_header(name))
+            for name in request.headers
             if name.lower() not in _HOP_HEADERS
             and name.lower() not in ("authorization", "host")
         ]
@@ -256,7 +268,7 @@
             f"/{path}{query}",
             headers,
             read_body(self._settings.max_body_bytes),
-            parse_key(request.get_header("Idempotency-Key", "")),
+            parse_key(read_header("Idempotency-Key")),
             request.environ[CALLER_WAITS],
         )
         response = bottle.HTTPResponse(result.body, status=result.status)
--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -24,6 +24,7 @@
 from bulrushdrum._internal.peering.connections import PeerServer
 from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
 from bulrushdrum._internal.peering.hub import PeerHub
+from bulrushdrum._internal.peering.messages import CacheEvents
 from bulrushdrum._internal.platform.objects import ObjectStore
 from bulrushdrum._internal.platform.table import Table
 from bulrushdrum._internal.platform.vm_list import VmList
@@ -42,6 +43,8 @@
 from bulrushdrum._internal.world.upstreams import UpstreamState
 
 MAX_OPERATOR_CONNECTIONS = 100
+# Connections that callers keep open without a request must not hold up the exit.
+HTTP_STOP_SECONDS = 1.0
 _DRAIN_POLL_SECONDS = 0.05
 _CONFIRM_TIMEOUT_SECONDS = 1.0
 
@@ -93,7 +96,7 @@
         links = Links(
             settings.link_delays, settings.local_delay, settings.default_delay
         )
-        planner = ChainPlanner(
+        planner = self._planner = ChainPlanner(
             self._membership.upstreams,
             POLICIES[settings.routing_policy],
             links,
@@ -119,6 +122,7 @@
             keys,
             self._metrics,
             identity.incarnation,
+            self._membership.check_clock,
         )
         self._peer_server = PeerServer(
             settings.listen, identity, keys, self._hub.serve, self._log_refused
@@ -149,6 +153,10 @@
         )
         self._membership.on_entry_beat = self._observe_beat
         self._membership.on_clock_gap = self._confirm_after_gap
+        self._membership.on_upstream_lost(
+            lambda upstream: planner.forget_upstream(upstream.id)
+        )
+        self._hub.register(CacheEvents, self._observe_cache)
 
     def run(self):
         """Serve until SIGTERM, then drain; returns when everything has ended."""
@@ -200,7 +208,7 @@
         while self._frontend.in_progress and time.monotonic() < until:
             gevent.sleep(_DRAIN_POLL_SECONDS)
         # Bodies of answers that have ended may still be on their way out.
-        self._http.stop(timeout=5)
+        self._http.stop(timeout=HTTP_STOP_SECONDS)
         self._permits.drain()
         self._claims.drain()
         self._records.drain()
@@ -214,6 +222,13 @@
         )
         self._entry_set.observe_version(beat.entry_set_version)
 
+    def _observe_cache(self, connection, message):
+        incarnation = connection.peer.incarnation
+        upstream = self._membership.upstream_by_incarnation(incarnation)
+        if upstream is not None:
+            for event in message.events:
+                self._planner.observe_cache(upstream.id, event.prefix, event.stored)
+
     def _confirm_after_gap(self, seconds):
         """Admit no request until the configuration is confirmed after a pause."""
         self._frontend.set_confirming(True)
--- a/src/bulrushdrum/_internal/routing/attempts.py
+++ b/src/bulrushdrum/_internal/routing/attempts.py
@@ -39,7 +39,7 @@
 from bulrushdrum._internal.routing.suspects import SuspectRegistry
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.contracts import Contract
-from bulrushdrum._internal.world.requests import ChatRequest
+from bulrushdrum._internal.world.requests import ChatRequest, Outcome
 
 _RETRY_POLL_SECONDS = 0.05
 _MAX_PAUSE_SECONDS = 0.4
@@ -410,7 +410,10 @@
                     waiting.discard(event.stage)
                 case Opened():
                     refuser = chain[event.stage].incarnation
-                    raise AttemptAborted(f"refused: {event.reason}", False, refuser)
+                    # A bound key that runs or has run is refused as unknown.
+                    may_have_run = event.outcome == Outcome.UNKNOWN
+                    cause = f"refused: {event.reason}"
+                    raise AttemptAborted(cause, may_have_run, refuser)
 
     def _next_token(self, running, chain, number):
         until = time.monotonic() + self._settings.token_timeout
--- a/src/bulrushdrum/_internal/routing/chains.py
+++ b/src/bulrushdrum/_internal/routing/chains.py
@@ -117,9 +117,17 @@
         self._remember(wanted, chain)
         return chain
 
-    def forget_prefix(self, upstream: str, prefix: str):
-        """Note that the upstream's cache no longer holds the prefix."""
-        self._prefixes.pop((upstream, prefix), None)
+    def observe_cache(self, upstream: str, prefix: str, stored: bool):
+        """Note what a cache event says; events come late and some are lost."""
+        if stored:
+            self._note_prefix(upstream, prefix)
+        else:
+            self._prefixes.pop((upstream, prefix), None)
+
+    def forget_upstream(self, upstream: str):
+        """Note that the upstream's cache is gone with its engine."""
+        for known in [key for key in self._prefixes if key[0] == upstream]:
+            del self._prefixes[known]
 
     def _candidates(self, wanted):
         return [
@@ -226,10 +234,12 @@
 
     def _remember(self, wanted, chain):
         prefix = prefix_hash(wanted.prompt)
-        if not prefix:
-            return
-        for upstream in chain:
-            self._prefixes[(upstream.id, prefix)] = None
-            self._prefixes.move_to_end((upstream.id, prefix))
-        while len(self._prefixes) > _REMEMBERED_PREFIXES:
+        if prefix:
+            for upstream in chain:
+                self._note_prefix(upstream.id, prefix)
+
+    def _note_prefix(self, upstream, prefix):
+        self._prefixes[(upstream, prefix)] = None
+        self._prefixes.move_to_end((upstream, prefix))
+        if len(self._prefixes) > _REMEMBERED_PREFIXES:
             self._prefixes.popitem(last=False)
--- a/src/bulrushdrum/_internal/routing/membership.py
+++ b/src/bulrushdrum/_internal/routing/membership.py
@@ -172,7 +172,7 @@
         self._listed: dict[str, Vm] = {}
         self._last_listed: dict[str, float] = {}
         self._list_read_at = 0.0
-        self._started_at = time.monotonic()
+        self._started_at = self._checked_at = time.monotonic()
         self._dialers: dict[str, gevent.Greenlet] = {}
         self._upstreams: dict[str, Upstream] = {}
         self._beats: dict[str, _BeatState] = {}
@@ -333,19 +333,27 @@
 
     def _send_beats(self):
         interval = self._settings.heartbeat_interval
-        last = time.monotonic()
+        self._checked_at = time.monotonic()
         while True:
             gevent.sleep(interval)
-            now = time.monotonic()
-            gap = now - last - interval
-            last = now
-            if gap > CLOCK_GAP_SECONDS:
-                log_event(Event.CLOCK_GAP, seconds=round(gap, 3))
-                # Messages that arrived during the pause are still unread.
-                for state in self._beats.values():
-                    state.last_heard = now
-                self.on_clock_gap(gap)
-            self._beat_once(now, interval)
+            self.check_clock()
+            self._beat_once(time.monotonic(), interval)
+
+    def check_clock(self):
+        """Notice whether this process was paused.
+
+        The heartbeat loop calls this, and so does each admission: after a pause a
+        request may be read before the loop runs again.
+        """
+        now = time.monotonic()
+        gap = now - self._checked_at - self._settings.heartbeat_interval
+        self._checked_at = now
+        if gap > CLOCK_GAP_SECONDS:
+            log_event(Event.CLOCK_GAP, seconds=round(gap, 3))
+            # Messages that arrived during the pause are still unread.
+            for state in self._beats.values():
+                state.last_heard = now
+            self.on_clock_gap(gap)
 
     def _beat_once(self, now, interval):
         revision, version = self.beat_fields()
@@ -381,7 +389,8 @@
         state.received = max(state.received, beat.sequence)
         # A beat proves both directions only when it echoes what was sent since the last
         # one; a peer that hears nothing from here must not count as reachable.
-        if beat.echoed > state.echoed or state.sent <= MISSED_BEATS:
+        two_way = self._settings.two_way_heartbeats
+        if not two_way or beat.echoed > state.echoed or state.sent <= MISSED_BEATS:
             state.echoed = beat.echoed
             state.last_heard = time.monotonic()
         if connection.peer.kind == "entry":
--- a/src/bulrushdrum/_internal/settings/entry.py
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -62,6 +62,9 @@
         {}, help="addresses to dial in place of others"
     )
     heartbeat_interval: float = setting(0.5, unit="s", low=0.05, high=60)
+    two_way_heartbeats: bool = setting(
+        True, help="a peer counts as lost, too, if it does not hear this entry"
+    )
     vm_list_interval: float = setting(2.0, unit="s", low=0.1, high=300)
     vm_list_max_lag: float = setting(
         300.0, unit="s", low=1, high=86400, help="a VM unlisted for so long is dead"
@@ -105,3 +108,16 @@
     @property
     def advertised_address(self) -> str:
         return self.advertised or self.listen
+
+    def contradictions(self) -> list[str]:
+        """Return what is wrong between fields that are right by themselves."""
+        problems = []
+        if self.current_key not in self.keys:
+            known = ", ".join(self.keys)
+            problems.append(f"current_key: {self.current_key!r} is not one of {known}")
+        if self.orphan_grace <= self.service_timeout:
+            problems.append(
+                f"orphan_grace: {self.orphan_grace} s is not over service_timeout, "
+                f"{self.service_timeout} s; calls of a dead entry may run that long"
+            )
+        return problems
