Compare everything that an order sets with what a chain was opened for

Change: step answers name model, version, role and adapters; a stage fails an attempt whose engine no longer holds what it held at the open.

--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -65,8 +65,16 @@
             self._engine.faults.lose_answers -= 1
             lose_answer()
         bottle.response.content_type = "application/json"
-        version = self._engine.options.model_version
-        return json.dumps({"model_version": version, "results": results})
+        options = self._engine.options
+        return json.dumps(
+            {
+                "model": options.model,
+                "model_version": options.model_version,
+                "role": self._role,
+                "adapters": self._adapters,
+                "results": results,
+            }
+        )
 
     def release(self):
         self._engine.release(bottle.request.json["sequences"])
--- a/src/bulrushdrum/_internal/sidecar/engine.py
+++ b/src/bulrushdrum/_internal/sidecar/engine.py
@@ -30,6 +30,15 @@
 _JSON_HEADERS = {"Content-Type": "application/json"}
 
 
+class Holding(NamedTuple):
+    """Everything at an engine that an order can change."""
+
+    model: str
+    model_version: str
+    role: str
+    adapters: tuple[str, ...]
+
+
 class EngineState(NamedTuple):
     """What the engine says of itself."""
 
@@ -45,6 +54,10 @@
     role: str
     adapters: tuple[str, ...]
 
+    @property
+    def holding(self) -> Holding:
+        return Holding(self.model, self.model_version, self.role, self.adapters)
+
 
 class EngineLoad(NamedTuple):
     """The engine's load report, which lags by `age_seconds`."""
@@ -142,8 +155,8 @@
             running, queued = int(raw["running"]), int(raw["queued_tokens"])
             return EngineLoad(running, queued, float(raw["age_seconds"]))
 
-    def run_steps(self, steps: list[dict]) -> tuple[str, dict]:
-        """Run steps; return the model version that ran them, and their results.
+    def run_steps(self, steps: list[dict]) -> tuple[Holding, dict]:
+        """Run steps; return what the engine held when it ran them, and their results.
 
         The results are by (request, attempt).
         """
@@ -157,7 +170,10 @@
         raw = _decoded(*answer)
         with _malformed_is_refused():
             results = {(one["request"], one["attempt"]): one for one in raw["results"]}
-            return raw["model_version"], results
+            holding = Holding(
+                raw["model"], raw["model_version"], raw["role"], tuple(raw["adapters"])
+            )
+            return holding, results
 
     def release(self, sequences: list[tuple[str, int]]):
         """Free the KV cache of (request, attempt) pairs."""
--- a/src/bulrushdrum/_internal/sidecar/stages.py
+++ b/src/bulrushdrum/_internal/sidecar/stages.py
@@ -26,7 +26,7 @@
 )
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.bindings import BindingTable, Run
-from bulrushdrum._internal.sidecar.engine import EngineClient
+from bulrushdrum._internal.sidecar.engine import EngineClient, Holding
 from bulrushdrum._internal.sidecar.errors import NextStageUnreachable
 from bulrushdrum._internal.sidecar.next_hops import NextHops
 from bulrushdrum._internal.sidecar.opening import refusal_of
@@ -124,7 +124,9 @@
         if reason:
             self._answer_open(connection, message, reason)
             return
-        sequence = Sequence(message, connection, self._pending_bytes)
+        sequence = Sequence(
+            message, connection, self._pending_bytes, self._status.engine.holding
+        )
         self._sequences[message.request] = sequence
         if self._needs_no_dial(message):
             self._finish_opening(sequence)
@@ -243,10 +245,11 @@
             case verdict:
                 self.fail(sequence, verdict.value)
 
-    def step_done(self, sequence: Sequence, step: Step, model_version, result):
+    def step_done(self, sequence: Sequence, step: Step, holding: Holding, result):
         """Send on the result of one step."""
-        if model_version != sequence.open.model_version:
-            self.fail(sequence, "model_version_mismatch")
+        # A stale order reached an engine that ignores fencing numbers.
+        if holding != sequence.holding:
+            self.fail(sequence, "engine_changed")
             return
         try:
             if "error" in result:
--- a/src/bulrushdrum/_internal/sidecar/step_loop.py
+++ b/src/bulrushdrum/_internal/sidecar/step_loop.py
@@ -48,7 +48,7 @@
     @property
     def open_count(self) -> int: ...
 
-    def step_done(self, sequence, step, model_version, result): ...
+    def step_done(self, sequence, step, holding, result): ...
 
     def call_not_sent(self, sequences, reason): ...
 
@@ -172,7 +172,7 @@
         self._calls.append(sequences)
         losses = self._engine_losses
         try:
-            version, results = self._engine.run_steps(
+            holding, results = self._engine.run_steps(
                 [_engine_step(sequence, step) for sequence, step in batch]
             )
         except EngineUnreachable as error:
@@ -187,7 +187,7 @@
         except EngineRefused as error:
             self._results.call_refused(sequences, str(error))
         else:
-            self._deliver(batch, version, results)
+            self._deliver(batch, holding, results)
         finally:
             self._calls.remove(sequences)
 
@@ -197,12 +197,12 @@
         dying = [sequence for call in self._calls for sequence in call]
         self._results.call_unanswered(dying, reason, crashed)
 
-    def _deliver(self, batch, version, results):
+    def _deliver(self, batch, holding, results):
         self._calls_done += 1
         self._steps_done += len(batch)
         for sequence, step in batch:
             sequence.in_flight = False
             result = results.get(sequence.key, {"error": "engine_gave_no_result"})
             if not sequence.closed:
-                self._results.step_done(sequence, step, version, result)
+                self._results.step_done(sequence, step, holding, result)
                 self.submit(sequence)
--- a/tests/unit/stage_fakes.py
+++ b/tests/unit/stage_fakes.py
@@ -76,7 +76,7 @@
         self.steps = []
         self.calls = 0
         self.released = []
-        self.version = "1"
+        self.holding = STATE.holding
         self.overlaps = []
         self._running = []
         self.fail = lambda steps: None
@@ -104,7 +104,7 @@
             }
             for step in steps
         ]
-        return self.version, {(one["request"], one["attempt"]): one for one in results}
+        return self.holding, {(one["request"], one["attempt"]): one for one in results}
 
     def release(self, sequences):
         self.released += sequences
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -224,30 +224,44 @@
 
 
 @pytest.mark.parametrize(
-    "fault", ["refused", "version", "error", "omitted", "malformed", "unforeseen"]
+    "fault",
+    [
+        "refused",
+        "version",
+        "adapters",
+        "role",
+        "error",
+        "omitted",
+        "malformed",
+        "unforeseen",
+    ],
 )
 def test_a_bad_result_fails_the_attempt(fault):
-    # Guards against a result of another model version that goes on down the chain, and
-    # against an attempt that stays open without a result.
+    # Guards against a result of an engine that a stale order has changed, and against
+    # an attempt that stays open without a result.
     stage = StageUnderTest()
     stage.open()
     run = stage.engine.run_steps
 
     def answer(steps):
-        version, results = run(steps)
+        holding, results = run(steps)
         match fault:
             case "refused":
                 raise EngineRefused(500, "out of memory")
             case "version":
-                return "2", results
+                return holding._replace(model_version="2"), results
+            case "adapters":
+                return holding._replace(adapters=("other",)), results
+            case "role":
+                return holding._replace(role="prefill"), results
             case "error":
-                return version, {("r", 1): {"error": "no_kv_cache"}}
+                return holding, {("r", 1): {"error": "no_kv_cache"}}
             case "omitted":
-                return version, {}
+                return holding, {}
             case "malformed":
-                return version, {("r", 1): {"activation": "xyz"}}
+                return holding, {("r", 1): {"activation": "xyz"}}
             case "unforeseen":
-                return version, None
+                return holding, None
 
     stage.engine.run_steps = answer
     stage.step(0, [1, 2, 3])
@@ -291,7 +305,7 @@
     stage = StageUnderTest(max_pending_bytes=65_536)
     asked = stage.make_open(stage=1, chain=stage.chain[::-1])
     pending = PendingBytes(limit=100)
-    sequence = Sequence(asked, stage.entry, pending)
+    sequence = Sequence(asked, stage.entry, pending, STATE.holding)
     assert sequence.accept(Step("r", 1, 0, 10, (), bytes(80))) == "accepted"
     too_much = Step("r", 1, 10, 3, (), bytes(24))
     assert sequence.accept(too_much) == "stage_overloaded"
