--- a/tests/features/running_system.py
+++ b/tests/features/running_system.py
@@ -157,17 +157,25 @@
 
 
 def most_at_once(world):
-    """Return the largest number of requests between their first and last layer run."""
+    """Return the largest number of requests of limited that ran at the same time."""
     return len(largest_overlap(world))
 
 
 def largest_overlap(world) -> list[str]:
-    """Return the requests that ran while most of them ran."""
+    """Return the requests of limited that ran at its busiest moment.
+
+    A request runs from its first to its last layer run.
+    """
     spans = {}
     for run in world.history.runs():
         first, last = spans.get(run.request, (run.order, run.order))
         spans[run.request] = (min(first, run.order), max(last, run.order))
-    ids = {a.request_id for a in world.answers if a.customer == world.limited}
+    ids = {
+        answer.request_id
+        for answer in world.answers
+        if answer.customer == world.limited
+    }
+    assert ids
     changes = []
     for request, (first, last) in spans.items():
         if request in ids:
