--- a/tests/features/running_system.py
+++ b/tests/features/running_system.py
@@ -138,11 +138,12 @@
         for index, entry in enumerate(entries):
             self.tasks.append(gevent.spawn(ask, entry, first + 1000 * index))
 
-    def join(self, seconds=ANSWER_SECONDS):
-        """Wait for all background requests."""
-        done = gevent.joinall(self.tasks, timeout=seconds)
-        assert len(done) == len(self.tasks), "a request got no end in time"
-        for task in self.tasks:
+    def join(self, tasks=None, seconds=ANSWER_SECONDS):
+        """Wait for background requests, by default for all of them."""
+        tasks = self.tasks if tasks is None else tasks
+        done = gevent.joinall(tasks, timeout=seconds)
+        assert len(done) == len(tasks), "a request got no end in time"
+        for task in tasks:
             task.get()
 
     def expected(self, answer):
@@ -156,7 +157,12 @@
 
 
 def most_at_once(world):
-    """Return the largest number of requests of limited that ran at the same time.
+    """Return the largest number of requests of limited that ran at the same time."""
+    return len(largest_overlap(world))
+
+
+def largest_overlap(world) -> list[str]:
+    """Return the requests of limited that ran at its busiest moment.
 
     A request runs from its first to its last layer run.
     """
@@ -173,9 +179,13 @@
     changes = []
     for request, (first, last) in spans.items():
         if request in ids:
-            changes += [(first, 1), (last, -1)]
-    running = most = 0
-    for _, change in sorted(changes):
-        running += change
-        most = max(most, running)
+            changes += [(first, True, request), (last, False, request)]
+    running, most = [], []
+    for _, begins, request in sorted(changes):
+        if begins:
+            running.append(request)
+        else:
+            running.remove(request)
+        if len(running) > len(most):
+            most = list(running)
     return most
