--- a/src/bulrushdrum/_internal/peering/connections.py
+++ b/src/bulrushdrum/_internal/peering/connections.py
@@ -35,6 +35,9 @@
 )
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+# Activations take tens of KB a token; a batch of long prompts must not make a frame
+# that the peer refuses.
+MAX_MERGED_BYTES = 4 * 1024 * 1024
 # Handshake frames are a few hundred bytes, and their sender is not yet known.
 MAX_HANDSHAKE_FRAME_BYTES = 4096
 # A peer that does not read must not make this process hold its frames without bound.
@@ -107,29 +110,30 @@
 
 
 def merge_queued(messages: list[Message | Step | Token]) -> list[Message]:
-    """Merge runs of steps and runs of tokens into one frame each, keeping the order."""
-    merged = []
+    """Merge runs of steps and runs of tokens into frames, keeping the order.
+
+    A frame of steps has at most `MAX_MERGED_BYTES` of activations, or one step.
+    """
+    merged, run, run_bytes = [], [], 0
     for message in messages:
-        last = merged[-1] if merged else None
-        match message:
-            case Step():
-                if isinstance(last, list) and isinstance(last[0], Step):
-                    last.append(message)
-                else:
-                    merged.append([message])
-            case Token():
-                if isinstance(last, list) and isinstance(last[0], Token):
-                    last.append(message)
-                else:
-                    merged.append([message])
-            case _:
-                merged.append(message)
-    return [
-        (Steps(tuple(item)) if isinstance(item[0], Step) else Tokens(tuple(item)))
-        if isinstance(item, list)
-        else item
-        for item in merged
-    ]
+        size = len(message.activation) if isinstance(message, Step) else 0
+        joins = run and type(message) is type(run[0])
+        if not joins or run_bytes + size > MAX_MERGED_BYTES:
+            _end_run(merged, run)
+            run, run_bytes = [], 0
+        if isinstance(message, (Step, Token)):
+            run.append(message)
+            run_bytes += size
+        else:
+            merged.append(message)
+    _end_run(merged, run)
+    return merged
+
+
+def _end_run(merged, run):
+    if run:
+        frame = Steps if isinstance(run[0], Step) else Tokens
+        merged.append(frame(tuple(run)))
 
 
 class PeerConnection:
