--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -32,6 +32,7 @@
 from bulrushdrum._internal.routing.attempts import ModelRunner
 from bulrushdrum._internal.routing.calls import CallRunner
 from bulrushdrum._internal.routing.chains import POLICIES, ChainPlanner
+from bulrushdrum._internal.routing.claim_expiry import ClaimExpiry
 from bulrushdrum._internal.routing.claims import ClaimStore
 from bulrushdrum._internal.routing.membership import Membership
 from bulrushdrum._internal.routing.retries import RetryBudget
@@ -77,12 +78,17 @@
             self._replica,
             entry_names=self._membership.listed_entries,
         )
-        is_known_dead = self._membership.is_known_dead
         limits = replace(settings.limits, region=settings.region)
-        self._entry_set = EntrySet(self._hub, table, limits, is_known_dead)
+        self._entry_set = EntrySet(
+            self._hub,
+            table,
+            limits,
+            self._membership.is_known_dead,
+            self._membership.has_died,
+        )
         self._permits = Permits(self._hub, self._entry_set, self._replica, limits)
         self._records = RecordKeeper(
-            self._hub, self._objects, settings.records, is_known_dead
+            self._hub, self._objects, settings.records, self._membership.has_died
         )
         links = Links(
             settings.link_delays, settings.local_delay, settings.default_delay
@@ -100,6 +106,7 @@
         calls = CallRunner(self._membership, budget, settings.seed)
         claims = ClaimStore(table)
         self._claims = claims
+        self._claim_expiry = ClaimExpiry(table)
         self._frontend = Frontend(
             settings,
             self._replica,
@@ -156,6 +163,7 @@
         self._permits.start()
         self._records.start()
         self._claims.start()
+        self._claim_expiry.start()
         self._http.start()
         self._operator_http.start()
         log_event(Event.ENTRY_READY, http=settings.http_listen, peers=settings.listen)
@@ -194,6 +202,7 @@
         # Bodies of answers that have ended may still be on their way out.
         self._http.stop(timeout=5)
         self._permits.drain()
+        self._claims.drain()
         self._records.drain()
         self._entry_set.leave()
         self._peer_server.stop()
