--- a/bench/entry_probe.py
+++ b/bench/entry_probe.py
@@ -147,7 +147,6 @@
         self._queues: dict[str, Queue] = {}
         self._answers: dict[str, AsyncResult] = {}
         self._numbers = itertools.count(1)
-        self._sent = itertools.count(1)
         register = self.hub.register
         register(Describe, self._on_describe)
         register(Beat, self._on_beat)
@@ -283,9 +282,7 @@
     def _beat(self):
         while True:
             for connection in self.hub.connections():
-                told = self.beats.get(connection.peer.node)
-                echoed = told.sequence if told else 0
-                connection.send(Beat(sequence=next(self._sent), echoed=echoed))
+                connection.send(Beat())
             gevent.sleep(self._beat_interval)
 
     def _on_describe(self, connection, message):
--- a/bench/reachability.py
+++ b/bench/reachability.py
@@ -1,4 +1,4 @@
-"""One-way cuts: heartbeats with echoed numbers against plain ones.
+"""One-way cuts: how soon an entry stops using an upstream.
 
 `python -m bench.reachability` cuts one direction of the link between an entry and a
 sidecar and reads how long the entry goes on using the upstream.
@@ -21,14 +21,9 @@
 LIMIT_SECONDS = 20.0
 
 
-def detection_seconds(two_way: bool, direction: str) -> float:
+def detection_seconds(direction: str) -> float:
     """Return the time from the cut until the entry uses the upstream no more."""
-    topology = three_stages(
-        entries=1,
-        replicas=2,
-        proxied=True,
-        entry_settings={"two_way_heartbeats": two_way},
-    )
+    topology = three_stages(entries=1, replicas=2, proxied=True)
     with Cluster(topology) as cluster:
         gevent.sleep(2)
         cluster.set_link(ENTRY, UPSTREAM, stall=direction)
@@ -49,14 +44,11 @@
     print("seconds until the upstream is out of use, one column for each round")
     results = {}
     for _ in range(rounds):  # interleaved
-        for two_way in (True, False):
-            for direction in ("up", "down", "both"):
-                key = ("echoed" if two_way else "plain", direction)
-                seconds = detection_seconds(two_way, direction)
-                results.setdefault(key, []).append(seconds)
-    for (kind, direction), seconds in results.items():
+        for direction in ("up", "down", "both"):
+            results.setdefault(direction, []).append(detection_seconds(direction))
+    for direction, seconds in results.items():
         shown = "  ".join(f"{value:5.2f}" for value in seconds)
-        print(f"{kind:6} heartbeats, {direction:4} cut: {shown}")
+        print(f"{direction:4} cut: {shown}")
 
 
 if __name__ == "__main__":
--- a/bench/slopes_messages.py
+++ b/bench/slopes_messages.py
@@ -32,7 +32,7 @@
     step = Step("entry-1-0123456789ab", 1, 512, 1, (), b"x" * 64)
     token = Token("entry-1-0123456789ab", 1, 512, 77, "word")
     cases = [
-        ("beat", Beat(1, 1, "serving", 3)),
+        ("beat", Beat("serving", 3, 4, 500, 300, 7)),
         ("1 step", Steps((step,))),
         ("32 steps", Steps((step,) * 32)),
         ("1 token", Tokens((token,))),
--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -78,10 +78,8 @@
 
 
 class Beat(NamedTuple):
-    """Heartbeat in either direction, with the highest sequence number received."""
+    """Heartbeat in either direction."""
 
-    sequence: int = 0
-    echoed: int = 0
     state: str = ""
     window: int = 0
     running: int = 0
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -88,8 +88,8 @@
 }
 
 struct Beat {
-  sequence @0 :UInt64;
-  echoed @1 :UInt64;         # highest sequence received from the peer
+  unused0 @0 :UInt64;        # was: sequence
+  unused1 @1 :UInt64;        # was: echoed sequence
   state @2 :Text;
   window @3 :UInt32;
   running @4 :UInt32;
--- a/src/bulrushdrum/_internal/routing/membership.py
+++ b/src/bulrushdrum/_internal/routing/membership.py
@@ -143,16 +143,6 @@
         }
 
 
-class _BeatState:
-    """Heartbeat numbers of one connection."""
-
-    def __init__(self):
-        self.sent = 0
-        self.received = 0
-        self.echoed = 0
-        self.last_heard = time.monotonic()
-
-
 class Membership:
     """Dials peers, exchanges heartbeats and holds the upstreams that answered.
 
@@ -175,7 +165,7 @@
         self._started_at = self._checked_at = time.monotonic()
         self._dialers: dict[str, gevent.Greenlet] = {}
         self._upstreams: dict[str, Upstream] = {}
-        self._beats: dict[str, _BeatState] = {}
+        self._last_heard: dict[str, float] = {}
         self._incarnation_at: dict[str, str] = {}
         self._dead_since: dict[str, float] = {}
         self._upstream_lost_callbacks = []
@@ -351,27 +341,24 @@
         if gap > CLOCK_GAP_SECONDS:
             log_event(Event.CLOCK_GAP, seconds=round(gap, 3))
             # Messages that arrived during the pause are still unread.
-            for state in self._beats.values():
-                state.last_heard = now
+            self._last_heard = dict.fromkeys(self._last_heard, now)
             self.on_clock_gap(gap)
 
     def _beat_once(self, now, interval):
+        """Close silent connections and send a beat on the others.
+
+        A peer that does not hear this process closes the connection, so a link that is
+        cut in one direction is noticed as soon as a silent one.
+        """
         revision, version = self.beat_fields()
+        beat = Beat(
+            state=self.state, config_revision=revision, entry_set_version=version
+        )
         for connection in self._hub.connections():
-            state = self._beats.get(connection.peer.incarnation)
-            if state is None:
-                continue
-            if now - state.last_heard > MISSED_BEATS * interval:
+            heard = self._last_heard.setdefault(connection.peer.incarnation, now)
+            if now - heard > MISSED_BEATS * interval:
                 connection.close()
                 continue
-            state.sent += 1
-            beat = Beat(
-                sequence=state.sent,
-                echoed=state.received,
-                state=self.state,
-                config_revision=revision,
-                entry_set_version=version,
-            )
             try:
                 connection.send(beat)
             except ConnectionLost:
@@ -379,20 +366,11 @@
 
     def _handle_connected(self, connection):
         peer = connection.peer
-        self._beats[peer.incarnation] = _BeatState()
+        self._last_heard[peer.incarnation] = time.monotonic()
         self._incarnation_at[peer.address] = peer.incarnation
 
     def _handle_beat(self, connection, beat):
-        state = self._beats.get(connection.peer.incarnation)
-        if state is None:
-            return
-        state.received = max(state.received, beat.sequence)
-        # A beat proves both directions only when it echoes what was sent since the last
-        # one; a peer that hears nothing from here must not count as reachable.
-        two_way = self._settings.two_way_heartbeats
-        if not two_way or beat.echoed > state.echoed or state.sent <= MISSED_BEATS:
-            state.echoed = beat.echoed
-            state.last_heard = time.monotonic()
+        self._last_heard[connection.peer.incarnation] = time.monotonic()
         if connection.peer.kind == "entry":
             self.on_entry_beat(connection, beat)
             return
@@ -415,7 +393,7 @@
 
     def _handle_lost(self, connection):
         incarnation = connection.peer.incarnation
-        self._beats.pop(incarnation, None)
+        self._last_heard.pop(incarnation, None)
         upstream = self._upstreams.pop(incarnation, None)
         if upstream is not None:
             for callback in self._upstream_lost_callbacks:
--- a/src/bulrushdrum/_internal/settings/entry.py
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -62,9 +62,6 @@
         {}, help="addresses to dial in place of others"
     )
     heartbeat_interval: float = setting(0.5, unit="s", low=0.05, high=60)
-    two_way_heartbeats: bool = setting(
-        True, help="a peer counts as lost, too, if it does not hear this entry"
-    )
     vm_list_interval: float = setting(2.0, unit="s", low=0.1, high=300)
     vm_list_max_lag: float = setting(
         300.0, unit="s", low=1, high=86400, help="a VM unlisted for so long is dead"
--- a/src/bulrushdrum/_internal/sidecar/heartbeats.py
+++ b/src/bulrushdrum/_internal/sidecar/heartbeats.py
@@ -1,8 +1,8 @@
 """Heartbeats with each connected peer, in both directions.
 
-Each beat echoes the highest sequence number received from the peer. A connection is
-closed when nothing was heard for `missed_heartbeats` intervals, or when the peer stops
-echoing this side's beats although it still sends its own: then it does not hear us.
+A connection is closed when nothing was heard for `missed_heartbeats` intervals. Both
+sides do so, and the end of the connection reaches a peer that is still heard, so a link
+that is cut in one direction needs no numbers echoed in the beats.
 """
 
 import time
@@ -20,19 +20,6 @@
 from bulrushdrum._internal.sidecar.next_hops import NextHops
 
 
-class _Pulse:
-    """Sequence numbers and times of one connection."""
-
-    __slots__ = ("echoed", "heard_at", "received", "sent", "verified_at")
-
-    def __init__(self, now):
-        self.sent = 0
-        self.received = 0
-        self.echoed = 0
-        self.heard_at = now
-        self.verified_at = now
-
-
 class Heartbeats:
     """Sends `make_beat()` on every connection and watches what comes back."""
 
@@ -49,7 +36,7 @@
         self._settings = settings
         self._make_beat = make_beat
         self._on_tick = on_tick
-        self._pulses: dict[PeerConnection, _Pulse] = {}
+        self._heard_at: dict[PeerConnection, float] = {}
         self._due = time.monotonic()
         hub.register(Beat, self.on_beat)
 
@@ -57,30 +44,20 @@
         spawn_loop("heartbeats", self._tick)
 
     def on_beat(self, connection: PeerConnection, beat: Beat):
-        now = time.monotonic()
-        pulse = self._pulses.setdefault(connection, _Pulse(now))
-        pulse.heard_at = now
-        pulse.received = max(pulse.received, beat.sequence)
-        if beat.echoed > pulse.echoed:
-            pulse.echoed = beat.echoed
-            pulse.verified_at = now
+        self._heard_at[connection] = time.monotonic()
 
     def heard_at(self, connection: PeerConnection) -> float | None:
         """Return when the peer was last heard, on the monotonic clock."""
-        pulse = self._pulses.get(connection)
-        return None if pulse is None else pulse.heard_at
+        return self._heard_at.get(connection)
 
     def beat_now(self):
         """Send a beat on every connection."""
         now = time.monotonic()
         beat = self._make_beat()
         for connection in self._connections():
-            pulse = self._pulses.setdefault(connection, _Pulse(now))
-            pulse.sent += 1
+            self._heard_at.setdefault(connection, now)
             try:
-                connection.send(
-                    beat._replace(sequence=pulse.sent, echoed=pulse.received)
-                )
+                connection.send(beat)
             except ConnectionLost:
                 pass  # its reader greenlet reports the loss
 
@@ -90,13 +67,10 @@
             connection.peer.node: {
                 "kind": connection.peer.kind,
                 "incarnation": connection.peer.incarnation,
-                "heard_seconds_ago": round(now - pulse.heard_at, 3),
-                "verified_seconds_ago": round(now - pulse.verified_at, 3),
-                "sent": pulse.sent,
-                "echoed": pulse.echoed,
+                "heard_seconds_ago": round(now - heard_at, 3),
                 "sent_bytes": connection.sent_bytes,
             }
-            for connection, pulse in self._pulses.items()
+            for connection, heard_at in self._heard_at.items()
         }
 
     def _connections(self):
@@ -109,8 +83,7 @@
         if late > self._settings.missed_heartbeats * interval:
             # After a pause of this process, silence says nothing of the peers.
             log_event(Event.CLOCK_GAP, seconds=round(late, 3))
-            for pulse in self._pulses.values():
-                pulse.heard_at = pulse.verified_at = now
+            self._heard_at = dict.fromkeys(self._heard_at, now)
         self._due = now + interval
         self._close_silent(now)
         self.beat_now()
@@ -119,18 +92,15 @@
 
     def _close_silent(self, now):
         limit = self._settings.missed_heartbeats * self._settings.heartbeat_interval
-        for connection, pulse in list(self._pulses.items()):
+        for connection, heard_at in list(self._heard_at.items()):
             if connection.closed:
-                del self._pulses[connection]
+                del self._heard_at[connection]
                 continue
-            silent = now - pulse.heard_at
-            # An echo is up to one interval older than the beat that carries it.
-            unheard = now - pulse.verified_at - self._settings.heartbeat_interval
-            if silent > limit or unheard > limit:
+            silent = now - heard_at
+            if silent > limit:
                 log_event(
                     Event.PEER_SILENT,
                     peer=connection.peer.node,
                     silent_seconds=round(silent, 3),
-                    unheard_seconds=round(unheard, 3),
                 )
                 connection.close()
