--- a/src/bulrushdrum/_internal/routing/attempts.py
+++ b/src/bulrushdrum/_internal/routing/attempts.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 import gevent
+from expression import Result
 from gevent.event import Event as Signal
 from gevent.queue import Empty, Queue
 
@@ -30,7 +31,6 @@
 from bulrushdrum._internal.routing.chains import ChainPlanner, ChainRequest
 from bulrushdrum._internal.routing.errors import (
     AttemptAborted,
-    NoChain,
     RequestNotRun,
     RequestOutcomeUnknown,
 )
@@ -315,13 +315,14 @@
                 first=running.bound.incarnation if running.bound else "",
             )
             self._pool_changed.clear()
-            try:
-                return self._planner.choose(wanted)
-            except NoChain as error:
-                left = wait_until - time.monotonic()
-                if left <= 0:
-                    self._end(running, error.code, str(error))
-                self._pool_changed.wait(min(left, 1.0))
+            match self._planner.choose(wanted):
+                case Result(tag="ok", ok=chain):
+                    return chain
+                case Result(error=missing):
+                    left = wait_until - time.monotonic()
+                    if left <= 0:
+                        self._end(running, missing.code, str(missing))
+                    self._pool_changed.wait(min(left, 1.0))
 
     def _check_cancelled(self, running):
         if running.cancelled:
--- a/src/bulrushdrum/_internal/routing/bound_chat.py
+++ b/src/bulrushdrum/_internal/routing/bound_chat.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from expression import Result
+
 from bulrushdrum._internal.peering.messages import CallResult, Resolved
 from bulrushdrum._internal.routing.attempts import (
     BoundStage,
@@ -19,7 +21,6 @@
 from bulrushdrum._internal.routing.claims import Binding, Proposal
 from bulrushdrum._internal.routing.errors import (
     CallTimeout,
-    NoChain,
     RequestNotRun,
     RequestOutcomeUnknown,
 )
@@ -110,10 +111,11 @@
     wanted = ChainRequest(
         request.model, request.prompt, request.max_tokens, data_centre, excluded
     )
-    try:
-        first = planner.choose(wanted)[0]
-    except NoChain:
-        return None
+    match planner.choose(wanted):
+        case Result(tag="ok", ok=[first, *_]):
+            pass
+        case _:
+            return None
     if first.incarnation in excluded:
         return None
     return Proposal(first.id, first.incarnation, first.window)
--- a/src/bulrushdrum/_internal/routing/chains.py
+++ b/src/bulrushdrum/_internal/routing/chains.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from expression import Error, Ok, Result
+
 from bulrushdrum._internal.routing.errors import NoChain
 from bulrushdrum._internal.routing.membership import Upstream
 from bulrushdrum._internal.world.data_centres import Links
@@ -104,18 +106,20 @@
         }
         return {name for name in names if self._has_chain(name)}
 
-    def choose(self, wanted: ChainRequest) -> list[Upstream]:
-        """Return the upstreams of a chain in layer order; raises `NoChain`.
+    def choose(self, wanted: ChainRequest) -> Result[list[Upstream], NoChain]:
+        """Return the upstreams of a chain in layer order, or why there is none.
 
-        Upstreams to avoid are used only when no chain exists without them.
+        Upstreams to avoid are used only when no chain exists without them. That there
+        is no chain now is an ordinary result: callers wait for one or refuse.
         """
         candidates = self._candidates(wanted)
         preferred = [u for u in candidates if u.incarnation not in wanted.avoid]
         chain = self._search(preferred, wanted) or self._search(candidates, wanted)
         if chain is None:
-            raise NoChain("no_chain", f"no chain of upstreams holds {wanted.model!r}")
+            missing = f"no chain of upstreams holds {wanted.model!r}"
+            return Error(NoChain("no_chain", missing))
         self._remember(wanted, chain)
-        return chain
+        return Ok(chain)
 
     def observe_cache(self, upstream: str, prefix: str, stored: bool):
         """Note what a cache event says; events come late and some are lost."""
--- /dev/null
+++ b/tests/unit/test_routing.py
@@ -0,0 +1,138 @@
+"""Choice of chains, suspects and the retry budget."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from expression import Result
+
+from bulrushdrum._internal.peering.messages import Beat, Describe, Incident
+from bulrushdrum._internal.routing.chains import POLICIES, ChainPlanner, ChainRequest
+from bulrushdrum._internal.routing.membership import Upstream
+from bulrushdrum._internal.routing.retries import RetryBudget
+from bulrushdrum._internal.routing.suspects import SuspectRegistry
+from bulrushdrum._internal.world.data_centres import Links
+
+SEED = 20261204
+
+
+def make_upstream(name, first, end, *, speed=100.0, centre="a", version="1"):
+    peer = SimpleNamespace(incarnation=f"{name}#1", address=name, data_centre=centre)
+    connection = SimpleNamespace(peer=peer, closed=False)
+    description = Describe(
+        name, "", "m", version, first, end, 6, "kind", speed, 8, "serving"
+    )
+    return Upstream(connection, description)
+
+
+def choose(upstreams, policy="least_delay", **wanted):
+    links = Links({"a|b": 0.05}, local=0.0002, default=0.001)
+    planner = ChainPlanner(lambda: upstreams, POLICIES[policy], links, SEED)
+    request = ChainRequest(**{"model": "m", "prompt": (1, 2, 3), **_WANTED, **wanted})
+    return planner.choose(request)
+
+
+_WANTED = {"answer_tokens": 10, "entry_data_centre": "a"}
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_a_chain_covers_every_layer_once_in_order(policy):
+    # Guards against a chain with a gap or an overlap, over generated layer ranges.
+    numbers = random.Random(SEED)
+    for _ in range(200):
+        upstreams = []
+        for index in range(numbers.randint(1, 8)):
+            first, end = sorted(numbers.sample(range(7), 2))
+            upstreams.append(make_upstream(f"u{index}", first, end))
+        match choose(upstreams, policy):
+            case Result(tag="ok", ok=chain):
+                edges = [0, *(upstream.layers.end for upstream in chain)]
+                assert [upstream.layers.first for upstream in chain] == edges[:-1]
+                assert edges[-1] == 6
+            case Result(error=missing):
+                assert missing.code == "no_chain"
+
+
+def test_least_delay_finds_a_chain_whenever_there_is_one():
+    # Guards against a search that gives up at the first dead end.
+    upstreams = [
+        make_upstream("dead-end", 0, 2),
+        make_upstream("long", 0, 3),
+        make_upstream("rest", 3, 6),
+    ]
+    assert [u.id for u in choose(upstreams).ok] == ["long", "rest"]
+
+
+def test_least_delay_weighs_load_speed_and_links():
+    # Guards against a choice that looks at one of the three alone.
+    loaded, idle = make_upstream("loaded", 0, 6), make_upstream("idle", 0, 6)
+    loaded.assign(1000)
+    assert choose([loaded, idle]).ok == [idle]
+    fast = make_upstream("fast", 0, 6, speed=2000.0)
+    fast.assign(1000)
+    assert choose([loaded, fast]).ok == [fast]
+    reported = make_upstream("reported", 0, 6)
+    reported.update_load(Beat(state="serving", queued_tokens=5000))
+    assert choose([reported, idle]).ok == [idle]
+    far = make_upstream("far", 0, 6, centre="b")
+    assert choose([far, idle]).ok == [idle]
+
+
+def test_a_chain_has_one_model_version():
+    # Guards against activations of one version that go into layers of another.
+    upstreams = [
+        make_upstream("new", 0, 3, version="2"),
+        make_upstream("old-1", 0, 3, version="1"),
+        make_upstream("old-2", 3, 6, version="1"),
+    ]
+    assert [u.id for u in choose(upstreams).ok] == ["old-1", "old-2"]
+
+
+def test_suspects_are_kept_apart():
+    # Guards against two suspects in one engine call, where a death convicts neither.
+    taken, free = make_upstream("taken", 0, 6), make_upstream("free", 0, 6)
+    taken.solo_fingerprints.add("other")
+    free.assign(10_000)
+    assert choose([taken, free], suspect="mine").ok == [free]
+    assert choose([taken], suspect="mine").is_error()
+    assert choose([taken]).ok == [taken]
+
+
+def test_conviction_does_not_depend_on_the_order_of_incidents():
+    # Guards against entries that disagree on whom to refuse, and against an innocent
+    # request convicted because it was on board once.
+    incidents = [
+        Incident("1", ("bad", "a", "b")),
+        Incident("2", ("bad", "c")),
+        Incident("3", ("d",)),
+    ]
+    numbers = random.Random(SEED)
+    for _ in range(50):
+        numbers.shuffle(incidents)
+        registry = SuspectRegistry()
+        for incident in incidents * 2:
+            registry.add(incident)
+        convicted = [name for name in ("bad", *"abcd") if registry.is_convicted(name)]
+        assert convicted == ["bad"]
+        assert registry.is_suspect("a") and not registry.is_suspect("e")
+
+
+def test_two_that_always_died_together_are_not_convicted_of_it():
+    # Guards against a verdict where the incidents cannot tell the two apart.
+    registry = SuspectRegistry()
+    registry.add(Incident("1", ("bad", "unlucky")))
+    registry.add(Incident("2", ("bad", "unlucky")))
+    assert not registry.is_convicted("bad") and not registry.is_convicted("unlucky")
+    registry.add(Incident("3", ("bad",)))
+    assert registry.is_convicted("bad") and not registry.is_convicted("unlucky")
+
+
+def test_repeated_work_stays_within_the_budget():
+    # Guards against retries that grow with the failures instead of with the load.
+    numbers = random.Random(SEED)
+    budget = RetryBudget(ratio=0.1, reserve=100)
+    for _ in range(10_000):
+        budget.record_tokens(numbers.randrange(50))
+        budget.try_spend(numbers.randrange(200))
+        assert budget.repeated_tokens <= 100 + 0.1 * budget.total_tokens
+    assert budget.repeated_tokens > 0.09 * budget.total_tokens
