--- a/src/bulrushdrum/_internal/caller/frontend.py
+++ b/src/bulrushdrum/_internal/caller/frontend.py
@@ -235,6 +235,10 @@
                 entry.note_token()
                 deliver(token)
 
+            if not request.non_idempotent and not caller_waits():
+                # It waited for a permit longer than its caller did.
+                message = "the caller closed the connection before the request began"
+                raise CallerError("caller_gone", message)
             if request.non_idempotent:
                 answer = self._run_bound_chat(request, transport, keyed, deliver_timed)
             else:
--- a/src/bulrushdrum/_internal/routing/attempts.py
+++ b/src/bulrushdrum/_internal/routing/attempts.py
@@ -41,6 +41,11 @@
 from bulrushdrum._internal.world.contracts import Contract
 from bulrushdrum._internal.world.requests import ChatRequest, Outcome
 
+STAGE_LOST = "stage lost"
+# A request that takes whole VMs down with it leaves nobody to report an incident, and
+# counting lost VMs as incidents would convict every request on board when a data centre
+# goes. So a request may lose so many attempts with a VM and no more.
+MAX_STAGE_LOSSES = 3
 _RETRY_POLL_SECONDS = 0.05
 _MAX_PAUSE_SECONDS = 0.4
 # Attempts that no stage accepted ran nothing; of those only the last few are kept.
@@ -85,6 +90,10 @@
     cause: str
     ran: bool
 
+    @property
+    def lost_stage(self) -> bool:
+        return self.ran and self.cause.startswith(STAGE_LOST)
+
 
 class RunningRequest:
     """A model request in progress at this entry."""
@@ -443,7 +452,7 @@
                     return None
                 case UpstreamLost(upstream):
                     if upstream in chain:
-                        raise AttemptAborted("stage lost", ran, upstream.incarnation)
+                        raise AttemptAborted(STAGE_LOST, ran, upstream.incarnation)
                 case ReportedFailure(failed, reporter) if failed.attempt == number:
                     # The first stage alone can know that no layer ran.
                     first = reporter == chain[0].incarnation and not running.tokens
@@ -462,7 +471,7 @@
         try:
             upstream.connection.send(message)
         except ConnectionLost as error:
-            cause = f"stage lost: {error}"
+            cause = f"{STAGE_LOST}: {error}"
             raise AttemptAborted(cause, False, upstream.incarnation) from error
 
     def _close_stages(self, running, chain, number):
@@ -496,6 +505,10 @@
         if running.bound is not None:
             message = f"the attempt failed and must not be repeated: {error.cause}"
             self._end(running, "attempt_failed", message)
+        losses = sum(note.lost_stage for note in running.notes)
+        if losses >= MAX_STAGE_LOSSES:
+            message = f"{losses} attempts ended with the loss of a sidecar"
+            self._end(running, "attempts_exhausted", message)
         repeated = running.next_position
         while error.ran and not self._budget.try_spend(repeated):
             if time.monotonic() >= running.deadline:
