--- a/bench/slopes_limits.py
+++ b/bench/slopes_limits.py
@@ -23,12 +23,11 @@
 from bulrushdrum._internal.limits.ownership import EntrySetVersion, Ownership
 from bulrushdrum._internal.limits.permits import Permits
 from bulrushdrum._internal.limits.settings import LimitSettings
+from bulrushdrum._internal.peering.codec import decode, encode
 from bulrushdrum._internal.peering.messages import (
     EntryMember,
     EntrySetAck,
     EntrySetValue,
-    decode,
-    encode,
 )
 from bulrushdrum._internal.platform.errors import StoreUnavailable
 from bulrushdrum._internal.platform.table import Row
--- a/bench/slopes_messages.py
+++ b/bench/slopes_messages.py
@@ -2,15 +2,8 @@
 
 import time
 
-from bulrushdrum._internal.peering.messages import (
-    Beat,
-    Step,
-    Steps,
-    Token,
-    Tokens,
-    decode,
-    encode,
-)
+from bulrushdrum._internal.peering.codec import decode, encode
+from bulrushdrum._internal.peering.messages import Beat, Step, Steps, Token, Tokens
 
 ROUNDS = 7
 CALLS = 400
--- a/src/bulrushdrum/_internal/caller/frontend.py
+++ b/src/bulrushdrum/_internal/caller/frontend.py
@@ -20,7 +20,7 @@
 from bulrushdrum._internal.peering.messages import Call, Header
 from bulrushdrum._internal.records.record import RequestRecord
 from bulrushdrum._internal.records.replication import RecordKeeper
-from bulrushdrum._internal.routing.attempts import DeliveredToken, ModelRunner
+from bulrushdrum._internal.routing.attempts import ModelRunner
 from bulrushdrum._internal.routing.bound_chat import (
     ChatAnswer,
     ChatTransport,
@@ -32,6 +32,7 @@
 from bulrushdrum._internal.routing.claims import ClaimStore
 from bulrushdrum._internal.routing.issued_keys import issue_key
 from bulrushdrum._internal.routing.once import OnceProcedure
+from bulrushdrum._internal.routing.running_requests import DeliveredToken
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.contracts import Contract
 from bulrushdrum._internal.world.requests import (
--- a/src/bulrushdrum/_internal/peering/connections.py
+++ b/src/bulrushdrum/_internal/peering/connections.py
@@ -12,6 +12,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from bulrushdrum._internal.peering.codec import decode, encode
 from bulrushdrum._internal.peering.errors import (
     ConnectionLost,
     FrameError,
@@ -24,15 +25,7 @@
     accept_handshake,
     dial_handshake,
 )
-from bulrushdrum._internal.peering.messages import (
-    Message,
-    Step,
-    Steps,
-    Token,
-    Tokens,
-    decode,
-    encode,
-)
+from bulrushdrum._internal.peering.messages import Message, Step, Steps, Token, Tokens
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 # Activations take tens of KB a token; a batch of long prompts must not make a frame
--- a/src/bulrushdrum/_internal/routing/bound_chat.py
+++ b/src/bulrushdrum/_internal/routing/bound_chat.py
@@ -11,11 +11,7 @@
 from expression import Result
 
 from bulrushdrum._internal.peering.messages import CallResult, Resolved
-from bulrushdrum._internal.routing.attempts import (
-    BoundStage,
-    DeliveredToken,
-    ModelRunner,
-)
+from bulrushdrum._internal.routing.attempts import ModelRunner
 from bulrushdrum._internal.routing.calls import resolve_binding
 from bulrushdrum._internal.routing.chains import ChainPlanner, ChainRequest
 from bulrushdrum._internal.routing.claims import Binding, Proposal
@@ -25,6 +21,7 @@
     RequestOutcomeUnknown,
 )
 from bulrushdrum._internal.routing.pending_calls import PendingCalls
+from bulrushdrum._internal.routing.running_requests import BoundStage, DeliveredToken
 from bulrushdrum._internal.world.contracts import Contract
 from bulrushdrum._internal.world.requests import ChatRequest
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,8 +5,8 @@
 import gevent
 from bench.standins.table import TableState
 
+from bulrushdrum._internal.peering.codec import decode, encode
 from bulrushdrum._internal.peering.handshake import PeerIdentity
-from bulrushdrum._internal.peering.messages import decode, encode
 from bulrushdrum._internal.platform.errors import (
     StoreUnavailable,
     WriteConflict,
--- a/tests/regressions/test_frames_in_greenlets.py
+++ b/tests/regressions/test_frames_in_greenlets.py
@@ -10,7 +10,8 @@
 ENCODING = """
 import gevent
 from bulrushdrum._internal.peering.errors import FrameError
-from bulrushdrum._internal.peering.messages import RecordsAck, Step, encode
+from bulrushdrum._internal.peering.codec import encode
+from bulrushdrum._internal.peering.messages import (RecordsAck, Step)
 
 refused = 0
 
@@ -38,7 +39,8 @@
 from gevent import socket
 from bulrushdrum._internal.peering.connections import PeerServer
 from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
-from bulrushdrum._internal.peering.messages import Hello, encode
+from bulrushdrum._internal.peering.codec import encode
+from bulrushdrum._internal.peering.messages import (Hello)
 
 with socket.socket() as reserved:
     reserved.bind(("127.0.0.1", 0))
--- a/tests/unit/test_messages.py
+++ b/tests/unit/test_messages.py
@@ -4,18 +4,19 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from bulrushdrum._internal.peering import codec
 from bulrushdrum._internal.peering import messages as wire
 from bulrushdrum._internal.peering.errors import FrameError
 
-KINDS = sorted(wire._UNION_NAMES, key=lambda kind: kind.__name__)
+KINDS = sorted(codec._UNION_NAMES, key=lambda kind: kind.__name__)
 
 
 @pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.__name__)
 def test_defaults_survive_a_round_trip(kind):
     # Guards against a field of the schema that the message class misses or misnames.
-    decoded = wire.decode(wire.encode(kind()))
+    decoded = codec.decode(codec.encode(kind()))
     assert type(decoded) is kind
-    assert wire.decode(wire.encode(decoded)) == decoded
+    assert codec.decode(codec.encode(decoded)) == decoded
 
 
 @seed(20261204)
@@ -24,11 +25,11 @@
 def test_arbitrary_bytes_decode_or_raise_frame_error(data):
     # Guards against an unexpected exception that would end the connection's greenlet.
     try:
-        wire.decode(data)
+        codec.decode(data)
     except FrameError:
         pass
 
 
 def test_value_out_of_range_is_refused():
     with pytest.raises(FrameError, match="RecordsAck"):
-        wire.encode(wire.RecordsAck(batch=-1))
+        codec.encode(wire.RecordsAck(batch=-1))
