--- a/bench/journal.py
+++ b/bench/journal.py
@@ -30,7 +30,7 @@
         "engine_refused",
         "engine:",
         "refused:",
-        "model_version_mismatch",
+        "engine_changed",
     ),
 }
 _ALLOWED_CAUSES = tuple(prefix for group in CAUSES.values() for prefix in group)
