--- a/bench/measure.py
+++ b/bench/measure.py
@@ -194,13 +194,32 @@
         )
 
 
+def measure_fairness(seeds, seconds):
+    """Print what two customers with equal contracts get, one asking four times as much.
+
+    A share of 0.50 each is fair as long as the smaller one asks for its half.
+    """
+    shares = []
+    for seed in seeds:
+        with Cluster(mixed_topology("least_delay", seed)) as cluster:
+            for name in ("eager", "modest"):
+                cluster.add_customer(name, concurrency=10_000)
+            wanted = {"eager": 192, "modest": 48}
+            observed = closed_loop(cluster, wanted, Notices(), 6, seconds, seed)
+            cluster.kill_all()
+        shares.append(observed.by_customer["modest"] / observed.tokens)
+    print(f"fairness: modest got {_spread(shares)} of the tokens (min/median/max)")
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--requests", type=int, default=96)
     parser.add_argument("--policies", default=",".join(POLICIES))
-    parser.add_argument("--only", default="", help="saturated, load or recovery")
+    parser.add_argument(
+        "--only", default="", help="saturated, load, recovery or fairness"
+    )
     options = parser.parse_args()
     policies = options.policies.split(",")
     seeds = range(1, options.seeds + 1)
@@ -212,6 +231,8 @@
         measure_policies(seeds, policies, options.seconds, options.requests, Kiosk, 0.7)
     if options.only in ("", "recovery"):
         measure_recovery(seeds)
+    if options.only in ("", "fairness"):
+        measure_fairness(seeds, options.seconds)
 
 
 if __name__ == "__main__":
