--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -339,6 +339,16 @@
             timeout,
         )
 
+    def engine_stats(self) -> dict[str, int]:
+        """Return the counters of all engines, added up."""
+        total = {}
+        for spec in self._topology.engines:
+            address = self._addresses[f"{spec.name}/upstream"]
+            _, stats = _json_request("GET", f"http://{address}/v1/stats")
+            for name, value in stats.items():
+                total[name] = total.get(name, 0) + value
+        return total
+
     def dump(self, entry: str) -> dict:
         status, dump = self.operator(entry, "GET", "dump")
         if status != 200:
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -42,6 +42,7 @@
             iteration_ms=2.0,
             slots=32,
             accelerator=f"kind{number}",
+            prefix_blocks=64,
         )
         for stage in range(STAGES)
         for number, speed in enumerate(SPEEDS)
@@ -66,6 +67,19 @@
     return f"{low:.{digits}f}/{middle:.{digits}f}/{high:.{digits}f}"
 
 
+def _cached_and_repeated(cluster):
+    """Return the part of positions taken from caches, and of tokens run again."""
+    stats = cluster.engine_stats()
+    budgets = [
+        cluster.dump(entry)["frontend"]["retry_budget"] for entry in cluster.entries
+    ]
+    total = sum(budget["total_tokens"] for budget in budgets)
+    repeated = sum(budget["repeated_tokens"] for budget in budgets)
+    return stats["cached_positions"] / max(stats["positions"], 1), repeated / max(
+        total, 1
+    )
+
+
 def _percentile_columns(observed_runs, name):
     columns = []
     for index in range(3):
@@ -95,12 +109,14 @@
                     observed = open_loop(
                         cluster, CUSTOMER, rate, workload, 4, seconds, seed
                     )
+                cached, repeated = _cached_and_repeated(cluster)
                 cluster.kill_all()
             runs[policy].append(observed)
             print(
                 f"  seed {seed} {policy}: {observed.rate:.0f} tokens/s, "
                 f"{observed.answered} answered, {observed.refused} refused, "
-                f"{observed.failed} failed",
+                f"{observed.failed} failed, {cached:.3f} of positions cached, "
+                f"{repeated:.3f} of tokens repeated",
                 flush=True,
             )
     name = workload_kind.__name__.lower()
--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -98,6 +98,14 @@
     def load(self):
         return self._engine.load()
 
+    def stats(self):
+        """Counters for measurements; not part of an engine's interface."""
+        runs = self._engine.runs
+        return {
+            "positions": sum(run.count for run in runs),
+            "cached_positions": sum(run.cached for run in runs),
+        }
+
     def cache_events(self):
         after = int(bottle.request.query.get("after") or 0)
         return {"events": self._engine.prefix_cache.events(after)}
@@ -126,6 +134,7 @@
     app.post("/v1/release")(routes.release)
     app.post("/v1/orders")(routes.orders)
     app.get("/v1/load")(routes.load)
+    app.get("/v1/stats")(routes.stats)
     app.get("/v1/cache-events")(routes.cache_events)
     app.get("/v1/journal")(routes.journal)
     app.post("/v1/faults")(routes.faults)
