--- a/bench/measure.py
+++ b/bench/measure.py
@@ -140,13 +140,17 @@
 
 
 def _longest_gap(answer, moment, started):
-    """Return the seconds from the last token before `moment` to the next one."""
+    """Return the longest time between two tokens, the later of them after `moment`.
+
+    The first token after the fault may still be one that was on its way.
+    """
     arrivals = [started + seconds for seconds in answer.times]
-    before = [at for at in arrivals if at <= moment]
-    after = [at for at in arrivals if at > moment]
-    if not before or not after:
-        return None
-    return after[0] - before[-1]
+    gaps = [
+        other - one
+        for one, other in zip(arrivals, arrivals[1:], strict=False)
+        if other > moment
+    ]
+    return max(gaps, default=None)
 
 
 def _stream_through(cluster, fault, count):
@@ -181,7 +185,7 @@
         "engine killed": lambda c: c.process("s0-3/upstream").kill(),
         "sidecar killed": lambda c: c.process("s0-3").kill(),
         "VM killed": lambda c: c.kill_vm("s0-3"),
-        "VM paused": lambda c: c.process("s0-3").pause(),
+        "sidecar paused": lambda c: c.process("s0-3").pause(),
         "data centre killed": lambda c: [
             c.kill_vm(spec.name)
             for spec in c.topology.engines
