--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -1,8 +1,10 @@
 """Settings are checked whole; each fault names the field, the value and a remedy."""
 
 import json
+from pathlib import Path
 
 import pytest
+from bench.settings_page import page as settings_page
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
@@ -74,3 +76,9 @@
         assert isinstance(parse_settings(text, EntrySettings), EntrySettings)
     except SettingsError as error:
         assert error.problems
+
+
+def test_the_page_shows_the_fields_of_the_code():
+    # Guards against an operators' page that lags behind the settings.
+    page = Path(__file__).resolve().parents[2] / "docs" / "settings.md"
+    assert page.read_text() == settings_page()
