--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -16,8 +16,8 @@
 )
 from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
 from bulrushdrum._internal.observability.events import Event, log_event
-from bulrushdrum._internal.peering.connections import parse_address
 from bulrushdrum._internal.settings.entry import EntrySettings
+from bulrushdrum._internal.world.addresses import parse_address
 
 REQUEST_READ_TIMEOUT_SECONDS = 30.0
 _HOP_HEADERS = frozenset(
--- /dev/null
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -0,0 +1,186 @@
+"""What routers tell each other: that they live, and what they have reserved.
+
+Each router keeps a row with its address in the store, and sends a datagram to all the
+others a few times a second. A lost datagram is made good by the next one, and nothing
+that must hold rests on them: the router with the first name that is heard places
+layers, and if two believe that they are first, the engines' order counts decide.
+"""
+
+import json
+import time
+from typing import NamedTuple
+
+import gevent
+from gevent import socket
+
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.memory import MemoryLedger, Use
+from bulrushdrum._internal.platform.errors import (
+    PlatformError,
+    StoreUnavailable,
+    WriteOutcomeUnknown,
+)
+from bulrushdrum._internal.platform.rows import RowStore, StoredRow
+from bulrushdrum._internal.settings.router import RouterSettings
+
+ROUTERS_TABLE = "routers"
+# Announcements go out this often, and less often among many routers, so that the work
+# that they cause at each stays about the same.
+_INTERVAL_SECONDS = 0.2
+_INTERVAL_SECONDS_PER_ROUTER = 0.02
+# A router that was not heard for this many intervals counts as gone.
+_SILENT_INTERVALS = 6
+_LARGEST_DATAGRAM = 65000
+_REGISTER_RETRY_SECONDS = 0.5
+
+
+class _Peer(NamedTuple):
+    address: tuple[str, int]
+    incarnation: str
+    heard_at: float
+    is_serving: bool
+
+
+class RouterAnnouncements:
+    """Registers this router, announces it, and listens to the others."""
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        incarnation: str,
+        ledger: MemoryLedger,
+        store: RowStore,
+    ):
+        self._settings = settings
+        self._incarnation = incarnation
+        self._ledger = ledger
+        self._store = store
+        self._peers: dict[str, _Peer] = {}
+        self._registered: dict[str, tuple[str, int]] = {}
+        self._serving = False
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((settings.ip, settings.peer_port))
+
+    @property
+    def interval(self) -> float:
+        return max(
+            _INTERVAL_SECONDS, _INTERVAL_SECONDS_PER_ROUTER * len(self._registered)
+        )
+
+    def set_serving(self, serving: bool):
+        self._serving = serving
+
+    def on_rows(self, rows: list[StoredRow], whole: bool):
+        """Take over changed rows of the routers' table."""
+        if whole:
+            self._registered.clear()
+        for row in rows:
+            if row.value is None:
+                self._registered.pop(row.key, None)
+                continue
+            try:
+                raw = json.loads(row.value)
+                self._registered[row.key] = (str(raw["ip"]), int(raw["port"]))
+            except (KeyError, TypeError, ValueError) as error:
+                log_event(Event.VM_ROW_INVALID, row=row.key, reason=repr(error))
+
+    def register(self):
+        """Write this router's row; tries again until the store has taken it."""
+        value = {
+            "ip": self._settings.ip,
+            "port": self._settings.peer_port,
+            "incarnation": self._incarnation,
+        }
+        while True:
+            try:
+                self._store.write(
+                    ROUTERS_TABLE, self._settings.node, json.dumps(value).encode()
+                )
+                return
+            except (StoreUnavailable, WriteOutcomeUnknown) as error:
+                # Writing the same row twice changes nothing.
+                log_event(Event.ROUTER_NOT_REGISTERED, reason=str(error))
+                gevent.sleep(_REGISTER_RETRY_SECONDS)
+
+    def unregister(self):
+        """Remove this router's row, if the store can be reached."""
+        try:
+            self._store.write(ROUTERS_TABLE, self._settings.node, None)
+        except PlatformError as error:
+            log_event(Event.ROUTER_NOT_REGISTERED, reason=str(error))
+
+    def serving_routers(self) -> list[str]:
+        """Return the names of the routers that take requests, with this one."""
+        names = [name for name, peer in self._heard().items() if peer.is_serving]
+        return sorted({*names, self._settings.node})
+
+    def is_first(self) -> bool:
+        """Whether this router is the one that gives orders."""
+        return self.serving_routers()[0] == self._settings.node
+
+    def announce_forever(self):
+        while True:
+            self._announce()
+            self._forget_silent()
+            gevent.sleep(self.interval)
+
+    def _announce(self):
+        message = json.dumps(
+            {
+                "node": self._settings.node,
+                "incarnation": self._incarnation,
+                "port": self._settings.peer_port,
+                "serving": self._serving,
+                "uses": {
+                    name: [round(use.token_layers), use.sequences, use.first_sequences]
+                    for name, use in self._ledger.own_uses().items()
+                },
+            },
+            separators=(",", ":"),
+        ).encode()[:_LARGEST_DATAGRAM]
+        for name, address in list(self._registered.items()):
+            if name == self._settings.node:
+                continue
+            try:
+                self._socket.sendto(message, address)
+            except OSError as error:
+                log_event(Event.PEER_UNREACHABLE, peer=name, reason=str(error))
+
+    def listen_forever(self):
+        while True:
+            data, address = self._socket.recvfrom(_LARGEST_DATAGRAM)
+            try:
+                raw = json.loads(data)
+                uses = {
+                    str(upstream_id): Use(float(use[0]), int(use[1]), int(use[2]))
+                    for upstream_id, use in raw["uses"].items()
+                }
+                name, serving = str(raw["node"]), bool(raw["serving"])
+                incarnation = str(raw["incarnation"])
+            except (KeyError, TypeError, ValueError, IndexError) as error:
+                log_event(Event.PEER_REFUSED, peer=str(address), reason=repr(error))
+                continue
+            if name not in self._peers:
+                log_event(Event.PEER_CONNECTED, peer=name, serving=serving)
+            self._peers[name] = _Peer(address, incarnation, time.monotonic(), serving)
+            self._ledger.set_peer(name, uses)
+
+    def _heard(self):
+        oldest = time.monotonic() - self.interval * _SILENT_INTERVALS
+        return {
+            name: peer for name, peer in self._peers.items() if peer.heard_at >= oldest
+        }
+
+    def _forget_silent(self):
+        heard = self._heard()
+        for name in set(self._peers) - set(heard):
+            silent = time.monotonic() - self._peers.pop(name).heard_at
+            self._ledger.forget_peer(name)
+            log_event(Event.PEER_SILENT, peer=name, seconds=round(silent, 3))
+
+    def dump(self) -> dict:
+        return {
+            "registered": sorted(self._registered),
+            "heard": sorted(self._heard()),
+            "is_first": self.is_first(),
+        }
--- /dev/null
+++ b/src/bulrushdrum/_internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Takes requests from callers and sends them to upstreams."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/gateway/exchange.py
@@ -0,0 +1,76 @@
+"""One sending of a request to one upstream."""
+
+import time
+from typing import NamedTuple
+
+from bulrushdrum._internal.gateway.errors import UpstreamFailed
+from bulrushdrum._internal.gateway.messages import (
+    CallDescription,
+    CallExtras,
+    Request,
+    encode_head,
+    end_to_end,
+)
+from bulrushdrum._internal.gateway.parsing import ResponseReader
+from bulrushdrum._internal.gateway.upstream_connections import (
+    ConnectionPool,
+    UpstreamConnection,
+)
+from bulrushdrum._internal.platform.headers import describe_answer, extra_headers
+
+
+class Call(NamedTuple):
+    """A caller's request with everything that was decided about it."""
+
+    request: Request
+    description: CallDescription
+    deadline: float
+    team: str | None
+    priority: int | None
+
+
+class Exchange(NamedTuple):
+    """A request that was sent, and the reader of its answer."""
+
+    connection: UpstreamConnection
+    reader: ResponseReader
+
+
+def encode_call(call: Call, extras: CallExtras) -> bytes:
+    """Return the request as the upstream gets it."""
+    request = call.request
+    headers = end_to_end(call.description.forwarded) + extra_headers(extras)
+    if request.body or request.method not in (b"GET", b"HEAD"):
+        headers.append((b"content-length", b"%d" % len(request.body)))
+    first_line = request.method + b" " + request.target + b" HTTP/1.1"
+    return encode_head(first_line, headers) + request.body
+
+
+def send_call(
+    pool: ConnectionPool, address: str, call: Call, extras: CallExtras, fresh=False
+) -> Exchange:
+    """Send a call; raises `UpstreamFailed`."""
+    connection = pool.take(address, fresh)
+    left = call.deadline - time.monotonic()
+    if left <= 0:
+        connection.close()
+        raise UpstreamFailed("the deadline passed before sending", False)
+    extras = extras._replace(seconds_left=left)
+    try:
+        reader = connection.send(encode_call(call, extras), left)
+    except BaseException:
+        connection.close()
+        raise
+    return Exchange(connection, reader)
+
+
+def check_head(reader: ResponseReader, request_id: bytes):
+    """Return what the head says; raises `UpstreamFailed` if it is not for this call."""
+    answer = describe_answer(reader.headers)
+    if answer.request_id is not None and answer.request_id != request_id:
+        raise UpstreamFailed("the answer belongs to another request", True)
+    if any(name == b"content-encoding" for name, _ in reader.headers):
+        raise UpstreamFailed("the answer is encoded", True)
+    if 200 <= reader.status < 300 and not answer.signed:
+        raise UpstreamFailed("the answer is not signed", True)
+    return answer
--- /dev/null
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -0,0 +1,352 @@
+"""Generations: streams that pass through a path of upstreams.
+
+A generation is sent to the first upstream of its path, with the path in a header. Its
+events are passed on as they come. If the path fails, a generation that may be resumed
+goes on behind its last event on another path, within the same answer.
+"""
+
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from gevent.event import Event as Signal
+
+from bulrushdrum._internal.gateway.callers import CallerConnection
+from bulrushdrum._internal.gateway.errors import UpstreamFailed
+from bulrushdrum._internal.gateway.events_stream import EventSplitter
+from bulrushdrum._internal.gateway.exchange import Call, check_head, send_call
+from bulrushdrum._internal.gateway.messages import (
+    Answer,
+    CallExtras,
+    end_to_end,
+)
+from bulrushdrum._internal.gateway.refusals import failure, refusal
+from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
+from bulrushdrum._internal.limits.retry_window import RetryWindow
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.errors import NoPath, NoRoom
+from bulrushdrum._internal.pipelines.fleet import Fleet
+from bulrushdrum._internal.pipelines.memory import MemoryLedger
+from bulrushdrum._internal.pipelines.paths import Demand, PathChooser
+from bulrushdrum._internal.platform.headers import without_signature
+from bulrushdrum._internal.world.engines import EngineModel
+from bulrushdrum._internal.world.routes import Route
+
+# How often a waiting stream looks whether an upstream of its path is given up.
+_LOOK_SECONDS = 0.2
+# A stream that is silent for this many of its allowed pauses, or this many goals before
+# the first event, is taken to be stalled.
+_STALLED_GAPS = 3.0
+_STALLED_GOALS = 1.6
+# A request waits for memory for this part of its goal, and is then refused.
+_WAIT_PART = 0.4
+_MOST_REFUSALS = 3
+
+
+class _Progress:
+    """What a generation has delivered so far."""
+
+    def __init__(self, resume_after):
+        self.last_id = resume_after
+        self.last_number = int(resume_after) if _is_number(resume_after) else None
+        self.events = 0
+        self.started = False
+        self.attempts = 0
+        self.refusals = 0
+        self.failed_upstreams: set[str] = set()
+
+
+def _is_number(text):
+    return text is not None and text.isdigit()
+
+
+class _Refused(NamedTuple):
+    """The path did not run the request; `at_fault` is the upstream's address."""
+
+    status: int
+    at_fault: str | None
+
+
+class Generations:
+    """Runs generations of all services; `diagnose(hops)` finds the upstream at fault."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        ledger: MemoryLedger,
+        chooser: PathChooser,
+        pool: ConnectionPool,
+        budget: RetryWindow,
+        count_routers: Callable[[], int],
+        diagnose,
+    ):
+        self._fleet = fleet
+        self._ledger = ledger
+        self._chooser = chooser
+        self._pool = pool
+        self._budget = budget
+        self._count_routers = count_routers
+        self._diagnose = diagnose
+        self._released = Signal()
+
+    def run(
+        self,
+        connection: CallerConnection,
+        call: Call,
+        route: Route,
+        service: str,
+        model: EngineModel,
+    ):
+        """Answer the caller."""
+        self._budget.note_request(service)
+        progress = _Progress(call.description.resume_after)
+        demand = _demand(call, model)
+        while True:
+            if progress.attempts + progress.refusals > 0 and not self._may_go_on(
+                call, route, service, progress
+            ):
+                self._give_up(connection, call, progress, "no attempt is left")
+                return
+            path = self._find_path(call, route, service, model, demand, progress)
+            if path is None:
+                self._give_up(connection, call, progress, "no path has room")
+                return
+            reservation = self._ledger.reserve(path, demand.tokens)
+            try:
+                outcome = self._attempt(connection, call, route, path, progress)
+            except UpstreamFailed as error:
+                self._note_failure(call, path, error, progress)
+                if error.may_have_run:
+                    progress.attempts += 1
+                else:
+                    progress.refusals += 1
+                continue
+            finally:
+                self._ledger.release(reservation)
+                self._released.set()
+                self._released.clear()
+            if outcome is None:
+                return
+            progress.refusals += 1
+            self._note_refusal(call, path, outcome, progress)
+
+    def _may_go_on(self, call, route, service, progress):
+        if time.monotonic() >= call.deadline:
+            return False
+        if progress.attempts and not route.may_repeat:
+            return False
+        if progress.attempts >= route.max_attempts:
+            return False
+        if progress.refusals > _MOST_REFUSALS:
+            return False
+        return self._budget.try_spend(service, self._count_routers())
+
+    def _find_path(self, call, route, service, model, demand, progress):
+        until = time.monotonic() + route.goal * _WAIT_PART
+        while True:
+            try:
+                return self._chooser.choose(
+                    service, model, demand, progress.failed_upstreams
+                )
+            except NoPath as error:
+                log_event(
+                    Event.NO_PATH,
+                    request=call.description.request_id.decode("latin-1"),
+                    reason=str(error),
+                )
+                if not progress.started:
+                    return None
+            except NoRoom:
+                pass
+            left = min(until, call.deadline) - time.monotonic()
+            if left <= 0:
+                return None
+            self._released.wait(min(left, _LOOK_SECONDS))
+
+    def _attempt(self, connection, call, route, path, progress):
+        """Pass on one upstream's stream; return None at its end, or a `_Refused`."""
+        extras = CallExtras(
+            path[0].upstream.id,
+            call.deadline - time.monotonic(),
+            call.team,
+            path,
+            progress.last_id,
+            call.priority,
+        )
+        exchange = send_call(self._pool, path[0].address, call, extras)
+        upstream_connection, reader = exchange
+        try:
+            self._await_head(exchange, route, path)
+            described = check_head(reader, call.description.request_id)
+            if not 200 <= reader.status < 300:
+                refused = self._read_failure(connection, exchange, call, described)
+            else:
+                self._pass_events(connection, exchange, route, path, progress)
+                refused = None
+        except BaseException:
+            upstream_connection.close()
+            raise
+        self._pool.give_back(upstream_connection, reader.headers)
+        return refused
+
+    def _await_head(self, exchange, route, path):
+        connection, reader = exchange
+        silence = _Silence(route.goal * _STALLED_GOALS)
+        while not reader.has_head:
+            if connection.receive(_LOOK_SECONDS):
+                continue
+            self._check_path(path, silence)
+
+    def _read_failure(self, connection, exchange, call, described):
+        upstream_connection, reader = exchange
+        while not reader.is_complete:
+            if not upstream_connection.receive(1.0):
+                raise UpstreamFailed("the failure's body did not arrive", True)
+        if described.not_executed or reader.status == 421:
+            return _Refused(reader.status, described.at_fault)
+        if connection.answer_begun or reader.status >= 500:
+            raise UpstreamFailed(f"the upstream answered {reader.status}", True)
+        headers = end_to_end(reader.headers)
+        if reader.status in (408, 429):
+            headers = without_signature(headers)
+            connection.send(Answer(502, headers, b"".join(reader.body)))
+        else:
+            connection.send(Answer(reader.status, headers, b"".join(reader.body)))
+        return None
+
+    def _pass_events(self, connection, exchange, route, path, progress):
+        upstream_connection, reader = exchange
+        splitter = EventSplitter()
+        first = route.goal * _STALLED_GOALS
+        silence = _Silence(
+            route.gap_goal * _STALLED_GAPS if progress.started else first
+        )
+        while True:
+            passed = False
+            while reader.body:
+                for event in splitter.feed(reader.body.popleft()):
+                    passed |= self._pass_event(connection, reader, event, progress)
+            if passed:
+                silence = _Silence(route.gap_goal * _STALLED_GAPS)
+            if reader.is_complete:
+                break
+            if not upstream_connection.receive(_LOOK_SECONDS):
+                self._check_path(path, silence)
+        if splitter.has_rest:
+            raise UpstreamFailed("the stream ended in the middle of an event", True)
+        if not progress.started:
+            connection.start_stream(reader.status, end_to_end(reader.headers))
+            progress.started = True
+        connection.end_stream()
+        for hop in path:
+            self._fleet.trust(hop.upstream.id)
+
+    def _pass_event(self, connection, reader, event, progress):
+        if event.number is not None and progress.last_number is not None:
+            if event.number <= progress.last_number:
+                return False
+            if event.number != progress.last_number + 1:
+                raise UpstreamFailed(f"event {event.number} is out of order", True)
+        if not progress.started:
+            connection.start_stream(reader.status, end_to_end(reader.headers))
+            progress.started = True
+        connection.send_chunk(event.data)
+        progress.events += 1
+        if event.raw_id is not None:
+            progress.last_id = event.raw_id
+            progress.last_number = event.number
+        return True
+
+    def _check_path(self, path, silence):
+        """Raise `UpstreamFailed` if the path is given up."""
+        for hop in path:
+            known = self._fleet.get(hop.upstream.id)
+            if known is None or known.born != hop.upstream.born:
+                raise UpstreamFailed(f"{hop.upstream.id} is gone", True, silent=True)
+        if silence.is_suspicious():
+            self._diagnose(path)
+            if any(self._fleet.is_avoided(hop.upstream.id) for hop in path):
+                raise UpstreamFailed("an upstream of the path fails", True, silent=True)
+        if silence.is_over():
+            raise UpstreamFailed("the stream is stalled", True, silent=True)
+
+    def _note_failure(self, call, path, error, progress):
+        log_event(
+            Event.UPSTREAM_ATTEMPT_FAILED,
+            request=call.description.request_id.decode("latin-1"),
+            path=_describe(path),
+            reason=str(error),
+            may_have_run=error.may_have_run,
+            events_delivered=progress.events,
+        )
+        if not error.may_have_run:
+            self._fleet.avoid(path[0].upstream.id)
+            self._pool.drop_address(path[0].address)
+        if error.silent:
+            self._diagnose(path)
+        for hop in path:
+            if self._fleet.is_avoided(hop.upstream.id):
+                progress.failed_upstreams.add(hop.upstream.id)
+
+    def _note_refusal(self, call, path, refused, progress):
+        upstream = self._fleet.at_address(refused.at_fault or path[0].address)
+        log_event(
+            Event.UPSTREAM_REFUSED,
+            request=call.description.request_id.decode("latin-1"),
+            path=_describe(path),
+            status=refused.status,
+            at_fault=refused.at_fault,
+            upstream=None if upstream is None else upstream.id,
+        )
+        if upstream is not None:
+            self._fleet.avoid(upstream.id)
+            progress.failed_upstreams.add(upstream.id)
+
+    def _give_up(self, connection, call, progress, reason):
+        log_event(
+            Event.GENERATION_GIVEN_UP,
+            request=call.description.request_id.decode("latin-1"),
+            reason=reason,
+            attempts=progress.attempts,
+            refusals=progress.refusals,
+            events_delivered=progress.events,
+        )
+        if progress.started:
+            connection.break_off()
+        elif progress.attempts:
+            connection.send(failure(502, reason))
+        else:
+            connection.send(refusal(reason, self._retry_after()))
+
+    def _retry_after(self):
+        return 0.5
+
+
+class _Silence:
+    """Time since a stream last moved."""
+
+    def __init__(self, longest: float):
+        self._since = time.monotonic()
+        self._longest = longest
+
+    def is_suspicious(self):
+        return time.monotonic() - self._since > self._longest / 2
+
+    def is_over(self):
+        return time.monotonic() - self._since > self._longest
+
+
+def _demand(call, model):
+    generation = call.description.generation
+    if generation is None:
+        return Demand(model.usual_prompt, model.usual_answer)
+    answer = generation.max_output or model.usual_answer
+    if generation.expected_output is not None:
+        # The caller's guess is often far off; the mean pulls it towards what is usual.
+        guess = (generation.expected_output + model.usual_answer) / 2
+        answer = min(answer, guess)
+    return Demand(generation.prompt, answer)
+
+
+def _describe(path):
+    return [f"{hop.upstream.id}={hop.layers.first}-{hop.layers.end}" for hop in path]
--- /dev/null
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -0,0 +1,143 @@
+"""Reads HTTP messages from connections, with httptools as the parser."""
+
+import time
+from collections import deque
+
+import httptools
+
+from bulrushdrum._internal.gateway.errors import BadRequest, UpstreamFailed
+from bulrushdrum._internal.gateway.messages import Headers, Request
+from bulrushdrum._internal.world.routes import CallerLimits
+
+
+class RequestReader:
+    """Collects the requests that come in on one connection."""
+
+    def __init__(self, limits: CallerLimits):
+        self.requests: deque[Request] = deque()
+        self._limits = limits
+        self._parser = httptools.HttpRequestParser(self)
+        self._started = False
+        self._reset()
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of a request has come in."""
+        return self._started
+
+    def feed(self, data: bytes):
+        """Parse `data`; raises `BadRequest`."""
+        try:
+            self._parser.feed_data(data)
+        except BadRequest:
+            raise
+        except httptools.HttpParserUpgrade:
+            raise BadRequest(400, "protocol upgrades are not supported") from None
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            if isinstance(cause, BadRequest):
+                raise cause from None
+            raise BadRequest(400, f"malformed request: {error}") from error
+
+    def _reset(self):
+        self._target = b""
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def on_message_begin(self):
+        self._started = True
+
+    def on_url(self, url):
+        self._target += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name, value):
+        self._headers.append((name.lower(), value))
+        self._count_header_bytes(len(name) + len(value) + 4)
+
+    def _count_header_bytes(self, count):
+        self._header_bytes += count
+        if self._header_bytes > self._limits.header_bytes:
+            raise BadRequest(431, f"headers exceed {self._limits.header_bytes} bytes")
+
+    def on_body(self, body):
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits.body_bytes:
+            raise BadRequest(413, f"the body exceeds {self._limits.body_bytes} bytes")
+        self._body.append(body)
+
+    def on_message_complete(self):
+        self.requests.append(
+            Request(
+                self._parser.get_method(),
+                self._target,
+                self._headers,
+                b"".join(self._body),
+                self._parser.should_keep_alive(),
+                time.monotonic(),
+            )
+        )
+        self._started = False
+        self._reset()
+
+
+class ResponseReader:
+    """Reads the answer to one request; `body` collects what has come in of it."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers: Headers = []
+        self.body: deque[bytes] = deque()
+        self.has_head = False
+        self.is_complete = False
+        self.ends_with_connection = False
+        self.keep_alive = False
+        self.has_surplus = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    def feed(self, data: bytes):
+        """Parse `data`; raises `UpstreamFailed` if it is no HTTP answer."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self.is_complete:
+                # What follows a complete answer belongs to no request.
+                self.has_surplus = True
+                return
+            raise UpstreamFailed(f"malformed answer: {error}", True) from error
+
+    def on_message_begin(self):
+        if self.is_complete:
+            self.has_surplus = True
+
+    def on_header(self, name, value):
+        if not self.is_complete:
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        if self.is_complete:
+            return
+        self.status = self._parser.get_status_code()
+        names = {name for name, _ in self.headers}
+        framed = b"content-length" in names or b"transfer-encoding" in names
+        self.ends_with_connection = not framed and self.status not in (204, 304)
+        self.has_head = self.status >= 200
+        self.keep_alive = self._parser.should_keep_alive()
+
+    def on_body(self, body):
+        if not self.is_complete:
+            self.body.append(body)
+
+    def on_message_complete(self):
+        if self.status < 200:
+            # An interim answer; the final one follows.
+            self.headers = []
+            return
+        self.is_complete = True
+
+    def end_of_connection(self):
+        """The upstream closed the connection in order."""
+        if self.has_head and self.ends_with_connection:
+            self.is_complete = True
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -17,7 +17,7 @@
     """All log events.
 
     1xxx process, 2xxx peers, 3xxx requests, 4xxx platform and configuration, 5xxx
-    upstreams and orders, 6xxx limits, 7xxx records.
+    upstreams and orders, 6xxx limits, 7xxx records, 8xxx router.
     """
 
     ENTRY_READY = 1001
@@ -60,6 +60,21 @@
     RECORDS_UNREADABLE = 7003
     RECORDS_FULL = 7004
     RECORDS_WITHOUT_PARTNER = 7005
+    ROUTER_STARTED = 8001
+    SETTINGS_CHANGED = 8002
+    STORE_HISTORY_LOST = 8003
+    ROUTER_NOT_REGISTERED = 8004
+    PEER_UNREACHABLE = 8005
+    LAYERS_ORDERED = 8101
+    ENGINE_TOO_SMALL = 8102
+    UPSTREAM_SILENT = 8103
+    CALLER_REFUSED = 8201
+    CALLER_LEFT = 8202
+    UPSTREAM_ATTEMPT_FAILED = 8203
+    UPSTREAM_REFUSED = 8204
+    RETRY_NOT_ALLOWED = 8205
+    NO_PATH = 8206
+    GENERATION_GIVEN_UP = 8207
 
 
 def start_logging(process: str, stream=None):
--- a/src/bulrushdrum/_internal/operator/client.py
+++ b/src/bulrushdrum/_internal/operator/client.py
@@ -10,7 +10,7 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from bulrushdrum._internal.operator.errors import CommandFailed
-from bulrushdrum._internal.peering.connections import parse_address
+from bulrushdrum._internal.world.addresses import parse_address
 
 # An entry tries for about 20 s to settle an edit before it answers.
 _READ_TIMEOUT_SECONDS = 40.0
--- a/src/bulrushdrum/_internal/peering/connections.py
+++ b/src/bulrushdrum/_internal/peering/connections.py
@@ -26,6 +26,7 @@
     dial_handshake,
 )
 from bulrushdrum._internal.peering.messages import Message, Step, Steps, Token, Tokens
+from bulrushdrum._internal.world.addresses import parse_address
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 # Activations take tens of KB a token; a batch of long prompts must not make a frame
@@ -201,14 +202,6 @@
             self.close()
 
 
-def parse_address(address: str) -> tuple[str, int]:
-    """Split `"10.0.0.7:7100"` into host and port; raises `ValueError` otherwise."""
-    host, separator, port = address.rpartition(":")
-    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{address!r} is not an address like '10.0.0.7:7100'")
-    return host, int(port)
-
-
 def dial(
     address: str,
     local: PeerIdentity,
--- /dev/null
+++ b/src/bulrushdrum/_internal/pipelines/__init__.py
@@ -0,0 +1,1 @@
+"""Where layers lie and which upstreams a request passes through."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -0,0 +1,147 @@
+"""The upstreams that this router knows, and how far it trusts each.
+
+Registrations come from the platform's store. While the store is away, or has just come
+back, registrations that vanished may only have lapsed, so they stay for a short while.
+Health is judged by what requests did: an upstream that failed one is avoided for a time
+that doubles with each further failure.
+"""
+
+import time
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from bulrushdrum._internal.world.engines import PoolUpstream
+
+# How long an upstream is avoided after its first failure, and at most, in seconds. The
+# first is about a heartbeat, the longest about the time of a restart.
+_FIRST_AVOIDANCE_SECONDS = 1.0
+_LONGEST_AVOIDANCE_SECONDS = 5.0
+# Registrations that lapsed during an outage are renewed within two seconds of its end.
+LAPSED_GRACE_SECONDS = 2.2
+
+
+class _Suspicion(NamedTuple):
+    until: float
+    failures: int
+
+
+class Fleet:
+    """Known upstreams by id."""
+
+    def __init__(self, clock=time.monotonic):
+        self._clock = clock
+        self._upstreams: dict[str, PoolUpstream] = {}
+        self._lapsed: dict[str, float] = {}
+        self._suspicions: dict[str, _Suspicion] = {}
+        self._generation = 0
+        self._by_address: dict[str, str] = {}
+
+    @property
+    def generation(self) -> int:
+        """Grows with every change of membership, state or trust."""
+        self._expire_lapsed()
+        return self._generation
+
+    def replace_all(self, upstreams: Iterable[PoolUpstream], may_have_lapsed=False):
+        """Take over a whole list; keep what is missing if it may only have lapsed."""
+        listed = {upstream.id: upstream for upstream in upstreams}
+        for upstream_id in set(self._upstreams) - set(listed):
+            self.remove(upstream_id, may_have_lapsed)
+        for upstream in listed.values():
+            self.put(upstream)
+
+    def put(self, upstream: PoolUpstream):
+        known = self._upstreams.get(upstream.id)
+        self._lapsed.pop(upstream.id, None)
+        if known == upstream:
+            return
+        if known is not None and known.born != upstream.born:
+            self._suspicions.pop(upstream.id, None)
+        self._upstreams[upstream.id] = upstream
+        self._by_address[upstream.address] = upstream.id
+        self._generation += 1
+
+    def remove(self, upstream_id: str, may_have_lapsed=False):
+        if upstream_id not in self._upstreams:
+            return
+        if may_have_lapsed:
+            self._lapsed.setdefault(upstream_id, self._clock() + LAPSED_GRACE_SECONDS)
+            return
+        upstream = self._upstreams.pop(upstream_id)
+        self._lapsed.pop(upstream_id, None)
+        self._suspicions.pop(upstream_id, None)
+        if self._by_address.get(upstream.address) == upstream_id:
+            del self._by_address[upstream.address]
+        self._generation += 1
+
+    def get(self, upstream_id: str) -> PoolUpstream | None:
+        return self._upstreams.get(upstream_id)
+
+    def at_address(self, address: str) -> PoolUpstream | None:
+        return self._upstreams.get(self._by_address.get(address, ""))
+
+    def members(self, service: str) -> list[PoolUpstream]:
+        """Return all registered upstreams of a service, trusted or not."""
+        self._expire_lapsed()
+        return [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.service == service
+        ]
+
+    def usable(self, service: str) -> list[PoolUpstream]:
+        """Return the serving upstreams of a service that are not avoided now."""
+        return [
+            upstream
+            for upstream in self.members(service)
+            if upstream.is_serving and not self.is_avoided(upstream.id)
+        ]
+
+    def avoid(self, upstream_id: str, seconds: float | None = None):
+        """Send no new work to an upstream for a while, longer after each failure."""
+        if upstream_id not in self._upstreams:
+            return
+        now = self._clock()
+        known = self._suspicions.get(upstream_id)
+        if known is not None and known.until > now:
+            return
+        failures = 1 if known is None else known.failures + 1
+        if seconds is None:
+            seconds = _FIRST_AVOIDANCE_SECONDS * 2 ** (failures - 1)
+        until = now + min(seconds, _LONGEST_AVOIDANCE_SECONDS)
+        self._suspicions[upstream_id] = _Suspicion(until, failures)
+        self._generation += 1
+
+    def trust(self, upstream_id: str):
+        """Record that an upstream served a request."""
+        if self._suspicions.pop(upstream_id, None) is not None:
+            self._generation += 1
+
+    def is_avoided(self, upstream_id: str) -> bool:
+        suspicion = self._suspicions.get(upstream_id)
+        return suspicion is not None and suspicion.until > self._clock()
+
+    def avoided_ids(self) -> list[str]:
+        return [
+            upstream_id
+            for upstream_id in self._suspicions
+            if self.is_avoided(upstream_id)
+        ]
+
+    def dump(self) -> dict:
+        return {
+            "upstreams": {
+                upstream.id: {**upstream._asdict(), "state": upstream.state.value}
+                for upstream in self._upstreams.values()
+            },
+            "avoided": self.avoided_ids(),
+            "lapsed": sorted(self._lapsed),
+        }
+
+    def _expire_lapsed(self):
+        if not self._lapsed:
+            return
+        now = self._clock()
+        for upstream_id, until in list(self._lapsed.items()):
+            if until <= now:
+                self.remove(upstream_id)
--- a/src/bulrushdrum/_internal/platform/errors.py
+++ b/src/bulrushdrum/_internal/platform/errors.py
@@ -31,3 +31,15 @@
 
 class ObjectNotFound(PlatformError):
     """The object store has no object of this name."""
+
+
+class HistoryLost(PlatformError):
+    """The changes that follow a version are gone; the table must be read whole."""
+
+
+class MalformedRow(PlatformError):
+    """The value of a row cannot be decoded."""
+
+
+class MalformedAnswer(PlatformError):
+    """An upstream's answer to an order or a query cannot be decoded."""
--- a/src/bulrushdrum/_internal/platform/service.py
+++ b/src/bulrushdrum/_internal/platform/service.py
@@ -12,12 +12,12 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from bulrushdrum._internal.peering.connections import parse_address
 from bulrushdrum._internal.platform.errors import (
     PlatformError,
     StoreUnavailable,
     WriteOutcomeUnknown,
 )
+from bulrushdrum._internal.world.addresses import parse_address
 
 # Greenlets of one process that use the service at the same time; more of them open
 # connections that are closed after one request.
--- a/src/bulrushdrum/_internal/platform/vm_list.py
+++ b/src/bulrushdrum/_internal/platform/vm_list.py
@@ -1,9 +1,9 @@
 """Client for the platform's list of live and leaving VMs."""
 
 from bulrushdrum._internal.observability.events import Event, log_event
-from bulrushdrum._internal.peering.connections import parse_address
 from bulrushdrum._internal.platform.errors import StoreUnavailable
 from bulrushdrum._internal.platform.service import PlatformService
+from bulrushdrum._internal.world.addresses import parse_address
 from bulrushdrum._internal.world.vms import Vm, VmState
 
 
--- /dev/null
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -0,0 +1,306 @@
+"""The router process: builds its parts from the settings, serves, and drains.
+
+The router is the entry of a platform whose servers run layers and pass activations to
+each other themselves, so it needs no sidecars.
+"""
+
+import os
+import random
+import secrets
+import signal
+import sys
+import time
+
+import gevent
+from gevent.event import Event as Signal
+
+from bulrushdrum._internal.coordination.announcements import (
+    ROUTERS_TABLE,
+    RouterAnnouncements,
+)
+from bulrushdrum._internal.coordination.following import TableFollower
+from bulrushdrum._internal.coordination.placing import LayerPlacement
+from bulrushdrum._internal.gateway.callers import CallerServer
+from bulrushdrum._internal.gateway.errors import CallerLeft
+from bulrushdrum._internal.gateway.exchange import Call
+from bulrushdrum._internal.gateway.generations import Generations
+from bulrushdrum._internal.gateway.messages import Answer
+from bulrushdrum._internal.gateway.plain_calls import PlainCalls
+from bulrushdrum._internal.gateway.refusals import failure, refusal, rejection
+from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
+from bulrushdrum._internal.limits.retry_window import RetryWindow
+from bulrushdrum._internal.observability.events import Event, log_event, start_logging
+from bulrushdrum._internal.pipelines.diagnosis import Diagnosis
+from bulrushdrum._internal.pipelines.fleet import LAPSED_GRACE_SECONDS, Fleet
+from bulrushdrum._internal.pipelines.memory import MemoryLedger
+from bulrushdrum._internal.pipelines.paths import PathChooser
+from bulrushdrum._internal.platform.engine_calls import EngineCalls
+from bulrushdrum._internal.platform.errors import MalformedRow
+from bulrushdrum._internal.platform.headers import describe_call, request_id_header
+from bulrushdrum._internal.platform.router_config import (
+    decode_configuration,
+    decode_upstream,
+)
+from bulrushdrum._internal.platform.router_settings import (
+    SETTINGS_PATH_VARIABLE,
+    read_router_settings,
+)
+from bulrushdrum._internal.platform.rows import RowStore
+from bulrushdrum._internal.settings.errors import SettingsError
+from bulrushdrum._internal.settings.router import RouterSettings
+from bulrushdrum._internal.world.routes import CallerLimits, RouterConfiguration
+
+_CONFIGURATION_KEY = "config"
+_ENGINE_CALL_TIMEOUT_SECONDS = 0.5
+_RETRY_WITHOUT_CONFIGURATION_SECONDS = 1.0
+# The balancer takes a router out after two misses, one second apart; until then it
+# still sends new connections.
+_OUT_OF_ROTATION_SECONDS = 2.6
+# What is still in progress this long before the platform's kill is given up, seconds.
+_STOP_MARGIN_SECONDS = 0.4
+_DRAIN_LOOK_SECONDS = 0.05
+_EXPIRY_SECONDS = 1.0
+
+
+class RouterProcess:
+    """All parts of one router."""
+
+    def __init__(self, settings: RouterSettings):
+        self._settings = settings
+        self._incarnation = secrets.token_hex(6)
+        self._random = random.Random(self._incarnation)
+        self._stop = Signal()
+        self._configuration: RouterConfiguration | None = None
+        store = RowStore(
+            settings.store_address, settings.store_timeout, settings.feed_wait
+        )
+        self._fleet = Fleet()
+        self._ledger = MemoryLedger()
+        self._announcements = RouterAnnouncements(
+            settings, self._incarnation, self._ledger, store
+        )
+        self._chooser = PathChooser(self._fleet, self._ledger, settings.data_centre)
+        self._pool = ConnectionPool()
+        calls = EngineCalls(_ENGINE_CALL_TIMEOUT_SECONDS)
+        self._placement = LayerPlacement(
+            self._fleet, calls, self._announcements.is_first, self._services
+        )
+        budget = RetryWindow(
+            settings.retry_ratio, settings.retry_extra, settings.retry_window_seconds
+        )
+        self._plain = PlainCalls(
+            self._fleet,
+            self._pool,
+            budget,
+            settings.data_centre,
+            self._count_routers,
+        )
+        diagnosis = Diagnosis(self._fleet, calls.report, self._chooser.set_pace)
+        self._generations = Generations(
+            self._fleet,
+            self._ledger,
+            self._chooser,
+            self._pool,
+            budget,
+            self._count_routers,
+            diagnosis.diagnose,
+        )
+        self._configurations = TableFollower(store, "op", self._on_configuration)
+        self._registrations = TableFollower(store, "servers", self._on_registrations)
+        self._routers = TableFollower(store, ROUTERS_TABLE, self._announcements.on_rows)
+        self._callers = CallerServer(
+            settings.caller_address, self._handle, self._limits
+        )
+        self._ready = CallerServer(settings.ready_address, self._handle_ready)
+
+    def run(self):
+        """Serve until SIGTERM, then drain."""
+        gevent.signal_handler(signal.SIGTERM, self._stop.set)
+        gevent.signal_handler(signal.SIGHUP, self._log_reload)
+        self._ready.start()
+        self._callers.start()
+        for task in (
+            self._configurations.run,
+            self._registrations.run,
+            self._routers.run,
+            self._announcements.register,
+            self._announcements.announce_forever,
+            self._announcements.listen_forever,
+            self._placement.run,
+            self._expire,
+        ):
+            gevent.spawn(task)
+        log_event(
+            Event.ROUTER_STARTED,
+            node=self._settings.node,
+            incarnation=self._incarnation,
+            address=self._settings.caller_address,
+        )
+        self._stop.wait()
+        self._drain()
+        log_event(Event.PROCESS_STOPPED, node=self._settings.node)
+
+    def _drain(self):
+        began = time.monotonic()
+        end = began + self._settings.stop_grace_seconds - _STOP_MARGIN_SECONDS
+        log_event(Event.DRAIN_STARTED, requests=self._callers.requests_in_progress)
+        self._callers.is_draining = True
+        self._announcements.set_serving(False)
+        gevent.spawn(self._announcements.unregister)
+        gevent.sleep(_OUT_OF_ROTATION_SECONDS)
+        self._callers.closes_idle = True
+        while time.monotonic() < end and (
+            self._callers.requests_in_progress or self._callers.connections
+        ):
+            gevent.sleep(_DRAIN_LOOK_SECONDS)
+        self._callers.stop_accepting()
+
+    def _log_reload(self):
+        log_event(Event.SETTINGS_CHANGED, node=self._settings.node)
+
+    def _expire(self):
+        while True:
+            gevent.sleep(_EXPIRY_SECONDS)
+            self._pool.close_expired()
+            self._announcements.set_serving(self._is_ready())
+
+    def _count_routers(self):
+        return len(self._announcements.serving_routers())
+
+    def _services(self):
+        if self._configuration is None:
+            return []
+        return list(self._configuration.services.values())
+
+    def _limits(self):
+        if self._configuration is None:
+            return CallerLimits()
+        return self._configuration.limits
+
+    def _on_configuration(self, rows, _whole):
+        for row in rows:
+            if row.key != _CONFIGURATION_KEY or row.value is None:
+                continue
+            try:
+                configuration = decode_configuration(row.value)
+            except MalformedRow as error:
+                log_event(Event.CONFIGURATION_INVALID, reason=str(error))
+                continue
+            known = self._configuration
+            if known is not None and configuration.version <= known.version:
+                continue
+            self._configuration = configuration
+            log_event(Event.CONFIGURATION_APPLIED, revision=configuration.version)
+
+    def _on_registrations(self, rows, whole):
+        lapsing = self._registrations.seconds_since_outage() < LAPSED_GRACE_SECONDS
+        upstreams = []
+        for row in rows:
+            if row.value is None:
+                self._fleet.remove(row.key, lapsing)
+                continue
+            try:
+                upstreams.append(decode_upstream(row.key, row.value))
+            except MalformedRow as error:
+                log_event(Event.VM_ROW_INVALID, row=row.key, reason=str(error)[:300])
+        if whole:
+            self._fleet.replace_all(upstreams, lapsing)
+            return
+        for upstream in upstreams:
+            self._fleet.put(upstream)
+
+    def _is_ready(self):
+        return (
+            not self._callers.is_draining
+            and self._configuration is not None
+            and self._registrations.has_read
+        )
+
+    def _handle_ready(self, connection, _request):
+        status = 200 if self._is_ready() else 503
+        connection.send(Answer(status, [(b"content-type", b"text/plain")], b""))
+
+    def _handle(self, connection, request):
+        description = describe_call(request.headers)
+        try:
+            self._route(connection, request, description)
+        except CallerLeft:
+            log_event(
+                Event.CALLER_LEFT,
+                request=description.request_id.decode("latin-1"),
+                seconds=round(time.monotonic() - request.read_at, 3),
+            )
+            raise
+        except Exception as error:
+            log_event(
+                Event.INTERNAL_ERROR,
+                request=description.request_id.decode("latin-1"),
+                reason=repr(error),
+            )
+            if not connection.answer_begun:
+                connection.send(failure(502, "internal error"))
+
+    def _route(self, connection, request, description):
+        configuration = self._configuration
+        if configuration is None:
+            answer = refusal(
+                "no configuration is known yet", _RETRY_WITHOUT_CONFIGURATION_SECONDS
+            )
+            connection.send(self._with_id(answer, description))
+            return
+        route = configuration.routes.find(request.host, request.path)
+        if route is None:
+            connection.send(rejection(404, "no route matches"))
+            return
+        team = None
+        if configuration.teams_by_key is not None and not route.public:
+            team = configuration.teams_by_key.get(description.api_key or "")
+            if team is None:
+                connection.send(rejection(401, "the key is not known"))
+                return
+        seconds = route.timeout
+        if description.seconds_left is not None:
+            seconds = min(seconds, description.seconds_left)
+        priority = route.priority
+        if team is not None and team.priority is not None:
+            priority = team.priority
+        call = Call(
+            request,
+            description,
+            request.read_at + seconds,
+            None if team is None else team.name,
+            min(max(priority, 0), 9),
+        )
+        service = self._choose_service(route)
+        engine = configuration.services[service].engine
+        if engine is None:
+            answer = self._plain.run(call, route, service)
+            connection.send(self._with_id(answer, description))
+        else:
+            self._generations.run(connection, call, route, service, engine)
+
+    def _choose_service(self, route):
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        names = [share.service for share in route.shares]
+        weights = [share.weight for share in route.shares]
+        return self._random.choices(names, weights)[0]
+
+    def _with_id(self, answer, description):
+        header = request_id_header(description.request_id)
+        if any(name == header[0] for name, _ in answer.headers):
+            return answer
+        return answer._replace(headers=[*answer.headers, header])
+
+
+def run_router() -> int:
+    """Run a router with the platform's settings; return the exit code."""
+    path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
+    try:
+        settings = read_router_settings(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    start_logging(settings.node, sys.stdout)
+    RouterProcess(settings).run()
+    return 0
--- a/src/bulrushdrum/_internal/settings/entry.py
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from bulrushdrum._internal.limits.settings import LimitSettings
-from bulrushdrum._internal.peering.connections import parse_address
 from bulrushdrum._internal.records.settings import RecordSettings
 from bulrushdrum._internal.settings.reading import setting
+from bulrushdrum._internal.world.addresses import parse_address
 
 
 def _is_url(value):
--- a/src/bulrushdrum/_internal/settings/sidecar.py
+++ b/src/bulrushdrum/_internal/settings/sidecar.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from bulrushdrum._internal.peering.connections import parse_address
 from bulrushdrum._internal.settings.reading import setting
+from bulrushdrum._internal.world.addresses import parse_address
 
 KINDS = ("engine", "service")
 MIN_SECRET_LENGTH = 16
--- a/src/bulrushdrum/_internal/sidecar/engine.py
+++ b/src/bulrushdrum/_internal/sidecar/engine.py
@@ -18,12 +18,12 @@
     ReadTimeoutError,
 )
 
-from bulrushdrum._internal.peering.connections import parse_address
 from bulrushdrum._internal.sidecar.errors import (
     EngineLost,
     EngineRefused,
     EngineUnreachable,
 )
+from bulrushdrum._internal.world.addresses import parse_address
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 CONTROL_TIMEOUT_SECONDS = 5.0
--- a/src/bulrushdrum/_internal/sidecar/service_client.py
+++ b/src/bulrushdrum/_internal/sidecar/service_client.py
@@ -14,9 +14,9 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from bulrushdrum._internal.peering.connections import parse_address
 from bulrushdrum._internal.peering.messages import Call, CallResult, Header
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
+from bulrushdrum._internal.world.addresses import parse_address
 from bulrushdrum._internal.world.requests import Outcome
 
 CONNECT_TIMEOUT_SECONDS = 1.0
--- a/src/bulrushdrum/_internal/sidecar/watching.py
+++ b/src/bulrushdrum/_internal/sidecar/watching.py
@@ -6,7 +6,6 @@
 from gevent import socket
 
 from bulrushdrum._internal.observability.events import Event, log_event
-from bulrushdrum._internal.peering.connections import parse_address
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.engine import (
     CONNECT_TIMEOUT_SECONDS,
@@ -18,6 +17,7 @@
 from bulrushdrum._internal.sidecar.errors import EngineLost, SidecarError
 from bulrushdrum._internal.sidecar.loops import spawn_loop
 from bulrushdrum._internal.sidecar.status import UpstreamStatus
+from bulrushdrum._internal.world.addresses import parse_address
 
 
 class EngineWatch:
