Keep paths within a data centre; give data centres their missing layers

Paths crossed data centres and shared a pipe of 19 Gbit/s, on which a request of 950 tokens takes 25 ms; layers that went with an engine were never given to others; streams were broken off when an engine's registration went, though it served to its end. Change: paths cross only if no data centre has all layers and room; stand-ins move, or all engines of a data centre share the layers out anew; routers tell each other of silent engines.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -14,6 +14,7 @@
 from gevent import socket
 
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory import MemoryLedger, Use
 from bulrushdrum._internal.platform.errors import (
     PlatformError,
@@ -31,6 +32,8 @@
 # A router that was not heard for this many intervals counts as gone.
 _SILENT_INTERVALS = 6
 _LARGEST_DATAGRAM = 65000
+# How long what another router said of a silent upstream is remembered as its word.
+_TOLD_SECONDS = 4.0
 _REGISTER_RETRY_SECONDS = 0.5
 
 
@@ -49,15 +52,19 @@
         settings: RouterSettings,
         incarnation: str,
         ledger: MemoryLedger,
+        fleet: Fleet,
         store: RowStore,
     ):
         self._settings = settings
         self._incarnation = incarnation
         self._ledger = ledger
+        self._fleet = fleet
         self._store = store
         self._peers: dict[str, _Peer] = {}
         self._registered: dict[str, tuple[str, int]] = {}
         self._serving = False
+        self._own_silent: list[str] = []
+        self._told_silent: dict[str, float] = {}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((settings.ip, settings.peer_port))
 
@@ -125,12 +132,23 @@
             gevent.sleep(self.interval)
 
     def _announce(self):
+        # What others said is not passed on, so that it ends when they end it.
+        self._own_silent = [
+            upstream_id
+            for upstream_id in self._fleet.silent_ids()
+            if upstream_id not in self._told_silent
+        ]
+        oldest = time.monotonic() - _TOLD_SECONDS
+        self._told_silent = {
+            name: told for name, told in self._told_silent.items() if told > oldest
+        }
         message = json.dumps(
             {
                 "node": self._settings.node,
                 "incarnation": self._incarnation,
                 "port": self._settings.peer_port,
                 "serving": self._serving,
+                "silent": self._own_silent,
                 "uses": {
                     name: [round(use.token_layers), use.sequences, use.first_sequences]
                     for name, use in self._ledger.own_uses().items()
@@ -156,6 +174,7 @@
                     for upstream_id, use in raw["uses"].items()
                 }
                 name, serving = str(raw["node"]), bool(raw["serving"])
+                silent = [str(upstream_id) for upstream_id in raw["silent"]]
                 incarnation = str(raw["incarnation"])
             except (KeyError, TypeError, ValueError, IndexError) as error:
                 log_event(Event.PEER_REFUSED, peer=str(address), reason=repr(error))
@@ -164,6 +183,10 @@
                 log_event(Event.PEER_CONNECTED, peer=name, serving=serving)
             self._peers[name] = _Peer(address, incarnation, time.monotonic(), serving)
             self._ledger.set_peer(name, uses)
+            for upstream_id in silent:
+                if not self._fleet.is_silent(upstream_id):
+                    self._fleet.note_silent(upstream_id)
+                    self._told_silent[upstream_id] = time.monotonic()
 
     def _heard(self):
         oldest = time.monotonic() - self.interval * _SILENT_INTERVALS
--- a/src/bulrushdrum/_internal/coordination/placing.py
+++ b/src/bulrushdrum/_internal/coordination/placing.py
@@ -1,4 +1,4 @@
-"""Gives empty engines their layers.
+"""Gives empty engines their layers, and moves stand-ins to layers that went missing.
 
 One router at a time does this. Each order names the engine's incarnation and the number
 of orders that it has accepted, so an order that is late, or given twice, is refused by
@@ -16,8 +16,9 @@
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.placement import (
     choose_layers,
+    choose_moves,
     placement_order,
-    request_tokens,
+    room_by_data_centre,
 )
 from bulrushdrum._internal.platform.engine_calls import EngineCalls, OrderOutcome
 from bulrushdrum._internal.world.engines import EngineModel
@@ -30,6 +31,8 @@
 _SETTLE_SECONDS = 0.7
 # After a load should have ended, its engine's registration may be this late, in seconds.
 _REGISTRATION_LAG_SECONDS = 3.0
+# An order that was refused for its count is given again after this long, in seconds.
+_REFUSED_RETRY_SECONDS = 0.3
 
 
 class _Pending(NamedTuple):
@@ -62,18 +65,21 @@
                     self._place(service, service.engine)
 
     def _place(self, service: Service, model: EngineModel):
-        engines = [e for e in self._fleet.members(service.name) if e.is_serving]
+        engines = [
+            engine
+            for engine in self._fleet.members(service.name)
+            if engine.is_serving and not self._fleet.is_silent(engine.id)
+        ]
         if not self._has_settled(service.name, engines):
             return
         now = time.monotonic()
         self._forget_ended(engines, now)
         empty = [e for e in engines if e.layers is None and e.id not in self._pending]
-        if not empty:
-            return
-        tokens = request_tokens(model, engines)
+        rooms = room_by_data_centre(model, engines)
         holding = [self._as_ordered(e) for e in engines if e not in empty]
         orders = []
         for engine in placement_order(model, empty):
+            tokens = rooms[engine.data_centre]
             layers = choose_layers(model, engine, holding, tokens)
             if layers is None:
                 log_event(
@@ -81,10 +87,16 @@
                 )
                 continue
             holding.append(engine._replace(layers=layers))
-            wait = model.load_seconds * 2 + _REGISTRATION_LAG_SECONDS
+            orders.append((engine, layers))
+        for engine, layers in choose_moves(model, holding):
+            if engine.id not in self._pending:
+                orders.append((engine, layers))
+        wait = model.load_seconds * 2 + _REGISTRATION_LAG_SECONDS
+        tasks = []
+        for engine, layers in orders:
             self._pending[engine.id] = _Pending(layers, engine.born, now + wait)
-            orders.append(gevent.spawn(self._order, engine, layers, tokens))
-        gevent.joinall(orders)
+            tasks.append(gevent.spawn(self._order, engine, layers))
+        gevent.joinall(tasks)
 
     def _has_settled(self, service, engines):
         seen = frozenset(engine.id for engine in engines)
@@ -100,15 +112,19 @@
         for upstream_id, pending in list(self._pending.items()):
             engine = by_id.get(upstream_id)
             gone = engine is None or engine.born != pending.born
-            if gone or engine.layers is not None or pending.until <= now:
+            if gone or engine.layers == pending.layers or pending.until <= now:
                 del self._pending[upstream_id]
 
     def _as_ordered(self, engine):
         pending = self._pending.get(engine.id)
         return engine if pending is None else engine._replace(layers=pending.layers)
 
-    def _order(self, engine, layers, tokens):
-        orders_accepted = self._accepted.get((engine.id, engine.born), 0)
+    def _order(self, engine, layers):
+        incarnation = (engine.id, engine.born)
+        if incarnation not in self._accepted and engine.layers is not None:
+            # Another router may have ordered it; an empty engine is taken as new.
+            self._ask_for_count(engine)
+        orders_accepted = self._accepted.get(incarnation, 0)
         outcome = self._calls.hold_layers(
             engine.address, engine.id, layers, orders_accepted
         )
@@ -121,18 +137,30 @@
             first=layers.first,
             end=layers.end,
             orders_accepted=orders_accepted,
-            request_tokens=round(tokens),
             outcome=outcome.value,
         )
-        if outcome is not OrderOutcome.REFUSED:
-            return
-        # Its state is newer than its registration, which may be about to tell.
-        until = time.monotonic() + _REGISTRATION_LAG_SECONDS
-        self._pending[engine.id] = _Pending(layers, engine.born, until)
+        match outcome:
+            case OrderOutcome.BEGUN:
+                self._accepted[incarnation] = orders_accepted + 1
+            case OrderOutcome.HOLDS:
+                pass
+            case OrderOutcome.REFUSED:
+                self._ask_for_count(engine)
+                self._try_again(engine, layers, _REFUSED_RETRY_SECONDS)
+            case OrderOutcome.UNKNOWN:
+                # It may be carried out still; by then the registration shows it.
+                self._accepted.pop(incarnation, None)
+                self._try_again(engine, layers, _REGISTRATION_LAG_SECONDS)
+
+    def _ask_for_count(self, engine):
         report = self._calls.report(engine.address)
         if report is not None:
             self._accepted[engine.id, engine.born] = report.orders_accepted
 
+    def _try_again(self, engine, layers, seconds):
+        until = time.monotonic() + seconds
+        self._pending[engine.id] = _Pending(layers, engine.born, until)
+
     def dump(self) -> dict:
         return {
             "pending": {
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -34,10 +34,16 @@
 
 # How often a waiting stream looks whether an upstream of its path is given up.
 _LOOK_SECONDS = 0.2
-# A stream that is silent for this many of its allowed pauses, or this many goals before
-# the first event, is taken to be stalled.
-_STALLED_GAPS = 3.0
-_STALLED_GOALS = 1.6
+# A stream is looked into when it was silent for longer than this many of its allowed
+# pauses, or this part of its goal before the first event.
+_SUSPICIOUS_GAPS = 1.2
+_SUSPICIOUS_GOALS = 0.8
+# Callers give a silent stream up after the longest of two seconds, four goals and eight
+# allowed pauses; it is sent elsewhere at this part of that time, whatever the cause.
+_CALLER_PATIENCE_SECONDS = 2.0
+_CALLER_PATIENCE_GOALS = 4.0
+_CALLER_PATIENCE_GAPS = 8.0
+_PATIENCE_PART = 0.7
 # A request waits for memory for this part of its goal, and is then refused.
 _WAIT_PART = 0.4
 _MOST_REFUSALS = 3
@@ -109,6 +115,7 @@
                 return
             path = self._find_path(call, route, service, model, demand, progress)
             if path is None:
+                self._log_room(call, service, model)
                 self._give_up(connection, call, progress, "no path has room")
                 return
             reservation = self._ledger.reserve(path, demand.tokens)
@@ -163,6 +170,14 @@
                 return None
             self._released.wait(min(left, _LOOK_SECONDS))
 
+    def _log_room(self, call, service, model):
+        log_event(
+            Event.NO_ROOM,
+            request=call.description.request_id.decode("latin-1"),
+            service=service,
+            data_centres=self._chooser.describe_room(service, model),
+        )
+
     def _attempt(self, connection, call, route, path, progress):
         """Pass on one upstream's stream; return None at its end, or a `_Refused`."""
         extras = CallExtras(
@@ -191,7 +206,7 @@
 
     def _await_head(self, exchange, route, path):
         connection, reader = exchange
-        silence = _Silence(route.goal * _STALLED_GOALS)
+        silence = _Silence(route, started=False)
         while not reader.has_head:
             if connection.receive(_LOOK_SECONDS):
                 continue
@@ -217,17 +232,14 @@
     def _pass_events(self, connection, exchange, route, path, progress):
         upstream_connection, reader = exchange
         splitter = EventSplitter()
-        first = route.goal * _STALLED_GOALS
-        silence = _Silence(
-            route.gap_goal * _STALLED_GAPS if progress.started else first
-        )
+        silence = _Silence(route, progress.started)
         while True:
             passed = False
             while reader.body:
                 for event in splitter.feed(reader.body.popleft()):
                     passed |= self._pass_event(connection, reader, event, progress)
             if passed:
-                silence = _Silence(route.gap_goal * _STALLED_GAPS)
+                silence = _Silence(route, progress.started)
             if reader.is_complete:
                 break
             if not upstream_connection.receive(_LOOK_SECONDS):
@@ -261,8 +273,9 @@
         """Raise `UpstreamFailed` if the path is given up."""
         for hop in path:
             known = self._fleet.get(hop.upstream.id)
-            if known is None or known.born != hop.upstream.born:
-                raise UpstreamFailed(f"{hop.upstream.id} is gone", True, silent=True)
+            # One that is no longer registered may be leaving and serves to its end.
+            if known is not None and known.born != hop.upstream.born:
+                raise UpstreamFailed(f"{hop.upstream.id} restarted", True, silent=True)
         if silence.is_suspicious():
             self._diagnose(path)
             if any(self._fleet.is_avoided(hop.upstream.id) for hop in path):
@@ -323,14 +336,22 @@
 
 
 class _Silence:
-    """Time since a stream last moved."""
+    """Time since a stream last moved, against what its route allows."""
 
-    def __init__(self, longest: float):
+    def __init__(self, route: Route, started: bool):
         self._since = time.monotonic()
-        self._longest = longest
+        if started:
+            self._suspicious = route.gap_goal * _SUSPICIOUS_GAPS
+        else:
+            self._suspicious = route.goal * _SUSPICIOUS_GOALS
+        self._longest = _PATIENCE_PART * max(
+            _CALLER_PATIENCE_SECONDS,
+            route.goal * _CALLER_PATIENCE_GOALS,
+            route.gap_goal * _CALLER_PATIENCE_GAPS,
+        )
 
     def is_suspicious(self):
-        return time.monotonic() - self._since > self._longest / 2
+        return time.monotonic() - self._since > self._suspicious
 
     def is_over(self):
         return time.monotonic() - self._since > self._longest
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -75,6 +75,7 @@
     RETRY_NOT_ALLOWED = 8205
     NO_PATH = 8206
     GENERATION_GIVEN_UP = 8207
+    NO_ROOM = 8208
 
 
 def start_logging(process: str, stream=None):
--- a/src/bulrushdrum/_internal/pipelines/diagnosis.py
+++ b/src/bulrushdrum/_internal/pipelines/diagnosis.py
@@ -44,7 +44,7 @@
         report = self._report(first.address)
         if report is None:
             log_event(Event.UPSTREAM_SILENT, upstream=first.id, asked=first.id)
-            self._fleet.avoid(first.id)
+            self._fleet.note_silent(first.id)
             return
         self._set_pace(first.id, report.pace)
         for address in report.stalled:
@@ -56,4 +56,4 @@
                 asked=first.id,
             )
             if upstream is not None:
-                self._fleet.avoid(upstream.id)
+                self._fleet.note_silent(upstream.id)
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -18,6 +18,9 @@
 _LONGEST_AVOIDANCE_SECONDS = 5.0
 # Registrations that lapsed during an outage are renewed within two seconds of its end.
 LAPSED_GRACE_SECONDS = 2.2
+# An upstream that paths wait for counts as silent for this long, in seconds: about the
+# time after which its registration is removed.
+_SILENT_SECONDS = 3.0
 
 
 class _Suspicion(NamedTuple):
@@ -33,6 +36,7 @@
         self._upstreams: dict[str, PoolUpstream] = {}
         self._lapsed: dict[str, float] = {}
         self._suspicions: dict[str, _Suspicion] = {}
+        self._silent: dict[str, float] = {}
         self._generation = 0
         self._by_address: dict[str, str] = {}
 
@@ -57,6 +61,7 @@
             return
         if known is not None and known.born != upstream.born:
             self._suspicions.pop(upstream.id, None)
+            self._silent.pop(upstream.id, None)
         self._upstreams[upstream.id] = upstream
         self._by_address[upstream.address] = upstream.id
         self._generation += 1
@@ -70,6 +75,7 @@
         upstream = self._upstreams.pop(upstream_id)
         self._lapsed.pop(upstream_id, None)
         self._suspicions.pop(upstream_id, None)
+        self._silent.pop(upstream_id, None)
         if self._by_address.get(upstream.address) == upstream_id:
             del self._by_address[upstream.address]
         self._generation += 1
@@ -114,9 +120,23 @@
 
     def trust(self, upstream_id: str):
         """Record that an upstream served a request."""
+        self._silent.pop(upstream_id, None)
         if self._suspicions.pop(upstream_id, None) is not None:
             self._generation += 1
 
+    def note_silent(self, upstream_id: str):
+        """Record that paths wait in vain for an upstream, and avoid it."""
+        if upstream_id in self._upstreams:
+            self._silent[upstream_id] = self._clock() + _SILENT_SECONDS
+            self.avoid(upstream_id)
+
+    def is_silent(self, upstream_id: str) -> bool:
+        return self._silent.get(upstream_id, 0.0) > self._clock()
+
+    def silent_ids(self) -> list[str]:
+        now = self._clock()
+        return [name for name, until in self._silent.items() if until > now]
+
     def is_avoided(self, upstream_id: str) -> bool:
         suspicion = self._suspicions.get(upstream_id)
         return suspicion is not None and suspicion.until > self._clock()
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -7,6 +7,7 @@
 """
 
 import random
+import time
 from typing import NamedTuple
 
 from bulrushdrum._internal.pipelines.errors import NoPath, NoRoom
@@ -17,9 +18,16 @@
 
 # A server refuses a path with more parts.
 MAX_HOPS = 32
-# Crossing to another data centre loads a pipe that all share, which the delays do not
-# show: this much is added to the cost of a token's way, in seconds.
-_CROSSING_SECONDS = 0.002
+# A path that leaves its data centre waits for a pipe that all such paths share, one
+# transfer after another. New ones are let onto it up to this part of its time.
+_PIPE_SHARE = 0.5
+# Time on the pipe that may be taken at once, in seconds.
+_PIPE_BURST_SECONDS = 0.5
+# What the first event of a request gains from a near first upstream, in seconds: enough
+# to stay in the router's data centre unless another one is clearly faster.
+_NEARNESS_SECONDS = 0.1
+# The part of its answer that a request occupies on average, and a little more.
+_OCCUPIED_ANSWER = 0.65
 # A hop whose memory would be filled beyond this part counts as full for new requests,
 # because answers may become longer than their callers expect.
 _USABLE_MEMORY = 0.92
@@ -29,25 +37,63 @@
 
 
 class Demand(NamedTuple):
-    """What a request needs: prompt tokens, expected answer tokens, and their sum."""
+    """What a request needs: its prompt and expected answer, in tokens."""
 
     prompt: float
     answer: float
 
     @property
     def tokens(self) -> float:
-        return self.prompt + self.answer
+        """Memory that the request occupies on average over its life, nearly.
+
+        Requests on board are of all ages, so their sum is near that of their means.
+        """
+        return self.prompt + _OCCUPIED_ANSWER * self.answer
+
+
+class _PipeBudget:
+    """Time on the pipe between two data centres that this router may still take."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._balance = _PIPE_BURST_SECONDS
+        self._filled_at = clock()
+
+    def try_spend(self, seconds: float, routers: int) -> bool:
+        now = self._clock()
+        earned = (now - self._filled_at) * _PIPE_SHARE / max(routers, 1)
+        self._balance = min(self._balance + earned, _PIPE_BURST_SECONDS)
+        self._filled_at = now
+        if seconds > self._balance:
+            return False
+        self._balance -= seconds
+        return True
 
 
 class PathChooser:
-    """Chooses paths for requests that enter at `data_centre`."""
+    """Chooses paths for requests that enter at `data_centre`.
+
+    A path stays in one data centre if any of them has all layers and room; the bytes
+    between its hops are many times those between the router and the first of them.
+    """
 
-    def __init__(self, fleet: Fleet, ledger: MemoryLedger, data_centre: str, seed=None):
+    def __init__(
+        self,
+        fleet: Fleet,
+        ledger: MemoryLedger,
+        data_centre: str,
+        count_routers=lambda: 1,
+        seed=None,
+        clock=time.monotonic,
+    ):
         self._fleet = fleet
         self._ledger = ledger
         self._data_centre = data_centre
+        self._count_routers = count_routers
         self._paces: dict[str, float] = {}
         self._random = random.Random(seed)
+        self._clock = clock
+        self._pipes: dict[tuple[str, str], _PipeBudget] = {}
 
     def set_pace(self, upstream_id: str, pace: float):
         """Take over how many times slower than its kind an upstream runs."""
@@ -64,17 +110,80 @@
             and engine.kind in model.kinds
             and engine.id not in excluded
         ]
+        if not self._covers(model, engines):
+            raise NoPath(f"layers of {service} are missing")
         roomy = [
             engine for engine in engines if self._has_room(model, engine, demand.tokens)
         ]
-        path = self._cheapest(model, roomy, demand)
-        if path is not None:
+        figures = [_Figures(self, model, engine, demand) for engine in roomy]
+        local = self._within_data_centres(model, figures, demand)
+        if local is not None:
+            return local
+        path = self._cheapest(model, figures)
+        if path is not None and self._may_cross(model, path, demand):
             return path
-        if self._covers(model, engines):
-            raise NoRoom(
-                f"no path of {service} has room for {demand.tokens:.0f} tokens"
+        raise NoRoom(f"no path of {service} has room for {demand.tokens:.0f} tokens")
+
+    def describe_room(self, service: str, model: EngineModel) -> dict:
+        """Return, for each data centre, what a refusal for want of room rests on.
+
+        `missing` counts layers that no usable engine holds there; `fullest` is the
+        largest part of an engine's memory that is reserved.
+        """
+        groups: dict[str, list[PoolUpstream]] = {}
+        for engine in self._fleet.usable(service):
+            if engine.layers is not None and engine.kind in model.kinds:
+                groups.setdefault(engine.data_centre, []).append(engine)
+        return {
+            data_centre: {
+                "missing": len(_missing_layers(model, engines)),
+                "fullest": round(max(self._part_used(model, e) for e in engines), 2),
+                "sequences": max(
+                    self._ledger.use(engine.id).sequences for engine in engines
+                ),
+            }
+            for data_centre, engines in groups.items()
+        }
+
+    def _part_used(self, model, engine):
+        held = engine.layers.end - engine.layers.first
+        capacity = model.capacity(model.kinds[engine.kind], held)
+        return self._ledger.use(engine.id).token_layers / max(capacity, 1.0)
+
+    def _may_cross(self, model, path, demand):
+        seconds = model.crossing_seconds(demand.tokens)
+        routers = self._count_routers()
+        return all(
+            self._pipes.setdefault(pipe, _PipeBudget(self._clock)).try_spend(
+                seconds, routers
             )
-        raise NoPath(f"layers of {service} are missing")
+            for pipe in _crossings(path)
+        )
+
+    def _within_data_centres(self, model, figures, demand):
+        groups: dict[str, list[_Figures]] = {}
+        for figure in figures:
+            groups.setdefault(figure.engine.data_centre, []).append(figure)
+        best, best_cost = None, None
+        for data_centre, group in groups.items():
+            if not self._covers(model, [figure.engine for figure in group]):
+                continue
+            path = self._cheapest(model, group)
+            if path is None:
+                continue
+            cost = self._cost(path, group)
+            if data_centre != self._data_centre:
+                cost += _NEARNESS_SECONDS
+            if best is None or cost < best_cost:
+                best, best_cost = path, cost
+        return best
+
+    def _cost(self, path, figures):
+        by_id = {figure.engine.id: figure for figure in figures}
+        return sum(
+            by_id[hop.upstream.id].running_cost(hop.layers.end - hop.layers.first)
+            for hop in path
+        )
 
     def _has_room(self, model, engine, tokens):
         kind = model.kinds[engine.kind]
@@ -84,24 +193,18 @@
         return self._ledger.use(engine.id).token_layers + tokens <= capacity
 
     def _covers(self, model, engines):
-        layer = 0
-        for engine in sorted(engines, key=lambda engine: engine.layers.first):
-            if engine.layers.first > layer:
-                return False
-            layer = max(layer, engine.layers.end)
-        return layer >= model.layers
-
-    def _cheapest(self, model, engines, demand):
-        path = self._search(model, engines, demand, leave_early=True)
+        return not _missing_layers(model, engines)
+
+    def _cheapest(self, model, figures):
+        path = self._search(model, figures, leave_early=True)
         if path is not None and _has_repeats(path):
-            path = self._search(model, engines, demand, leave_early=False)
+            path = self._search(model, figures, leave_early=False)
         if path is None or len(path) > MAX_HOPS or _has_repeats(path):
             return None
         return path
 
-    def _search(self, model, engines, demand, leave_early):
-        starts = sorted({engine.layers.first for engine in engines})
-        figures = [_Figures(self, model, engine, demand) for engine in engines]
+    def _search(self, model, figures, leave_early):
+        starts = sorted({figure.engine.layers.first for figure in figures})
         # best[layer][data centre] is the cheapest way to have run the layers before.
         best = {0: {self._data_centre: (0.0, None)}}
         points = {0}
@@ -136,6 +239,15 @@
         return _unroll(best.get(model.layers))
 
 
+def _missing_layers(model, engines):
+    """Return the layers that none of `engines` holds."""
+    missing, layer = [], 0
+    for engine in sorted(engines, key=lambda engine: engine.layers.first):
+        missing += range(layer, engine.layers.first)
+        layer = max(layer, engine.layers.end)
+    return [*missing, *range(layer, model.layers)]
+
+
 def _unroll(ways):
     if not ways:
         return None
@@ -147,6 +259,13 @@
     return tuple(reversed(hops))
 
 
+def _crossings(path):
+    """Return the pairs of data centres that a path passes between."""
+    places = [hop.upstream.data_centre for hop in path]
+    pairs = zip(places, places[1:], strict=False)
+    return [tuple(sorted(pair)) for pair in pairs if pair[0] != pair[1]]
+
+
 def _has_repeats(path):
     return len({hop.upstream.id for hop in path}) < len(path)
 
@@ -177,10 +296,9 @@
         """Return the cheapest way to come here, as a cost and the step before."""
         here, best = self.engine.data_centre, None
         for data_centre, (cost, step) in ways.items():
-            delay = self._model.delay(data_centre, here)
-            if data_centre != here:
-                delay += _CROSSING_SECONDS
-            total = cost + self._demand.answer * delay
+            total = cost + self._demand.answer * self._model.delay(data_centre, here)
+            if data_centre != here and step is not None:
+                total += self._model.crossing_seconds(self._demand.tokens)
             if best is None or total < best[0]:
                 best = (total, step)
         return best
--- a/src/bulrushdrum/_internal/pipelines/placement.py
+++ b/src/bulrushdrum/_internal/pipelines/placement.py
@@ -9,6 +9,9 @@
 the same, and the engine's order count settles who comes first if two do.
 """
 
+import math
+from typing import NamedTuple
+
 from bulrushdrum._internal.world.engines import (
     AcceleratorKind,
     EngineModel,
@@ -16,9 +19,16 @@
 )
 from bulrushdrum._internal.world.upstreams import LayerRange
 
-# Layers in a data centre's engines, as a multiple of the model's. A fifth more than one
-# copy leaves stand-ins for the largest engine of a usual data centre.
-_COPIES_WITH_STAND_INS = 1.2
+# Layers in a data centre's engines, as a multiple of the model's. What is more
+# than one copy leaves stand-ins for the largest engines. A data centre takes the first
+# of these with which each engine has room for the requests below.
+_COPIES = (1.4, 1.3, 1.2, 1.1)
+_ONE_COPY = 1.0
+# Usual requests that each engine has room for before stand-ins get layers.
+_REQUESTS_BEFORE_STAND_INS = 36
+# A data centre shares its layers out anew when that multiplies the room of its narrowest
+# layer by this much; less is not worth the time of the loads.
+_WORTHWHILE_GAIN = 2.0
 _GAIN_FLEET_LACKS = 100.0
 _GAIN_DATA_CENTRE_LACKS = 10.0
 # Steps of the search for the number of request tokens to leave room for.
@@ -31,32 +41,46 @@
     return min(model.layers, int(kind.memory_bytes // per_layer))
 
 
-def request_tokens(model: EngineModel, engines: list[PoolUpstream]) -> float:
-    """Return the request tokens that each engine leaves room for.
-
-    This is the largest number, up to what an engine's places fill, with which every
-    data centre that could hold a copy of the model holds one and its stand-ins; if none
-    could, the fleet as a whole. Returns 0 if even the bare layers do not fit.
+def request_tokens(
+    model: EngineModel,
+    engines: list[PoolUpstream],
+    copies: float = _ONE_COPY,
+) -> float:
+    """Return the request tokens that each engine of one data centre leaves room for.
+
+    This is the largest number, up to what an engine's places fill, with which the
+    engines together hold `copies` times the model's layers. Returns 0 if they cannot
+    beside any request.
     """
-    groups: dict[str, list[AcceleratorKind]] = {}
-    for engine in engines:
-        if engine.kind in model.kinds:
-            kind = model.kinds[engine.kind]
-            groups.setdefault(engine.data_centre, []).append(kind)
-    wanted = model.layers * _COPIES_WITH_STAND_INS
-    low = model.usual_tokens * model.max_sequences / _SEARCH_STEPS
-    able = [
-        kinds for kinds in groups.values() if _total(model, kinds, low) >= model.layers
-    ]
-    if not able:
-        able = [[kind for kinds in groups.values() for kind in kinds]]
-    for step in range(_SEARCH_STEPS, 0, -1):
-        tokens = low * step
-        if all(_total(model, kinds, tokens) >= wanted for kinds in able):
-            return tokens
+    kinds = [model.kinds[e.kind] for e in engines if e.kind in model.kinds]
+    wanted = math.ceil(model.layers * copies)
+    step = model.usual_tokens * model.max_sequences / _SEARCH_STEPS
+    for count in range(_SEARCH_STEPS, 0, -1):
+        if _total(model, kinds, step * count) >= wanted:
+            return step * count
     return 0.0
 
 
+def room_by_data_centre(
+    model: EngineModel, engines: list[PoolUpstream]
+) -> dict[str, float]:
+    """Return `request_tokens` for the engines of each data centre.
+
+    A data centre that cannot hold a copy of the model leaves as much room as the whole
+    fleet would, because its engines serve only paths that cross data centres.
+    """
+    fleet = request_tokens(model, engines)
+    wanted = model.usual_tokens * _REQUESTS_BEFORE_STAND_INS
+    rooms = {}
+    for data_centre in {engine.data_centre for engine in engines}:
+        local = [e for e in engines if e.data_centre == data_centre]
+        choices = [request_tokens(model, local, copies) for copies in _COPIES]
+        packed = request_tokens(model, local)
+        ample = [tokens for tokens in choices if tokens >= wanted]
+        rooms[data_centre] = ample[0] if ample else packed or fleet
+    return rooms
+
+
 def _total(model, kinds, tokens):
     return sum(layers_beside(model, kind, tokens) for kind in kinds)
 
@@ -121,3 +145,98 @@
         return (kind.step_factor if kind else float("inf"), engine.address)
 
     return sorted(engines, key=rank)
+
+
+class Move(NamedTuple):
+    """An engine that is to hold other layers than it does."""
+
+    engine: PoolUpstream
+    layers: LayerRange
+
+
+def choose_moves(model: EngineModel, engines: list[PoolUpstream]) -> list[Move]:
+    """Return the moves that give each data centre its missing layers.
+
+    Stand-ins move first. If they do not suffice, all engines of the data centre share
+    the layers out anew: they keep their order, so that most of them load few layers.
+    A data centre whose engines cannot hold all layers is left as it is. `engines` are
+    those that serve, with the layers that were ordered already.
+    """
+    moves = []
+    rooms = room_by_data_centre(model, engines)
+    for data_centre, tokens in sorted(rooms.items()):
+        local = [
+            e for e in engines if e.data_centre == data_centre and e.layers is not None
+        ]
+        by_id = {engine.id: engine for engine in local}
+        moved = _move_stand_ins(model, local, tokens) if _gaps(model, local) else []
+        for move in moved:
+            by_id[move.engine.id] = move.engine._replace(layers=move.layers)
+        narrowest = _narrowest_room(model, by_id.values())
+        if narrowest * _WORTHWHILE_GAIN <= request_tokens(model, local):
+            moved = _share_out(model, local)
+        moves += moved
+    return moves
+
+
+def _narrowest_room(model, engines):
+    """Return the request tokens that fit on the layer with the least room for them."""
+    room = [0.0] * model.layers
+    for engine in engines:
+        held = engine.layers.end - engine.layers.first
+        tokens = model.capacity(model.kinds[engine.kind], held) / max(held, 1)
+        for layer in range(engine.layers.first, min(engine.layers.end, model.layers)):
+            room[layer] += tokens
+    return min(room)
+
+
+def _move_stand_ins(model, engines, tokens):
+    moves = []
+    held = {engine.id: engine for engine in engines}
+    while gaps := _gaps(model, held.values()):
+        spare = [e for e in held.values() if _is_spare(e, held.values())]
+        spare = [e for e in spare if e.id not in {move.engine.id for move in moves}]
+        if not spare:
+            return []
+        # Slow engines move first: they are the stand-ins of faster ones.
+        engine = min(spare, key=lambda e: (-model.kinds[e.kind].step_factor, e.address))
+        count = layers_beside(model, model.kinds[engine.kind], tokens)
+        if count == 0:
+            return []
+        first = min(gaps[0], model.layers - count)
+        layers = LayerRange(first, first + count)
+        moves.append(Move(engine, layers))
+        held[engine.id] = engine._replace(layers=layers)
+    return moves
+
+
+def _share_out(model, engines):
+    tokens = request_tokens(model, engines)
+    if tokens == 0.0:
+        return []
+    moves, first = [], 0
+    for engine in sorted(engines, key=lambda e: (e.layers, e.address)):
+        count = layers_beside(model, model.kinds[engine.kind], tokens)
+        if first >= model.layers or count == 0:
+            break
+        start = min(first, model.layers - count)
+        layers = LayerRange(start, start + count)
+        first = layers.end
+        if layers != engine.layers:
+            moves.append(Move(engine, layers))
+    return moves
+
+
+def _gaps(model, engines):
+    covered = set()
+    for engine in engines:
+        covered.update(range(engine.layers.first, engine.layers.end))
+    return [layer for layer in range(model.layers) if layer not in covered]
+
+
+def _is_spare(engine, engines):
+    others = [e for e in engines if e.id != engine.id]
+    return all(
+        any(e.layers.first <= layer < e.layers.end for e in others)
+        for layer in range(engine.layers.first, engine.layers.end)
+    )
--- a/src/bulrushdrum/_internal/platform/engine_calls.py
+++ b/src/bulrushdrum/_internal/platform/engine_calls.py
@@ -35,7 +35,7 @@
     used_token_layers: float
     total_token_layers: float
     pace: float
-    stalled: tuple[str, ...]
+    stalled: frozenset[str]
 
 
 class EngineCalls:
@@ -85,7 +85,7 @@
                 used_token_layers=float(raw.get("kv-used", 0)),
                 total_token_layers=float(raw.get("kv-total", 0)),
                 pace=float(raw.get("pace", 1.0)),
-                stalled=tuple(
+                stalled=frozenset(
                     str(entry["address"]) for entry in raw.get("stalled", ())
                 ),
             )
--- a/src/bulrushdrum/_internal/platform/router_config.py
+++ b/src/bulrushdrum/_internal/platform/router_config.py
@@ -27,6 +27,7 @@
 from bulrushdrum._internal.world.upstreams import LayerRange, UpstreamState
 
 _BYTES_PER_MB = 1_000_000
+_BYTES_PER_MBIT = 125_000
 _STATES = {"ready": UpstreamState.SERVING, "draining": UpstreamState.DRAINING}
 
 
@@ -84,6 +85,8 @@
         usual_answer=float(usual.get("answer", 200)),
         load_seconds=float(models[0].get("load-s", 10.0)),
         loads_at_once=int(raw.get("loads_at_once", 1)),
+        activation_bytes=float(raw.get("activation-bytes", 0)),
+        pipe_bytes_per_second=float(raw.get("pipe-mbps", 10_000)) * _BYTES_PER_MBIT,
         kinds={kind["name"]: _kind(kind) for kind in raw["kinds"]},
         delays={
             (pair["from"], pair["target"]): _seconds(pair["delay_ms"])
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -77,9 +77,11 @@
         self._fleet = Fleet()
         self._ledger = MemoryLedger()
         self._announcements = RouterAnnouncements(
-            settings, self._incarnation, self._ledger, store
+            settings, self._incarnation, self._ledger, self._fleet, store
+        )
+        self._chooser = PathChooser(
+            self._fleet, self._ledger, settings.data_centre, self._count_routers
         )
-        self._chooser = PathChooser(self._fleet, self._ledger, settings.data_centre)
         self._pool = ConnectionPool()
         calls = EngineCalls(_ENGINE_CALL_TIMEOUT_SECONDS)
         self._placement = LayerPlacement(
--- a/src/bulrushdrum/_internal/world/engines.py
+++ b/src/bulrushdrum/_internal/world/engines.py
@@ -26,7 +26,9 @@
 class EngineModel(NamedTuple):
     """The cost model of a service's engines, for all layers on the reference kind.
 
-    Times are in seconds. `usual_prompt` and `usual_answer` are mean token counts.
+    Times are in seconds. `usual_prompt` and `usual_answer` are mean token counts. A token
+    that leaves a data centre in the middle of its path takes `activation_bytes` of the
+    pipe that all paths between two data centres share.
     """
 
     model: str
@@ -43,6 +45,8 @@
     usual_answer: float
     load_seconds: float
     loads_at_once: int
+    activation_bytes: float
+    pipe_bytes_per_second: float
     kinds: dict[str, AcceleratorKind]
     delays: dict[tuple[str, str], float]
 
@@ -60,6 +64,10 @@
             known = self.delays.get((other, data_centre), LOCAL_DELAY_SECONDS)
         return LOCAL_DELAY_SECONDS + known
 
+    def crossing_seconds(self, tokens: float) -> float:
+        """Return how long `tokens` occupy the pipe between two data centres."""
+        return tokens * self.activation_bytes / self.pipe_bytes_per_second
+
     def capacity(self, kind: AcceleratorKind, layer_count: int) -> float:
         """Return the token-layers that fit beside `layer_count` layers."""
         free = kind.memory_bytes - layer_count * self.layer_bytes
