--- /dev/null
+++ b/tests/unit/test_fleet.py
@@ -0,0 +1,70 @@
+"""What the router believes of upstreams."""
+
+from bulrushdrum._internal.pipelines.fleet import LAPSED_GRACE_SECONDS, Fleet
+from bulrushdrum._internal.world.upstreams import UpstreamState
+from tests.unit.pool_fakes import make_engine
+
+
+def make_fleet(*names):
+    now = [100.0]
+    fleet = Fleet(clock=lambda: now[0])
+    for name in names:
+        fleet.put(make_engine(name))
+    return fleet, now
+
+
+def test_registrations_that_lapsed_in_an_outage_stay_for_a_short_while():
+    # Guards against refusing everything when the store comes back empty.
+    fleet, now = make_fleet("x")
+    fleet.replace_all([], may_have_lapsed=True)
+    assert [u.id for u in fleet.usable("llm")] == ["x"]
+    now[0] += LAPSED_GRACE_SECONDS + 0.01
+    assert fleet.usable("llm") == []
+
+
+def test_a_registration_that_is_back_in_time_stays():
+    fleet, now = make_fleet("x")
+    fleet.replace_all([], may_have_lapsed=True)
+    fleet.put(make_engine("x"))
+    now[0] += LAPSED_GRACE_SECONDS + 0.01
+    assert [u.id for u in fleet.usable("llm")] == ["x"]
+
+
+def test_a_draining_upstream_gets_no_new_work_at_once():
+    fleet, _ = make_fleet("x")
+    fleet.put(make_engine("x", state=UpstreamState.DRAINING))
+    assert fleet.usable("llm") == []
+
+
+def test_an_upstream_that_fails_again_is_avoided_for_longer():
+    fleet, now = make_fleet("x")
+    fleet.avoid("x")
+    now[0] += 1.01
+    assert not fleet.is_avoided("x")
+    fleet.avoid("x")
+    now[0] += 1.01
+    assert fleet.is_avoided("x")
+
+
+def test_a_restarted_upstream_is_trusted_again():
+    fleet, _ = make_fleet("x")
+    fleet.note_silent("x")
+    fleet.put(make_engine("x", born=2))
+    assert not fleet.is_avoided("x")
+    assert not fleet.is_silent("x")
+
+
+def test_an_upstream_that_served_is_trusted_again():
+    fleet, _ = make_fleet("x")
+    fleet.note_silent("x")
+    fleet.trust("x")
+    assert fleet.silent_ids() == []
+    assert not fleet.is_avoided("x")
+
+
+def test_the_address_of_a_reused_port_names_the_newer_upstream():
+    fleet, _ = make_fleet("x")
+    address = fleet.get("x").address
+    fleet.put(make_engine("y", address=address))
+    fleet.remove("x")
+    assert fleet.at_address(address).id == "y"
--- /dev/null
+++ b/tests/unit/test_memory_ledger.py
@@ -0,0 +1,42 @@
+"""Reservations of all routers add up."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bulrushdrum._internal.pipelines.memory import Hop, MemoryLedger, Use
+from bulrushdrum._internal.world.upstreams import LayerRange
+from tests.unit.pool_fakes import make_engine
+
+HOPS = (
+    Hop(make_engine("x", layers=(0, 20)), LayerRange(0, 20)),
+    Hop(make_engine("y", layers=(20, 40)), LayerRange(20, 30)),
+)
+
+
+def test_a_reservation_counts_tokens_times_the_layers_of_each_hop():
+    ledger = MemoryLedger()
+    ledger.reserve(HOPS, 100.0)
+    assert ledger.use("x") == Use(2000.0, 1, 1)
+    assert ledger.use("y") == Use(1000.0, 1, 0)
+
+
+def test_what_a_peer_announced_counts_until_it_is_forgotten():
+    # Guards against two routers that promise the same memory.
+    ledger = MemoryLedger()
+    ledger.reserve(HOPS, 100.0)
+    ledger.set_peer("other", {"x": Use(500.0, 2, 1)})
+    assert ledger.use("x") == Use(2500.0, 3, 2)
+    assert ledger.own_uses()["x"] == Use(2000.0, 1, 1)
+    ledger.forget_peer("other")
+    assert ledger.use("x") == Use(2000.0, 1, 1)
+
+
+@given(st.lists(st.floats(1, 5000), max_size=20))
+@settings(max_examples=50, deadline=None, derandomize=True)
+def test_released_reservations_leave_nothing_behind(sizes):
+    # Guards against memory that leaks away over many requests.
+    ledger = MemoryLedger()
+    for reservation in [ledger.reserve(HOPS, size) for size in sizes]:
+        ledger.release(reservation)
+    assert ledger.own_uses() == {}
+    assert ledger.use("x") == Use()
--- /dev/null
+++ b/tests/unit/test_placement.py
@@ -0,0 +1,129 @@
+"""Which layers engines get, first and after losses."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bulrushdrum._internal.pipelines.placement import (
+    choose_layers,
+    choose_moves,
+    layers_beside,
+    placement_order,
+    room_by_data_centre,
+)
+from bulrushdrum._internal.world.upstreams import LayerRange
+from tests.unit.pool_fakes import make_engine, make_model
+
+KINDS = ["large", "small", "slow"]
+
+
+def place_all(model, engines):
+    """Give each engine its layers, as a router does for a fleet that has none."""
+    rooms = room_by_data_centre(model, engines)
+    held = []
+    for engine in placement_order(model, engines):
+        layers = choose_layers(model, engine, held, rooms[engine.data_centre])
+        if layers is not None:
+            held.append(engine._replace(layers=layers))
+    return held
+
+
+def covered(engines, data_centre=None):
+    return {
+        layer
+        for engine in engines
+        if engine.layers and data_centre in (None, engine.data_centre)
+        for layer in range(engine.layers.first, engine.layers.end)
+    }
+
+
+def usual_fleet(data_centre="a"):
+    return [
+        make_engine(f"{data_centre}-large", "large", data_centre),
+        *[make_engine(f"{data_centre}-small{n}", "small", data_centre) for n in "0123"],
+        *[make_engine(f"{data_centre}-slow{n}", "slow", data_centre) for n in "0123"],
+    ]
+
+
+def test_each_data_centre_that_can_holds_a_whole_copy():
+    # Guards against paths that must cross data centres on a calm day.
+    model = make_model()
+    held = place_all(model, usual_fleet("a") + usual_fleet("b"))
+    assert covered(held, "a") == set(range(model.layers))
+    assert covered(held, "b") == set(range(model.layers))
+
+
+def test_a_fleet_that_holds_only_one_copy_spreads_it_over_data_centres():
+    # Guards against two halves of the same layers in a fleet that holds one pipeline.
+    model = make_model()
+    engines = [
+        make_engine(f"{place}{n}", "small", place) for place in "ab" for n in range(4)
+    ]
+    held = place_all(model, engines)
+    assert covered(held) == set(range(model.layers))
+
+
+def test_a_fleet_that_holds_no_copy_is_placed_without_error():
+    held = place_all(make_model(), [make_engine("x", "small")])
+    assert len(covered(held)) == 7
+
+
+def test_an_engine_of_an_unknown_kind_gets_no_layers():
+    engine = make_engine("x", "unheard-of")
+    assert choose_layers(make_model(), engine, [], 1000.0) is None
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from(KINDS), st.sampled_from("abc")), max_size=16),
+    st.integers(0, 100),
+)
+@settings(max_examples=60, deadline=None, derandomize=True)
+def test_no_engine_is_given_more_layers_than_its_memory_holds(fleet, lost):
+    # Guards against orders that crash an engine, also after losses and moves.
+    model = make_model()
+    engines = [
+        make_engine(f"e{n}", kind, place) for n, (kind, place) in enumerate(fleet)
+    ]
+    held = place_all(model, engines)
+    survivors = [e for n, e in enumerate(held) if n % 7 != lost % 7]
+    changed = {e.id: e.layers for e in survivors}
+    changed.update((m.engine.id, m.layers) for m in choose_moves(model, survivors))
+    for engine in held:
+        layers = changed.get(engine.id, engine.layers)
+        bare = layers_beside(model, model.kinds[engine.kind], 0.0)
+        assert 0 < layers.end - layers.first <= bare
+        assert 0 <= layers.first < layers.end <= model.layers
+
+
+@given(st.integers(0, 8))
+@settings(max_examples=9, deadline=None, derandomize=True)
+def test_the_loss_of_any_engine_leaves_a_whole_copy_after_the_moves(lost):
+    # Guards against a data centre that stays without some layers for good: those that
+    # are left can hold all of them.
+    model = make_model()
+    held = place_all(model, usual_fleet())
+    survivors = held[:lost] + held[lost + 1 :]
+    moves = {move.engine.id: move.layers for move in choose_moves(model, survivors)}
+    after = [e._replace(layers=moves.get(e.id, e.layers)) for e in survivors]
+    assert covered(after) == set(range(model.layers))
+
+
+def test_stand_ins_move_before_engines_that_others_need():
+    model = make_model()
+    engines = [
+        make_engine("one", "large", layers=(0, 20)),
+        make_engine("two", "slow", layers=(0, 7)),
+        make_engine("six", "slow", layers=(7, 14)),
+        make_engine("three", "small", layers=(20, 25)),
+        make_engine("four", "small", layers=(25, 30)),
+        make_engine("five", "small", layers=(30, 35)),
+    ]
+    moves = choose_moves(model, engines)
+    assert [move.layers for move in moves] == [LayerRange(35, 40)] or {
+        move.engine.id for move in moves
+    } <= {"two", "six"}
+
+
+def test_a_whole_placement_is_left_alone():
+    # Guards against moves that cost loads and bring nothing.
+    model = make_model()
+    assert choose_moves(model, place_all(model, usual_fleet())) == []
