--- a/src/bulrushdrum/_internal/coordination/__init__.py
+++ b/src/bulrushdrum/_internal/coordination/__init__.py
@@ -1,1 +1,1 @@
-"""What routers have in common: the store's tables, each other, and orders to engines."""
+"""What routers share: the store's tables, each other, and orders to engines."""
--- a/src/bulrushdrum/_internal/coordination/placing.py
+++ b/src/bulrushdrum/_internal/coordination/placing.py
@@ -1,10 +1,10 @@
 """Gives empty engines their layers, and moves stand-ins to layers that went missing.
 
 One router at a time does this. Each order names the engine's incarnation and the number
-of orders that it has accepted, so an order that is late, or given twice, is refused by
-the engine. An engine that has just started has accepted none; one that refuses an order
-for its count is asked for it. An engine that was ordered counts as holding its layers until its
-registration says so, or until the load should long have ended.
+of orders that it has accepted, so that the engine refuses an order that is late, or
+given twice. An engine that has just started has accepted none; one that refuses an
+order for its count is asked for it. An engine that was ordered counts as holding its
+layers until its registration says so, or until the load should long have ended.
 """
 
 import time
@@ -29,7 +29,10 @@
 # Engines register within a heartbeat of each other; the first choice waits until no new
 # one has come for this long, in seconds, so that fast ones choose first.
 _SETTLE_SECONDS = 0.7
-# After a load should have ended, its engine's registration may be this late, in seconds.
+# Lost engines often come back within seconds. Layers are moved for the sake of room
+# only after the fleet has not changed for this long, in seconds.
+_WIDEN_SECONDS = 6.0
+# After a load should have ended, the engine's registration may be this late, seconds.
 _REGISTRATION_LAG_SECONDS = 3.0
 # An order that was refused for its count is given again after this long, in seconds.
 _REFUSED_RETRY_SECONDS = 0.3
@@ -53,6 +56,7 @@
         self._accepted: dict[tuple[str, int], int] = {}
         self._seen: dict[str, frozenset[str]] = {}
         self._changed_at: dict[str, float] = {}
+        self._added_at: dict[str, float] = {}
 
     def run(self):
         while True:
@@ -68,7 +72,7 @@
         engines = [
             engine
             for engine in self._fleet.members(service.name)
-            if engine.is_serving and not self._fleet.is_silent(engine.id)
+            if engine.is_serving and not self._fleet.is_failing(engine.id)
         ]
         if not self._has_settled(service.name, engines):
             return
@@ -88,7 +92,8 @@
                 continue
             holding.append(engine._replace(layers=layers))
             orders.append((engine, layers))
-        for engine, layers in choose_moves(model, holding):
+        may_widen = not orders and self._is_long_whole(service.name, now)
+        for engine, layers in choose_moves(model, holding, may_widen):
             if engine.id not in self._pending:
                 orders.append((engine, layers))
         wait = model.load_seconds * 2 + _REGISTRATION_LAG_SECONDS
@@ -98,14 +103,21 @@
             tasks.append(gevent.spawn(self._order, engine, layers))
         gevent.joinall(tasks)
 
+    def _is_long_whole(self, service, now):
+        """Whether nothing has changed for a while, so that widening is worth it."""
+        return not self._pending and now - self._changed_at[service] >= _WIDEN_SECONDS
+
     def _has_settled(self, service, engines):
         seen = frozenset(engine.id for engine in engines)
         if not self._seen.get(service) and seen or service not in self._seen:
             self._changed_at[service] = time.monotonic()
-        elif seen - self._seen[service]:
+            self._added_at[service] = time.monotonic()
+        elif seen != self._seen[service]:
             self._changed_at[service] = time.monotonic()
+            if seen - self._seen[service]:
+                self._added_at[service] = time.monotonic()
         self._seen[service] = seen
-        return time.monotonic() - self._changed_at[service] >= _SETTLE_SECONDS
+        return time.monotonic() - self._added_at[service] >= _SETTLE_SECONDS
 
     def _forget_ended(self, engines, now):
         by_id = {engine.id: engine for engine in engines}
--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -42,6 +42,12 @@
         self._streaming = False
         self.answer_begun = False
         self.closing = False
+        self.status = 0
+
+    @property
+    def is_broken_off(self) -> bool:
+        """Whether an answer was begun and not ended."""
+        return self._streaming
 
     def serve(self):
         while not self.closing:
@@ -120,6 +126,7 @@
         self.closing = True
 
     def _head(self, status, headers):
+        self.status = status
         if self._server.is_draining:
             self.closing = True
         if self.closing:
@@ -167,7 +174,7 @@
         # Input that is not the end of the connection is the next request, which waits.
         self._stop()
         if not data:
-            gevent.kill(self._greenlet, CallerLeft("the caller closed"), block=False)
+            self._greenlet.kill(CallerLeft("the caller closed"), block=False)
 
 
 class CallerServer:
--- a/src/bulrushdrum/_internal/gateway/events_stream.py
+++ b/src/bulrushdrum/_internal/gateway/events_stream.py
@@ -11,7 +11,7 @@
 
 
 class StreamEvent(NamedTuple):
-    """One whole event as the upstream sent it; `number` is None without a numeric id."""
+    """One whole event as the upstream sent it; `number` is None without such an id."""
 
     number: int | None
     raw_id: bytes | None
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -74,7 +74,7 @@
 
 
 class Generations:
-    """Runs generations of all services; `diagnose(hops)` finds the upstream at fault."""
+    """Runs generations; `diagnose(hops)` finds the upstream at fault."""
 
     def __init__(
         self,
@@ -152,9 +152,7 @@
         until = time.monotonic() + route.goal * _WAIT_PART
         while True:
             try:
-                return self._chooser.choose(
-                    service, model, demand, progress.failed_upstreams
-                )
+                return self._choose(service, model, demand, progress)
             except NoPath as error:
                 log_event(
                     Event.NO_PATH,
@@ -170,6 +168,20 @@
                 return None
             self._released.wait(min(left, _LOOK_SECONDS))
 
+    def _choose(self, service, model, demand, progress):
+        """Choose a path around the upstreams that failed this request, if one exists.
+
+        Faults of single answers are more often chance than a broken upstream, so a path
+        that comes by them again is better than none.
+        """
+        failed = progress.failed_upstreams
+        try:
+            return self._chooser.choose(service, model, demand, failed)
+        except (NoPath, NoRoom):
+            if not failed:
+                raise
+            return self._chooser.choose(service, model, demand)
+
     def _log_room(self, call, service, model):
         log_event(
             Event.NO_ROOM,
@@ -297,6 +309,9 @@
             self._pool.drop_address(path[0].address)
         if error.silent:
             self._diagnose(path)
+        if not error.silent:
+            # Its connection failed, or what came over it was no answer.
+            progress.failed_upstreams.add(path[0].upstream.id)
         for hop in path:
             if self._fleet.is_avoided(hop.upstream.id):
                 progress.failed_upstreams.add(hop.upstream.id)
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -1,17 +1,21 @@
 """Numbered log events.
 
 Every log line is one event of the `Event` enumeration, written as JSON by eliot to
-standard error. The number never changes meaning between releases; `docs/events.md`
-describes each one, and a test keeps that page and this module equal.
+standard error, or to standard output by a router. The number never changes meaning
+between releases; `docs/events.md` describes each one, and a test keeps that page and
+this module equal.
 
 >>> log_event(Event.ENTRY_READY, address="10.0.0.1:8080")
 """
 
 import sys
+from collections import Counter
 from enum import IntEnum
 
 import eliot
 
+from bulrushdrum._internal.observability.log_output import LogOutput
+
 
 class Event(IntEnum):
     """All log events.
@@ -65,6 +69,7 @@
     STORE_HISTORY_LOST = 8003
     ROUTER_NOT_REGISTERED = 8004
     PEER_UNREACHABLE = 8005
+    LINES_OMITTED = 8006
     LAYERS_ORDERED = 8101
     ENGINE_TOO_SMALL = 8102
     UPSTREAM_SILENT = 8103
@@ -76,6 +81,11 @@
     NO_PATH = 8206
     GENERATION_GIVEN_UP = 8207
     NO_ROOM = 8208
+    REQUEST_ANSWERED = 8209
+    REQUEST_REJECTED = 8210
+
+
+_outputs: list[LogOutput] = []
 
 
 def start_logging(process: str, stream=None):
@@ -84,8 +94,27 @@
     eliot.add_global_fields(process=process)
 
 
+def start_bounded_logging(process: str, fd: int) -> LogOutput:
+    """Send the events of `process` to a descriptor, bounded and without waiting."""
+    output = LogOutput(fd)
+    _outputs.append(output)
+    start_logging(process, output)
+    return output
+
+
+def flush_and_count_omitted() -> dict[str, int]:
+    """Write what waits, and return the lines left out since the last call, by event."""
+    counts: Counter[str] = Counter()
+    for output in _outputs:
+        output.flush()
+        counts.update({str(event): n for event, n in output.omitted().items()})
+    return dict(counts)
+
+
 def log_event(event: Event, **fields):
     """Write `event` with `fields`, which must be JSON values and never a secret."""
+    if _outputs and not all(output.admits(int(event)) for output in _outputs):
+        return
     eliot.log_message(
         message_type=f"bulrushdrum:{event.name.lower()}", event=int(event), **fields
     )
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -20,7 +20,9 @@
 LAPSED_GRACE_SECONDS = 2.2
 # An upstream that paths wait for counts as silent for this long, in seconds: about the
 # time after which its registration is removed.
-_SILENT_SECONDS = 3.0
+_SILENT_SECONDS = 5.0
+# An upstream that has failed this often in a row is left out of the placement.
+_FAILURES_OF_A_LOST_UPSTREAM = 3
 
 
 class _Suspicion(NamedTuple):
@@ -133,6 +135,15 @@
     def is_silent(self, upstream_id: str) -> bool:
         return self._silent.get(upstream_id, 0.0) > self._clock()
 
+    def is_failing(self, upstream_id: str) -> bool:
+        """Whether paths should not count on an upstream, though it is registered."""
+        if self.is_silent(upstream_id):
+            return True
+        suspicion = self._suspicions.get(upstream_id)
+        if suspicion is None or suspicion.failures < _FAILURES_OF_A_LOST_UPSTREAM:
+            return False
+        return suspicion.until > self._clock()
+
     def silent_ids(self) -> list[str]:
         now = self._clock()
         return [name for name, until in self._silent.items() if until > now]
--- a/src/bulrushdrum/_internal/pipelines/placement.py
+++ b/src/bulrushdrum/_internal/pipelines/placement.py
@@ -26,9 +26,16 @@
 _ONE_COPY = 1.0
 # Usual requests that each engine has room for before stand-ins get layers.
 _REQUESTS_BEFORE_STAND_INS = 36
-# A data centre shares its layers out anew when that multiplies the room of its narrowest
-# layer by this much; less is not worth the time of the loads.
+# A data centre shares its layers out anew when that multiplies the room of its
+# narrowest layer by this much; less is not worth the time of the loads.
 _WORTHWHILE_GAIN = 2.0
+# An engine that holds this part of all layers or more stays where it is when a data
+# centre shares its layers out anew.
+_ANCHOR_PART = 0.15
+# Sharing out is tried with less and less room for requests, because ranges between
+# engines that stay do not divide evenly.
+_SHARE_OUT_STEPS = 12
+_SHARE_OUT_FACTOR = 0.85
 _GAIN_FLEET_LACKS = 100.0
 _GAIN_DATA_CENTRE_LACKS = 10.0
 # Steps of the search for the number of request tokens to leave room for.
@@ -154,29 +161,43 @@
     layers: LayerRange
 
 
-def choose_moves(model: EngineModel, engines: list[PoolUpstream]) -> list[Move]:
+def choose_moves(
+    model: EngineModel, engines: list[PoolUpstream], may_widen: bool = False
+) -> list[Move]:
     """Return the moves that give each data centre its missing layers.
 
-    Stand-ins move first. If they do not suffice, all engines of the data centre share
-    the layers out anew: they keep their order, so that most of them load few layers.
-    A data centre whose engines cannot hold all layers is left as it is. `engines` are
-    those that serve, with the layers that were ordered already.
+    Stand-ins move first. If they do not suffice, the engines of the data centre share
+    the layers out anew. A data centre whose engines cannot hold all layers is left as
+    it is. `engines` are those that serve, with the layers that were ordered already.
+
+    With `may_widen`, one data centre without gaps is shared out anew if that gives its
+    narrowest layer much more room. Its paths fail meanwhile, so others must be whole.
     """
-    moves = []
+    moves, widened = [], []
     rooms = room_by_data_centre(model, engines)
     for data_centre, tokens in sorted(rooms.items()):
         local = [
             e for e in engines if e.data_centre == data_centre and e.layers is not None
         ]
-        by_id = {engine.id: engine for engine in local}
-        moved = _move_stand_ins(model, local, tokens) if _gaps(model, local) else []
-        for move in moved:
-            by_id[move.engine.id] = move.engine._replace(layers=move.layers)
-        narrowest = _narrowest_room(model, by_id.values())
-        if narrowest * _WORTHWHILE_GAIN <= request_tokens(model, local):
-            moved = _share_out(model, local)
-        moves += moved
-    return moves
+        if not _gaps(model, local):
+            if may_widen and not widened and is_narrow(model, local):
+                widened = _share_out(model, local)
+            continue
+        moved = {m.engine.id: m for m in _move_stand_ins(model, local, tokens)}
+        after = [
+            e._replace(layers=moved[e.id].layers) if e.id in moved else e for e in local
+        ]
+        if is_narrow(model, after):
+            moves += _share_out(model, local)
+        else:
+            moves += moved.values()
+    return moves or widened
+
+
+def is_narrow(model: EngineModel, engines: list[PoolUpstream]) -> bool:
+    """Whether sharing out anew gives the narrowest layer much more room."""
+    packed = request_tokens(model, engines)
+    return packed > 0 and _narrowest_room(model, engines) * _WORTHWHILE_GAIN <= packed
 
 
 def _narrowest_room(model, engines):
@@ -211,19 +232,53 @@
 
 
 def _share_out(model, engines):
+    """Return moves after which the engines hold all layers, with even room.
+
+    Engines that hold many layers stay where they are, because they would load longest;
+    the others keep their order between them, so that most of them load few layers.
+    """
     tokens = request_tokens(model, engines)
-    if tokens == 0.0:
-        return []
-    moves, first = [], 0
+    anchors = _anchors(model, engines)
+    for _ in range(_SHARE_OUT_STEPS):
+        moves = _fill_between(model, engines, anchors, tokens)
+        if moves is not None:
+            return moves
+        tokens *= _SHARE_OUT_FACTOR
+    return _fill_between(model, engines, [], request_tokens(model, engines)) or []
+
+
+def _anchors(model, engines):
+    anchors = []
     for engine in sorted(engines, key=lambda e: (e.layers, e.address)):
-        count = layers_beside(model, model.kinds[engine.kind], tokens)
-        if first >= model.layers or count == 0:
-            break
-        start = min(first, model.layers - count)
-        layers = LayerRange(start, start + count)
-        first = layers.end
-        if layers != engine.layers:
-            moves.append(Move(engine, layers))
+        held = engine.layers.end - engine.layers.first
+        if held < model.layers * _ANCHOR_PART:
+            continue
+        if anchors and anchors[-1].layers.end > engine.layers.first:
+            continue
+        anchors.append(engine)
+    return anchors
+
+
+def _fill_between(model, engines, anchors, tokens):
+    fixed = {engine.id for engine in anchors}
+    movers = [e for e in engines if e.id not in fixed]
+    movers.sort(key=lambda e: (e.layers, e.address))
+    moves, first = [], 0
+    for end in [*[e.layers.first for e in anchors], model.layers]:
+        while first < end:
+            if not movers:
+                return None
+            engine = movers.pop(0)
+            count = layers_beside(model, model.kinds[engine.kind], tokens)
+            if count == 0:
+                continue
+            start = min(first, model.layers - count)
+            layers = LayerRange(start, start + count)
+            first = layers.end
+            if layers != engine.layers:
+                moves.append(Move(engine, layers))
+        following = [e.layers.end for e in anchors if e.layers.first <= first]
+        first = max([first, *following])
     return moves
 
 
--- a/src/bulrushdrum/_internal/platform/engine_calls.py
+++ b/src/bulrushdrum/_internal/platform/engine_calls.py
@@ -23,8 +23,8 @@
 class EngineReport(NamedTuple):
     """An engine's own account of its state.
 
-    `orders_accepted` counts the orders that it has begun since its start. `stalled` lists
-    the addresses of upstreams that requests of
+    `orders_accepted` counts the orders that it has begun since its start. `stalled`
+    has the addresses of upstreams that requests of
     this engine wait for; `pace` is above 1 for an engine that is slower than its kind.
     """
 
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -4,6 +4,7 @@
 each other themselves, so it needs no sidecars.
 """
 
+import json
 import os
 import random
 import secrets
@@ -29,7 +30,13 @@
 from bulrushdrum._internal.gateway.refusals import failure, refusal, rejection
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
-from bulrushdrum._internal.observability.events import Event, log_event, start_logging
+from bulrushdrum._internal.observability.events import (
+    Event,
+    flush_and_count_omitted,
+    log_event,
+    start_bounded_logging,
+)
+from bulrushdrum._internal.observability.metrics_page import Numbers
 from bulrushdrum._internal.pipelines.diagnosis import Diagnosis
 from bulrushdrum._internal.pipelines.fleet import LAPSED_GRACE_SECONDS, Fleet
 from bulrushdrum._internal.pipelines.memory import MemoryLedger
@@ -114,6 +121,10 @@
             settings.caller_address, self._handle, self._limits
         )
         self._ready = CallerServer(settings.ready_address, self._handle_ready)
+        self._numbers = Numbers()
+        self._inspection = CallerServer(
+            f"{settings.ip}:{settings.metrics_port}", self._handle_inspection
+        )
 
     def run(self):
         """Serve until SIGTERM, then drain."""
@@ -121,6 +132,7 @@
         gevent.signal_handler(signal.SIGHUP, self._log_reload)
         self._ready.start()
         self._callers.start()
+        self._inspection.start()
         for task in (
             self._configurations.run,
             self._registrations.run,
@@ -164,6 +176,9 @@
         while True:
             gevent.sleep(_EXPIRY_SECONDS)
             self._pool.close_expired()
+            omitted = flush_and_count_omitted()
+            if omitted:
+                log_event(Event.LINES_OMITTED, counts=omitted)
             self._announcements.set_serving(self._is_ready())
 
     def _count_routers(self):
@@ -222,10 +237,46 @@
         status = 200 if self._is_ready() else 503
         connection.send(Answer(status, [(b"content-type", b"text/plain")], b""))
 
+    def _handle_inspection(self, connection, request):
+        """Serve the metrics at /metrics, and a dump of the whole state at /state."""
+        if request.path == "/state":
+            body = json.dumps(self.dump(), indent=1, sort_keys=True)
+            content_type = b"application/json"
+        else:
+            body = self._numbers.page(self._levels())
+            content_type = b"text/plain; version=0.0.4"
+        headers = [(b"content-type", content_type)]
+        connection.send(Answer(200, headers, body.encode()))
+
+    def _levels(self):
+        configuration = self._configuration
+        return {
+            "configuration_version": configuration.version if configuration else 0,
+            "requests_in_progress": self._callers.requests_in_progress,
+            "caller_connections": self._callers.connections,
+            "upstream_connections_opened": self._pool.opened,
+            "upstreams_avoided": len(self._fleet.avoided_ids()),
+            "routers": self._count_routers(),
+            "ready": int(self._is_ready()),
+        }
+
+    def dump(self) -> dict:
+        """Return the whole state of this process."""
+        return {
+            "node": self._settings.node,
+            "incarnation": self._incarnation,
+            "levels": self._levels(),
+            "fleet": self._fleet.dump(),
+            "reservations": self._ledger.dump(),
+            "routers": self._announcements.dump(),
+            "placement": self._placement.dump(),
+        }
+
     def _handle(self, connection, request):
         description = describe_call(request.headers)
         try:
             self._route(connection, request, description)
+            self._note_answer(connection, request, description)
         except CallerLeft:
             log_event(
                 Event.CALLER_LEFT,
@@ -242,6 +293,19 @@
             if not connection.answer_begun:
                 connection.send(failure(502, "internal error"))
 
+    def _note_answer(self, connection, request, description):
+        seconds = time.monotonic() - request.read_at
+        self._numbers.count("answers", status=str(connection.status))
+        self._numbers.record("answer", seconds)
+        log_event(
+            Event.REQUEST_ANSWERED,
+            request=description.request_id.decode("latin-1"),
+            path=request.path,
+            status=connection.status,
+            seconds=round(seconds, 3),
+            complete=not connection.is_broken_off,
+        )
+
     def _route(self, connection, request, description):
         configuration = self._configuration
         if configuration is None:
@@ -252,13 +316,13 @@
             return
         route = configuration.routes.find(request.host, request.path)
         if route is None:
-            connection.send(rejection(404, "no route matches"))
+            self._reject(connection, description, 404, "no route matches")
             return
         team = None
         if configuration.teams_by_key is not None and not route.public:
             team = configuration.teams_by_key.get(description.api_key or "")
             if team is None:
-                connection.send(rejection(401, "the key is not known"))
+                self._reject(connection, description, 401, "the key is not known")
                 return
         seconds = route.timeout
         if description.seconds_left is not None:
@@ -281,6 +345,16 @@
         else:
             self._generations.run(connection, call, route, service, engine)
 
+    def _reject(self, connection, description, status, reason):
+        log_event(
+            Event.REQUEST_REJECTED,
+            request=description.request_id.decode("latin-1"),
+            status=status,
+            reason=reason,
+            configuration_version=self._configuration.version,
+        )
+        connection.send(rejection(status, reason))
+
     def _choose_service(self, route):
         if len(route.shares) == 1:
             return route.shares[0].service
@@ -303,6 +377,6 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         return 2
-    start_logging(settings.node, sys.stdout)
+    start_bounded_logging(settings.node, sys.stdout.fileno())
     RouterProcess(settings).run()
     return 0
--- a/src/bulrushdrum/_internal/world/engines.py
+++ b/src/bulrushdrum/_internal/world/engines.py
@@ -26,8 +26,8 @@
 class EngineModel(NamedTuple):
     """The cost model of a service's engines, for all layers on the reference kind.
 
-    Times are in seconds. `usual_prompt` and `usual_answer` are mean token counts. A token
-    that leaves a data centre in the middle of its path takes `activation_bytes` of the
+    Times are in seconds. `usual_prompt` and `usual_answer` are mean token counts.
+    A token that leaves a data centre in the middle of its path takes `activation_bytes` of the
     pipe that all paths between two data centres share.
     """
 
--- /dev/null
+++ b/tests/unit/gateway_fakes.py
@@ -0,0 +1,141 @@
+"""A gateway in front of stand-in servers, all within one process."""
+
+import time
+
+from bench.standins.path_server import PathServer
+from gevent import socket
+from tests.unit.pool_fakes import make_engine, make_model
+
+from bulrushdrum._internal.gateway.callers import CallerServer
+from bulrushdrum._internal.gateway.exchange import Call
+from bulrushdrum._internal.gateway.generations import Generations
+from bulrushdrum._internal.gateway.plain_calls import PlainCalls
+from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
+from bulrushdrum._internal.limits.retry_window import RetryWindow
+from bulrushdrum._internal.pipelines.diagnosis import Diagnosis
+from bulrushdrum._internal.pipelines.fleet import Fleet
+from bulrushdrum._internal.pipelines.memory import MemoryLedger
+from bulrushdrum._internal.pipelines.paths import PathChooser
+from bulrushdrum._internal.platform.engine_calls import EngineCalls
+from bulrushdrum._internal.platform.headers import describe_call
+from bulrushdrum._internal.world.routes import RequestKind, Route, ServiceShare
+
+REQUEST = (
+    b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nBulrushdrum-Attempt-Id: r1\r\n"
+    b"Bulrushdrum-Token-Count: 100,20\r\nContent-Length: 4\r\n\r\nbody"
+)
+
+
+def make_route(kind, max_attempts=2, **changes):
+    route = Route(
+        "r",
+        "h.example",
+        "/a/",
+        kind,
+        (ServiceShare("llm", 1.0),),
+        timeout=3.0,
+        goal=0.2,
+        gap_goal=0.1,
+        max_attempts=max_attempts,
+        resumable=kind is RequestKind.STREAMING,
+    )
+    return route._replace(**changes)
+
+
+class Gateway:
+    """Serves one route on a loopback port."""
+
+    def __init__(self, route, extra=100):
+        self.route = route
+        self.fleet, self.ledger = Fleet(), MemoryLedger()
+        self.pool = ConnectionPool()
+        self.model = make_model(layer_bytes=1e9)
+        self.servers: dict[str, PathServer] = {}
+        self.seconds = None
+        self._budget = RetryWindow(0.2, extra, 10.0)
+        chooser = PathChooser(self.fleet, self.ledger, "a", seed=3)
+        calls = EngineCalls(0.3)
+        diagnosis = Diagnosis(self.fleet, calls.report, chooser.set_pace)
+        self._generations = Generations(
+            self.fleet,
+            self.ledger,
+            chooser,
+            self.pool,
+            self._budget,
+            lambda: 1,
+            diagnosis.diagnose,
+        )
+        self._plain = PlainCalls(
+            self.fleet, self.pool, self._budget, "a", lambda: 1, seed=3
+        )
+        self.callers = CallerServer("127.0.0.1:0", self._handle)
+        self.callers.start()
+
+    def add(self, name, script, layers=None, **changes):
+        """Start a server and register it; returns it."""
+        server = self.servers[name] = PathServer(name, script)
+        kind = "large" if layers else ""
+        engine = make_engine(name, kind, layers=layers, address=server.address)
+        self.fleet.put(engine._replace(**changes))
+        return server
+
+    def _handle(self, connection, request):
+        description = describe_call(request.headers)
+        deadline = request.read_at + (description.seconds_left or self.route.timeout)
+        call = Call(request, description, deadline, "t1", 1)
+        if self.route.kind is RequestKind.STREAMING:
+            self._generations.run(connection, call, self.route, "llm", self.model)
+        else:
+            connection.send(self._plain.run(call, self.route, "llm"))
+
+    def connect(self):
+        port = self.callers._server.server_port
+        return socket.create_connection(("127.0.0.1", port), timeout=5.0)
+
+    def call(self, request=REQUEST):
+        """Send a request; return the status, the headers, the body, and if whole."""
+        began = time.monotonic()
+        with self.connect() as sock:
+            sock.sendall(request)
+            answer = read_answer(sock)
+        self.seconds = time.monotonic() - began
+        return answer
+
+    def stop(self):
+        self.callers.stop_accepting()
+        for server in self.servers.values():
+            server.stop()
+
+
+class CallerAnswer:
+    """What a caller has read: `is_whole` is false for an answer that was broken off."""
+
+    def __init__(self, status, headers, body, is_whole):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.is_whole = is_whole
+
+
+def read_answer(sock):
+    stream = sock.makefile("rb")
+    line = stream.readline()
+    if not line:
+        return CallerAnswer(None, {}, b"", False)
+    headers = {}
+    while (header := stream.readline().strip()) != b"":
+        name, _, value = header.decode().partition(":")
+        headers[name.lower()] = value.strip()
+    status = int(line.split()[1])
+    if "content-length" in headers:
+        body = stream.read(int(headers["content-length"]))
+        is_whole = len(body) == int(headers["content-length"])
+        return CallerAnswer(status, headers, body, is_whole)
+    body = b""
+    while size := stream.readline().strip():
+        data = stream.read(int(size, 16))
+        stream.readline()
+        if not int(size, 16):
+            return CallerAnswer(status, headers, body, True)
+        body += data
+    return CallerAnswer(status, headers, body, False)
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -1,8 +1,9 @@
 """What the router believes of upstreams."""
 
+from tests.unit.pool_fakes import make_engine
+
 from bulrushdrum._internal.pipelines.fleet import LAPSED_GRACE_SECONDS, Fleet
 from bulrushdrum._internal.world.upstreams import UpstreamState
-from tests.unit.pool_fakes import make_engine
 
 
 def make_fleet(*names):
--- a/tests/unit/test_memory_ledger.py
+++ b/tests/unit/test_memory_ledger.py
@@ -2,10 +2,10 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from tests.unit.pool_fakes import make_engine
 
 from bulrushdrum._internal.pipelines.memory import Hop, MemoryLedger, Use
 from bulrushdrum._internal.world.upstreams import LayerRange
-from tests.unit.pool_fakes import make_engine
 
 HOPS = (
     Hop(make_engine("x", layers=(0, 20)), LayerRange(0, 20)),
--- a/tests/unit/test_paths.py
+++ b/tests/unit/test_paths.py
@@ -3,12 +3,12 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from tests.unit.pool_fakes import make_engine, make_model
 
 from bulrushdrum._internal.pipelines.errors import NoPath, NoRoom
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory import MemoryLedger
 from bulrushdrum._internal.pipelines.paths import Demand, PathChooser
-from tests.unit.pool_fakes import make_engine, make_model
 
 DEMAND = Demand(700.0, 200.0)
 
@@ -22,9 +22,7 @@
 
 
 def layers_of(path):
-    return [
-        layer for hop in path for layer in range(hop.layers.first, hop.layers.end)
-    ]
+    return [layer for hop in path for layer in range(hop.layers.first, hop.layers.end)]
 
 
 @given(
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from tests.unit.pool_fakes import make_engine, make_model
 
 from bulrushdrum._internal.pipelines.placement import (
     choose_layers,
@@ -10,8 +11,6 @@
     placement_order,
     room_by_data_centre,
 )
-from bulrushdrum._internal.world.upstreams import LayerRange
-from tests.unit.pool_fakes import make_engine, make_model
 
 KINDS = ["large", "small", "slow"]
 
@@ -118,9 +117,37 @@
         make_engine("five", "small", layers=(30, 35)),
     ]
     moves = choose_moves(model, engines)
-    assert [move.layers for move in moves] == [LayerRange(35, 40)] or {
-        move.engine.id for move in moves
-    } <= {"two", "six"}
+    assert {move.engine.id for move in moves} <= {"two", "six"}
+    assert moves[0].layers.end == 40
+
+
+def test_an_engine_with_many_layers_stays_when_others_share_out():
+    # Guards against the longest load of all engines each time a small one is lost.
+    model = make_model()
+    engines = [
+        make_engine("large", "large", layers=(10, 30)),
+        *[make_engine(f"low{n}", layers=(2 * n, 2 * n + 2)) for n in range(4)],
+        *[make_engine(f"top{n}", layers=(30 + 5 * n, 35 + 5 * n)) for n in range(2)],
+    ]
+    moves = choose_moves(model, engines)
+    assert "large" not in {move.engine.id for move in moves}
+    after = {e.id: e.layers for e in engines}
+    after.update((move.engine.id, move.layers) for move in moves)
+    held = [e._replace(layers=after[e.id]) for e in engines]
+    assert covered(held) == set(range(40))
+
+
+def test_a_narrow_data_centre_is_widened_only_when_that_is_allowed():
+    model = make_model()
+    engines = [
+        make_engine("large", "large", layers=(0, 25)),
+        make_engine("s0", layers=(25, 32)),
+        make_engine("s1", layers=(32, 39)),
+        make_engine("s2", layers=(33, 40)),
+        *[make_engine(f"z{n}", "slow", layers=(0, 5)) for n in range(4)],
+    ]
+    assert choose_moves(model, engines) == []
+    assert choose_moves(model, engines, may_widen=True) != []
 
 
 def test_a_whole_placement_is_left_alone():
--- /dev/null
+++ b/tests/unit/test_router_wire.py
@@ -0,0 +1,194 @@
+"""The platform's messages are decoded into the product's types, or refused whole."""
+
+import base64
+import json
+
+import pytest
+from tests.unit.pool_fakes import make_engine
+
+from bulrushdrum._internal.gateway.messages import CallExtras
+from bulrushdrum._internal.pipelines.memory import Hop
+from bulrushdrum._internal.platform.errors import MalformedRow
+from bulrushdrum._internal.platform.headers import (
+    describe_answer,
+    describe_call,
+    extra_headers,
+)
+from bulrushdrum._internal.platform.router_config import (
+    decode_configuration,
+    decode_upstream,
+)
+from bulrushdrum._internal.platform.router_settings import read_router_settings
+from bulrushdrum._internal.settings.errors import SettingsError
+from bulrushdrum._internal.world.routes import RequestKind
+from bulrushdrum._internal.world.upstreams import LayerRange, UpstreamState
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "H.example",
+            "prefix": "/a/",
+            "route-kind": "streaming",
+            "timeout-ms": 20000,
+            "goal-ms": 500,
+            "priority": 1,
+            "split": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+            ],
+            "max-attempts": 2,
+            "resumable": True,
+            "gap-goal-ms": 250,
+        },
+        {
+            "name": "r-2",
+            "host": "h.example",
+            "prefix": "/a/b/",
+            "route-kind": "non_idempotent",
+            "timeout-ms": 800,
+            "service": "s2",
+            "public": True,
+        },
+    ],
+    "services": [
+        {"name": "s1", "health-path": "/healthz", "max-conns": 10},
+        {"name": "s2", "health-path": "/healthz", "max-conns": 20},
+    ],
+    "limits": {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 1000,
+        "header-timeout-ms": 3000,
+        "idle-timeout-ms": 15000,
+    },
+    "tenants": [{"name": "t1", "api-keys": ["k1", "k2"], "priority": 1}],
+}
+REGISTRATION = {
+    "service": "s1",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 96,
+    "state": "ready",
+    "seq-no": 4,
+    "born": 17,
+    "route-kind": "a100",
+    "layers": {"from": 20, "target": 30, "version": 1},
+}
+
+
+def encode(value):
+    return json.dumps(value).encode()
+
+
+def test_a_configuration_is_decoded_with_its_units():
+    configuration = decode_configuration(encode(CONFIGURATION))
+    route = configuration.routes.find("h.example", "/a/x")
+    assert route.kind is RequestKind.STREAMING
+    assert (route.timeout, route.goal, route.gap_goal) == (20.0, 0.5, 0.25)
+    assert [share.weight for share in route.shares] == [90.0, 10.0]
+    assert configuration.routes.find("h.example", "/a/b/c").name == "r-2"
+    assert configuration.routes.find("other", "/a/") is None
+    assert configuration.teams_by_key["k2"].name == "t1"
+    assert configuration.limits.body_bytes == 1000
+
+
+@pytest.mark.parametrize("field", ["version", "routes", "services"])
+def test_a_configuration_without_a_field_is_malformed(field):
+    # Guards against half a configuration in force.
+    broken = {name: value for name, value in CONFIGURATION.items() if name != field}
+    with pytest.raises(MalformedRow):
+        decode_configuration(encode(broken))
+
+
+def test_a_registration_is_decoded():
+    upstream = decode_upstream("i-1", encode(REGISTRATION))
+    assert upstream.kind == "a100"
+    assert upstream.layers == LayerRange(20, 30)
+    assert upstream.state is UpstreamState.SERVING
+    assert upstream.born == 17
+
+
+def test_an_engine_without_layers_is_known_as_empty():
+    upstream = decode_upstream("i-1", encode({**REGISTRATION, "layers": None}))
+    assert upstream.layers is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "sleeping"},
+        {"service": 5},
+        {"address": "nowhere"},
+        {"address": "10.0.0.9:99999"},
+        {"slots": "many"},
+        {"zone": None},
+        {"layers": {"from": "x", "target": 3}},
+    ],
+)
+def test_a_registration_of_another_writer_names_no_upstream(change):
+    # Guards against requests to an address that no server registered.
+    with pytest.raises(MalformedRow):
+        decode_upstream("i-1", encode({**REGISTRATION, **change}))
+
+
+def test_bytes_that_are_no_json_name_no_upstream():
+    with pytest.raises(MalformedRow):
+        decode_upstream("i-1", base64.b64decode("AAECAwQ="))
+
+
+def test_headers_that_the_router_sets_are_not_taken_from_callers():
+    # Guards against callers that name their own team, path or upstream.
+    call = describe_call(
+        [
+            (b"bulrushdrum-attempt-id", b"r1"),
+            (b"bulrushdrum-tenant", b"forged"),
+            (b"bulrushdrum-hop-count", b"10.0.0.1:1=0-80"),
+            (b"bulrushdrum-expect-instance", b"i-9"),
+            (b"bulrushdrum-deadline-ms", b"1500"),
+            (b"authorization", b"Token k1"),
+            (b"bulrushdrum-token-count", b"1460,80"),
+            (b"x-other", b"kept"),
+        ]
+    )
+    assert dict(call.forwarded) == {
+        b"bulrushdrum-attempt-id": b"r1",
+        b"bulrushdrum-token-count": b"1460,80",
+        b"x-other": b"kept",
+    }
+    assert (call.api_key, call.seconds_left) == ("k1", 1.5)
+    assert (call.generation.prompt, call.generation.max_output) == (1460.0, 80.0)
+
+
+def test_a_path_is_written_as_its_upstreams_and_their_layers():
+    hops = (
+        Hop(make_engine("x", address="10.0.0.1:80"), LayerRange(0, 20)),
+        Hop(make_engine("y", address="10.0.0.2:80"), LayerRange(20, 40)),
+    )
+    headers = dict(extra_headers(CallExtras("x", 1.5, "t1", hops, b"12", 3)))
+    assert headers[b"bulrushdrum-hop-count"] == b"10.0.0.1:80=0-20,10.0.0.2:80=20-40"
+    assert headers[b"bulrushdrum-deadline-ms"] == b"1500"
+    assert headers[b"bulrushdrum-tenant"] == b"t1"
+    assert headers[b"last-event-id"] == b"12"
+
+
+def test_a_refusal_names_the_upstream_at_fault():
+    answer = describe_answer(
+        [(b"bulrushdrum-not-executed", b"1"), (b"at-server", b"10.0.0.2:80")]
+    )
+    assert answer.not_executed
+    assert answer.at_fault == "10.0.0.2:80"
+    assert not answer.signed
+
+
+def test_settings_that_lack_a_field_say_which(tmp_path):
+    path = tmp_path / "boot.json"
+    path.write_text('{"node-name": "x"}')
+    with pytest.raises(SettingsError, match="listen"):
+        read_router_settings(str(path))
+
+
+def test_settings_that_cannot_be_read_say_so(tmp_path):
+    with pytest.raises(SettingsError, match="cannot be read"):
+        read_router_settings(str(tmp_path / "missing.json"))
