--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -2,13 +2,14 @@
 
 Each router keeps a row with its address in the store, and sends a datagram to all the
 others a few times a second. A lost datagram is made good by the next one, and nothing
-that must hold rests on them: the router with the first name that is heard places
-layers, and if two believe that they are first, the engines' order counts decide.
+that must hold rests on them: one router places layers, by default
+the first by name, and if two believe that they do, the engines' order counts decide.
 """
 
 import json
 import time
 from collections import deque
+from collections.abc import Callable
 from typing import NamedTuple
 
 import gevent
@@ -35,6 +36,8 @@
 _SILENT_INTERVALS = 6
 _LARGEST_DATAGRAM = 65000
 _MOST_NEWS = 80
+# A router that has just started listens for this long before it leads, in seconds.
+_LISTEN_SECONDS = 1.5
 # How long what another router said of a silent upstream is remembered as its word.
 _TOLD_SECONDS = 4.0
 _REGISTER_RETRY_SECONDS = 0.5
@@ -45,6 +48,7 @@
     incarnation: str
     heard_at: float
     is_serving: bool
+    is_leading: bool
 
 
 class _LayerNews(NamedTuple):
@@ -75,15 +79,19 @@
         ledger: MemoryLedger,
         fleet: Fleet,
         store: RowStore,
+        reaches_store: Callable[[], bool],
     ):
         self._settings = settings
         self._incarnation = incarnation
         self._ledger = ledger
         self._fleet = fleet
         self._store = store
+        self._reaches_store = reaches_store
         self._peers: dict[str, _Peer] = {}
         self._registered: dict[str, tuple[str, int]] = {}
         self._serving = False
+        self._leading = False
+        self._started_at = time.monotonic()
         self._own_silent: list[str] = []
         # Only the latest news go out, so that a datagram stays small.
         self._layer_news: deque[_LayerNews] = deque(maxlen=_MOST_NEWS)
@@ -101,6 +109,8 @@
 
     def set_serving(self, serving: bool):
         self._serving = serving
+        if not serving:
+            self._leading = False
 
     def on_rows(self, rows: list[StoredRow], whole: bool):
         """Take over changed rows of the routers' table."""
@@ -146,9 +156,24 @@
         names = [name for name, peer in self._heard().items() if peer.is_serving]
         return sorted({*names, self._settings.node})
 
-    def is_first(self) -> bool:
-        """Whether this router is the one that gives orders."""
-        return self.serving_routers()[0] == self._settings.node
+    def is_leading(self) -> bool:
+        """Whether this router is the one that gives orders.
+
+        One that leads goes on until it is silent or stops; then the first by name
+        follows. A router that hears neither the store nor another router is cut off,
+        and does not lead.
+        """
+        heard = self._heard()
+        leaders = [name for name, peer in heard.items() if peer.is_leading]
+        if not heard and not self._reaches_store():
+            self._leading = False
+        elif self._leading:
+            self._leading = all(self._settings.node < name for name in leaders)
+        else:
+            waited = time.monotonic() - self._started_at > _LISTEN_SECONDS
+            first = self.serving_routers()[0] == self._settings.node
+            self._leading = not leaders and first and waited and self._serving
+        return self._leading
 
     def announce_forever(self):
         while True:
@@ -173,6 +198,7 @@
                 "incarnation": self._incarnation,
                 "port": self._settings.peer_port,
                 "serving": self._serving,
+                "leading": self._leading,
                 "silent": self._own_silent,
                 "layers": [list(news) for news in self._layer_news],
                 "uses": {
@@ -200,6 +226,7 @@
                     for upstream_id, use in raw["uses"].items()
                 }
                 name, serving = str(raw["node"]), bool(raw["serving"])
+                leading = bool(raw["leading"])
                 silent = [str(upstream_id) for upstream_id in raw["silent"]]
                 news = [_decode_news(entry) for entry in raw["layers"]]
                 incarnation = str(raw["incarnation"])
@@ -208,7 +235,9 @@
                 continue
             if name not in self._peers:
                 log_event(Event.PEER_CONNECTED, peer=name, serving=serving)
-            self._peers[name] = _Peer(address, incarnation, time.monotonic(), serving)
+            self._peers[name] = _Peer(
+                address, incarnation, time.monotonic(), serving, leading
+            )
             self._ledger.set_peer(name, uses)
             self._take_over_layers(name, incarnation, news)
             for upstream_id in silent:
@@ -252,5 +281,5 @@
         return {
             "registered": sorted(self._registered),
             "heard": sorted(self._heard()),
-            "is_first": self.is_first(),
+            "is_leading": self._leading,
         }
--- a/src/bulrushdrum/_internal/coordination/following.py
+++ b/src/bulrushdrum/_internal/coordination/following.py
@@ -36,6 +36,11 @@
     def has_read(self) -> bool:
         return self._version is not None
 
+    @property
+    def is_available(self) -> bool:
+        """Whether the store answered the last call."""
+        return self._available
+
     def seconds_since_outage(self) -> float:
         """Return the time since the store came back; 0 while it is away."""
         if not self._available:
--- a/src/bulrushdrum/_internal/coordination/placing.py
+++ b/src/bulrushdrum/_internal/coordination/placing.py
@@ -15,6 +15,7 @@
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.placement import (
+    Move,
     choose_layers,
     choose_moves,
     placement_order,
@@ -35,7 +36,7 @@
 # After a load should have ended, the engine's registration may be this late, seconds.
 _REGISTRATION_LAG_SECONDS = 3.0
 # An order that was refused for its count is given again after this long, in seconds.
-_REFUSED_RETRY_SECONDS = 0.3
+_REFUSED_RETRY_SECONDS = 1.0
 # An engine that loads is asked this often whether it is ready, in seconds; it would
 # register what it holds only with its next heartbeat.
 _LOAD_POLL_SECONDS = 0.4
@@ -105,16 +106,23 @@
                 )
                 continue
             holding.append(engine._replace(layers=layers))
-            orders.append((engine, layers))
+            orders.append(Move(engine, layers))
         may_widen = not orders and self._is_long_whole(service.name, now)
-        for engine, layers in choose_moves(model, holding, may_widen):
-            if engine.id not in self._pending:
-                orders.append((engine, layers))
-        wait = model.load_seconds * 2 + _REGISTRATION_LAG_SECONDS
+        # A data centre in which engines still load is left alone until they are done:
+        # what they will hold is known, but not yet what is missing then.
+        loading = {e.data_centre for e in engines if e.id in self._pending}
+        orders += [
+            move
+            for move in choose_moves(model, holding, may_widen)
+            if move.engine.data_centre not in loading
+        ]
+        wait = model.load_seconds + _REGISTRATION_LAG_SECONDS
         tasks = []
-        for engine, layers in orders:
-            self._pending[engine.id] = _Pending(layers, engine.born, now + wait)
-            tasks.append(gevent.spawn(self._order, engine, layers))
+        for move in orders:
+            self._pending[move.engine.id] = _Pending(
+                move.layers, move.engine.born, now + wait
+            )
+            tasks.append(gevent.spawn(self._order, move))
         gevent.joinall(tasks)
 
     def _is_long_whole(self, service, now):
@@ -145,14 +153,15 @@
         pending = self._pending.get(engine.id)
         return engine if pending is None else engine._replace(layers=pending.layers)
 
-    def _order(self, engine, layers):
+    def _order(self, move):
+        engine, layers = move.engine, move.layers
         incarnation = (engine.id, engine.born)
         if incarnation not in self._accepted and engine.layers is not None:
             # Another router may have ordered it; an empty engine is taken as new.
             self._ask_for_count(engine)
         orders_accepted = self._accepted.get(incarnation, 0)
         outcome = self._calls.hold_layers(
-            engine.address, engine.id, layers, orders_accepted
+            engine.address, engine.id, layers, orders_accepted, move.urgent
         )
         log_event(
             Event.LAYERS_ORDERED,
@@ -163,6 +172,7 @@
             first=layers.first,
             end=layers.end,
             orders_accepted=orders_accepted,
+            urgent=move.urgent,
             outcome=outcome.value,
         )
         match outcome:
@@ -199,8 +209,11 @@
 
     def _ask_for_count(self, engine):
         report = self._calls.report(engine.address)
-        if report is not None:
-            self._accepted[engine.id, engine.born] = report.orders_accepted
+        if report is None:
+            return
+        self._accepted[engine.id, engine.born] = report.orders_accepted
+        if not report.is_busy:
+            self._learn(engine, report.layers)
 
     def _try_again(self, engine, layers, seconds):
         until = time.monotonic() + seconds
--- a/src/bulrushdrum/_internal/pipelines/placement.py
+++ b/src/bulrushdrum/_internal/pipelines/placement.py
@@ -155,10 +155,15 @@
 
 
 class Move(NamedTuple):
-    """An engine that is to hold other layers than it does."""
+    """An engine that is to hold other layers than it does.
+
+    An urgent one does not wait for the requests that pass through the layers given up,
+    because paths through its data centre are broken as it is.
+    """
 
     engine: PoolUpstream
     layers: LayerRange
+    urgent: bool = True
 
 
 def choose_moves(
@@ -180,24 +185,23 @@
             e for e in engines if e.data_centre == data_centre and e.layers is not None
         ]
         if not _gaps(model, local):
-            if may_widen and not widened and is_narrow(model, local):
-                widened = _share_out(model, local)
+            if may_widen and not widened and is_narrow(model, local, tokens):
+                widened = [m._replace(urgent=False) for m in _share_out(model, local)]
             continue
         moved = {m.engine.id: m for m in _move_stand_ins(model, local, tokens)}
         after = [
             e._replace(layers=moved[e.id].layers) if e.id in moved else e for e in local
         ]
-        if is_narrow(model, after):
+        if _gaps(model, after) or is_narrow(model, after, request_tokens(model, local)):
             moves += _share_out(model, local)
         else:
             moves += moved.values()
     return moves or widened
 
 
-def is_narrow(model: EngineModel, engines: list[PoolUpstream]) -> bool:
-    """Whether sharing out anew gives the narrowest layer much more room."""
-    packed = request_tokens(model, engines)
-    return packed > 0 and _narrowest_room(model, engines) * _WORTHWHILE_GAIN <= packed
+def is_narrow(model: EngineModel, engines: list[PoolUpstream], tokens: float) -> bool:
+    """Whether the narrowest layer has much less room than `tokens` request tokens."""
+    return tokens > 0 and _narrowest_room(model, engines) * _WORTHWHILE_GAIN <= tokens
 
 
 def _narrowest_room(model, engines):
--- a/src/bulrushdrum/_internal/platform/engine_calls.py
+++ b/src/bulrushdrum/_internal/platform/engine_calls.py
@@ -48,17 +48,21 @@
         # Calls are rare, and an idle connection would take one that requests need.
         self._pools = urllib3.PoolManager(num_pools=4, maxsize=1, retries=False)
 
-    def hold_layers(self, address, upstream_id, layers: LayerRange, expected_orders):
+    def hold_layers(
+        self, address, upstream_id, layers: LayerRange, expected_orders, urgent=False
+    ):
         """Order an engine to hold `layers` and return an `OrderOutcome`.
 
         The engine obeys only while it is the incarnation `upstream_id` and has accepted
         `expected_orders` orders, so an order that arrives late changes nothing.
+        Requests that pass through
+        layers that it gives up are cut off by an urgent order, else waited for.
         """
         body = {
             "op": "place",
             "from": layers.first,
             "target": layers.end,
-            "mode": "queue",
+            "mode": "preempt" if urgent else "queue",
             "expected": expected_orders,
         }
         response = self._call("POST", address, "/order", upstream_id, body)
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -90,7 +90,12 @@
         self._fleet = Fleet()
         self._ledger = MemoryLedger()
         self._announcements = RouterAnnouncements(
-            settings, self._incarnation, self._ledger, self._fleet, store
+            settings,
+            self._incarnation,
+            self._ledger,
+            self._fleet,
+            store,
+            lambda: self._registrations.is_available,
         )
         self._chooser = PathChooser(
             self._fleet, self._ledger, settings.data_centre, self._count_routers
@@ -100,7 +105,7 @@
         self._placement = LayerPlacement(
             self._fleet,
             calls,
-            self._announcements.is_first,
+            self._announcements.is_leading,
             self._services,
             self._announcements.tell_layers,
         )
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -144,7 +144,7 @@
         make_engine("s0", layers=(25, 32)),
         make_engine("s1", layers=(32, 39)),
         make_engine("s2", layers=(33, 40)),
-        *[make_engine(f"z{n}", "slow", layers=(0, 5)) for n in range(4)],
+        *[make_engine(f"z{n}", "slow", layers=(0, 5)) for n in range(8)],
     ]
     assert choose_moves(model, engines) == []
     assert choose_moves(model, engines, may_widen=True) != []
