--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -156,6 +156,14 @@
         names = [name for name, peer in self._heard().items() if peer.is_serving]
         return sorted({*names, self._settings.node})
 
+    def count_for_shares(self) -> int:
+        """Return the number of routers among which a common bound is divided.
+
+        Routers that are registered but not heard may only be cut off, and use their
+        share all the same.
+        """
+        return max(len({*self._registered, self._settings.node}), 1)
+
     def is_leading(self) -> bool:
         """Whether this router is the one that gives orders.
 
--- a/src/bulrushdrum/_internal/limits/retry_window.py
+++ b/src/bulrushdrum/_internal/limits/retry_window.py
@@ -4,7 +4,7 @@
 `extra`, beyond the first sending of each request. Each router keeps to the ratio of its
 own requests and to an equal part of the extra.
 
->>> window = RetryWindow(ratio=0.5, extra=2, seconds=10.0, clock=lambda: 0.0)
+>>> window = RetryWindow(ratio=0.5, extra=3, seconds=10.0, clock=lambda: 0.0)
 >>> window.note_request("ledger")
 >>> window.try_spend("ledger", routers=1), window.try_spend("ledger", routers=1)
 (True, True)
@@ -15,9 +15,9 @@
 import time
 from collections import deque
 
-# Routers may see each other late, and clocks of windows differ: this part of the extra
-# is used.
-_USED_PART = 0.9
+# Routers may see each other late, and one that restarts has forgotten what it spent:
+# this part of the extra is used.
+_USED_PART = 0.6
 
 
 class RetryWindow:
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -204,7 +204,7 @@
             self._announcements.set_serving(self._is_ready())
 
     def _count_routers(self):
-        return len(self._announcements.serving_routers())
+        return self._announcements.count_for_shares()
 
     def _services(self):
         if self._configuration is None:
