--- a/src/bulrushdrum/_internal/coordination/placing.py
+++ b/src/bulrushdrum/_internal/coordination/placing.py
@@ -1,4 +1,4 @@
-"""Gives empty engines their layers, and moves stand-ins to layers that went missing.
+"""Gives empty engines their layers, and moves engines to layers that went missing.
 
 One router at a time does this. Each order names the engine's incarnation and the number
 of orders that it has accepted, so that the engine refuses an order that is late, or
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -47,6 +47,8 @@
 _PATIENCE_PART = 0.7
 # A request waits for memory for this part of its goal, and is then refused.
 _WAIT_PART = 0.4
+# One whose path failed waits for this part of its caller's patience.
+_WAIT_AFTER_FAILURE_PART = 0.4
 _MOST_REFUSALS = 3
 # Refused callers are asked back after these parts of the time that they have left.
 _EARLIEST_RETURN = 0.05
@@ -156,6 +158,10 @@
 
     def _find_path(self, call, route, service, model, demand, progress):
         until = time.monotonic() + route.goal * _WAIT_PART
+        if progress.attempts:
+            # What has run, or was delivered in part, is lost if this is refused; its
+            # caller waits for the next event as long as for any.
+            until = time.monotonic() + _patience(route) * _WAIT_AFTER_FAILURE_PART
         while True:
             try:
                 return self._choose(service, model, demand, progress)
@@ -367,11 +373,7 @@
             self._suspicious = route.gap_goal * _SUSPICIOUS_GAPS
         else:
             self._suspicious = route.goal * _SUSPICIOUS_GOALS
-        self._longest = _PATIENCE_PART * max(
-            _CALLER_PATIENCE_SECONDS,
-            route.goal * _CALLER_PATIENCE_GOALS,
-            route.gap_goal * _CALLER_PATIENCE_GAPS,
-        )
+        self._longest = _PATIENCE_PART * _patience(route)
 
     def is_suspicious(self):
         return time.monotonic() - self._since > self._suspicious
@@ -380,6 +382,15 @@
         return time.monotonic() - self._since > self._longest
 
 
+def _patience(route):
+    """Return how long a caller waits for the next event of a stream, in seconds."""
+    return max(
+        _CALLER_PATIENCE_SECONDS,
+        route.goal * _CALLER_PATIENCE_GOALS,
+        route.gap_goal * _CALLER_PATIENCE_GAPS,
+    )
+
+
 def _demand(call, model):
     generation = call.description.generation
     if generation is None:
--- a/src/bulrushdrum/_internal/pipelines/placement.py
+++ b/src/bulrushdrum/_internal/pipelines/placement.py
@@ -3,7 +3,7 @@
 Every engine gets the number of layers that leaves memory for a common number of request
 tokens, so that no hop of a path fills up before the others. Layers go first where the
 fleet has none, then where the engine's data centre has none, so that paths need not
-leave it; what is left becomes the stand-in of the layers with the fewest copies.
+leave it; what is left replicates the layers with the fewest copies.
 
 The choice depends only on the registrations, so routers that see the same fleet choose
 the same, and the engine's order count settles who comes first if two do.
@@ -19,13 +19,14 @@
 )
 from bulrushdrum._internal.world.upstreams import LayerRange
 
-# Layers in a data centre's engines, as a multiple of the model's. What is more
-# than one copy leaves stand-ins for the largest engines. A data centre takes the first
-# of these with which each engine has room for the requests below.
+# Layers in a data centre's engines, as a multiple of the model's. What is more than one
+# copy replicates the layers of the largest engines. A data centre takes the first of
+# these with which each engine has room for the requests below.
 _COPIES = (1.4, 1.3, 1.2, 1.1)
 _ONE_COPY = 1.0
-# Usual requests that each engine has room for before stand-ins get layers.
-_REQUESTS_BEFORE_STAND_INS = 36
+# Usual requests that each engine has room for before layers get replicas: about what a
+# data centre has in progress at the usual load when another one fails.
+_REQUESTS_BEFORE_REPLICAS = 36
 # A data centre shares its layers out anew when that multiplies the room of its
 # narrowest layer by this much; less is not worth the time of the loads.
 _WORTHWHILE_GAIN = 2.0
@@ -77,7 +78,7 @@
     fleet would, because its engines serve only paths that cross data centres.
     """
     fleet = request_tokens(model, engines)
-    wanted = model.usual_tokens * _REQUESTS_BEFORE_STAND_INS
+    wanted = model.usual_tokens * _REQUESTS_BEFORE_REPLICAS
     rooms = {}
     for data_centre in {engine.data_centre for engine in engines}:
         local = [e for e in engines if e.data_centre == data_centre]
@@ -171,8 +172,8 @@
 ) -> list[Move]:
     """Return the moves that give each data centre its missing layers.
 
-    Stand-ins move first. If they do not suffice, the engines of the data centre share
-    the layers out anew. A data centre whose engines cannot hold all layers is left as
+    Engines whose layers others hold too move first. If they do not suffice, the engines
+    of the data centre share the layers out anew. A data centre whose engines cannot hold all layers is left as
     it is. `engines` are those that serve, with the layers that were ordered already.
 
     With `may_widen`, one data centre without gaps is shared out anew if that gives its
@@ -188,7 +189,7 @@
             if may_widen and not widened and is_narrow(model, local, tokens):
                 widened = [m._replace(urgent=False) for m in _share_out(model, local)]
             continue
-        moved = {m.engine.id: m for m in _move_stand_ins(model, local, tokens)}
+        moved = {m.engine.id: m for m in _move_spares(model, local, tokens)}
         after = [
             e._replace(layers=moved[e.id].layers) if e.id in moved else e for e in local
         ]
@@ -215,7 +216,7 @@
     return min(room)
 
 
-def _move_stand_ins(model, engines, tokens):
+def _move_spares(model, engines, tokens):
     moves = []
     held = {engine.id: engine for engine in engines}
     while gaps := _gaps(model, held.values()):
@@ -223,7 +224,7 @@
         spare = [e for e in spare if e.id not in {move.engine.id for move in moves}]
         if not spare:
             return []
-        # Slow engines move first: they are the stand-ins of faster ones.
+        # Slow engines move first: the faster replicas are worth more where they are.
         engine = min(spare, key=lambda e: (-model.kinds[e.kind].step_factor, e.address))
         count = layers_beside(model, model.kinds[engine.kind], tokens)
         if count == 0:
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -331,9 +331,16 @@
     def _route(self, connection, request, description):
         configuration = self._configuration
         if configuration is None:
-            answer = refusal(
-                "no configuration is known yet", _RETRY_WITHOUT_CONFIGURATION_SECONDS
+            reason = "no configuration is known yet"
+            log_event(
+                Event.REQUEST_REJECTED,
+                request=description.request_id.decode("latin-1"),
+                status=503,
+                reason=reason,
+                configuration_version=None,
+                store_available=self._configurations.is_available,
             )
+            answer = refusal(reason, _RETRY_WITHOUT_CONFIGURATION_SECONDS)
             connection.send(self._with_id(answer, description))
             return
         route = configuration.routes.find(request.host, request.path)
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -106,7 +106,7 @@
     assert covered(after) == set(range(model.layers))
 
 
-def test_stand_ins_move_before_engines_that_others_need():
+def test_replicas_move_before_engines_that_others_need():
     model = make_model()
     engines = [
         make_engine("one", "large", layers=(0, 20)),
