--- a/src/bulrushdrum/_internal/pipelines/placement.py
+++ b/src/bulrushdrum/_internal/pipelines/placement.py
@@ -173,8 +173,9 @@
     """Return the moves that give each data centre its missing layers.
 
     Engines whose layers others hold too move first. If they do not suffice, the engines
-    of the data centre share the layers out anew. A data centre whose engines cannot hold all layers is left as
-    it is. `engines` are those that serve, with the layers that were ordered already.
+    of the data centre share the layers out anew. A data centre whose engines cannot
+    hold all layers is left as it is. `engines` are those that serve, with the layers
+    that were ordered already.
 
     With `may_widen`, one data centre without gaps is shared out anew if that gives its
     narrowest layer much more room. Its paths fail meanwhile, so others must be whole.
