Let news of an engine's layers end; a soak with real routers behind fault proxies

A router told that an engine holds nothing while it loads; the news came to another router behind the engine's registration and hid its layers there for good. Change: only what an engine reported is told, and what was learned ends with the next registration or after its time.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
-.PHONY: setup demo test bench slopes binary lint
+.PHONY: setup demo test bench slopes binary lint soak
 
 setup: $(STAMP)
 
@@ -31,3 +31,6 @@
 
 binary: $(STAMP)
 	$(BIN)/python -m bench.binary
+
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak.soak $(SOAK_FLAGS)
--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -16,7 +16,7 @@
 from gevent import socket
 
 from bulrushdrum._internal.observability.events import Event, log_event
-from bulrushdrum._internal.pipelines.fleet import Fleet
+from bulrushdrum._internal.pipelines.fleet import LEARNED_SECONDS, Fleet
 from bulrushdrum._internal.pipelines.memory import MemoryLedger, Use
 from bulrushdrum._internal.platform.errors import (
     PlatformError,
@@ -269,7 +269,10 @@
             self._news_heard[key] = entry.number
             layers = LayerRange(entry.first, entry.end)
             self._fleet.learn_layers(
-                entry.upstream_id, entry.born, layers if layers.end else None
+                entry.upstream_id,
+                entry.born,
+                layers if layers.end else None,
+                LEARNED_SECONDS,
             )
 
     def _heard(self):
--- a/src/bulrushdrum/_internal/coordination/placing.py
+++ b/src/bulrushdrum/_internal/coordination/placing.py
@@ -13,7 +13,7 @@
 import gevent
 
 from bulrushdrum._internal.observability.events import Event, log_event
-from bulrushdrum._internal.pipelines.fleet import Fleet
+from bulrushdrum._internal.pipelines.fleet import LEARNED_SECONDS, Fleet
 from bulrushdrum._internal.pipelines.placement import (
     Move,
     choose_layers,
@@ -40,6 +40,9 @@
 # An engine that loads is asked this often whether it is ready, in seconds; it would
 # register what it holds only with its next heartbeat.
 _LOAD_POLL_SECONDS = 0.4
+# While an engine loads, only the layers that it keeps are counted on, for this long: by
+# then its registration tells, in seconds.
+_KEPT_SECONDS = 5.0
 
 
 class _Pending(NamedTuple):
@@ -178,7 +181,8 @@
         match outcome:
             case OrderOutcome.BEGUN:
                 self._accepted[incarnation] = orders_accepted + 1
-                self._learn(engine, _common(engine.layers, layers))
+                kept = _common(engine.layers, layers)
+                self._fleet.learn_layers(engine.id, engine.born, kept, _KEPT_SECONDS)
                 gevent.spawn(self._await_load, engine, layers)
             case OrderOutcome.HOLDS:
                 self._learn(engine, layers)
@@ -204,7 +208,7 @@
                 return
 
     def _learn(self, engine, layers):
-        self._fleet.learn_layers(engine.id, engine.born, layers)
+        self._fleet.learn_layers(engine.id, engine.born, layers, LEARNED_SECONDS)
         self._tell_layers(engine.id, engine.born, layers)
 
     def _ask_for_count(self, engine):
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -19,6 +19,9 @@
 _LONGEST_AVOIDANCE_SECONDS = 5.0
 # Registrations that lapsed during an outage are renewed within two seconds of its end.
 LAPSED_GRACE_SECONDS = 2.2
+# What an engine reported of its layers holds for this long without a registration, in
+# seconds: about the longest outage of the store in which layers move.
+LEARNED_SECONDS = 15.0
 # An upstream that paths wait for counts as silent for this long, in seconds: about the
 # time after which its registration is removed.
 _SILENT_SECONDS = 5.0
@@ -31,6 +34,11 @@
     failures: int
 
 
+class _Learned(NamedTuple):
+    layers: LayerRange | None
+    until: float
+
+
 class Fleet:
     """Known upstreams by id."""
 
@@ -40,6 +48,7 @@
         self._lapsed: dict[str, float] = {}
         self._suspicions: dict[str, _Suspicion] = {}
         self._silent: dict[str, float] = {}
+        self._learned: dict[str, _Learned] = {}
         self._generation = 0
         self._by_address: dict[str, str] = {}
 
@@ -65,17 +74,34 @@
         if known is not None and known.born != upstream.born:
             self._suspicions.pop(upstream.id, None)
             self._silent.pop(upstream.id, None)
+        self._learned.pop(upstream.id, None)
         self._upstreams[upstream.id] = upstream
         self._by_address[upstream.address] = upstream.id
         self._generation += 1
 
-    def learn_layers(self, upstream_id: str, born: int, layers: LayerRange | None):
-        """Take over which layers an engine holds, ahead of its next registration."""
+    def learn_layers(
+        self, upstream_id: str, born: int, layers: LayerRange | None, seconds: float
+    ):
+        """Take over which layers an engine holds, ahead of its next registration.
+
+        The next registration that changes, or the end of `seconds`, ends it: what was
+        learned may be older than the registration that it was laid over.
+        """
         known = self._upstreams.get(upstream_id)
         if known is not None and known.born == born and known.layers != layers:
-            self._upstreams[upstream_id] = known._replace(layers=layers)
+            until = self._clock() + seconds
+            self._learned[upstream_id] = _Learned(layers, until)
             self._generation += 1
 
+    def _with_learned(self, upstream):
+        learned = self._learned.get(upstream.id)
+        if learned is None:
+            return upstream
+        if learned.until <= self._clock():
+            del self._learned[upstream.id]
+            return upstream
+        return upstream._replace(layers=learned.layers)
+
     def remove(self, upstream_id: str, may_have_lapsed=False):
         if upstream_id not in self._upstreams:
             return
@@ -86,12 +112,14 @@
         self._lapsed.pop(upstream_id, None)
         self._suspicions.pop(upstream_id, None)
         self._silent.pop(upstream_id, None)
+        self._learned.pop(upstream_id, None)
         if self._by_address.get(upstream.address) == upstream_id:
             del self._by_address[upstream.address]
         self._generation += 1
 
     def get(self, upstream_id: str) -> PoolUpstream | None:
-        return self._upstreams.get(upstream_id)
+        upstream = self._upstreams.get(upstream_id)
+        return None if upstream is None else self._with_learned(upstream)
 
     def at_address(self, address: str) -> PoolUpstream | None:
         return self._upstreams.get(self._by_address.get(address, ""))
@@ -100,7 +128,7 @@
         """Return all registered upstreams of a service, trusted or not."""
         self._expire_lapsed()
         return [
-            upstream
+            self._with_learned(upstream)
             for upstream in self._upstreams.values()
             if upstream.service == service
         ]
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,258 @@
+"""The surroundings of the routers in a soak: store, servers and proxies.
+
+Servers record what they run and check each path that a request names, so promises are
+checked from what callers and servers see.
+"""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import gevent
+from bench.proxy import Link
+from bench.standins.path_server import (
+    PathServer,
+    not_executed,
+    report,
+    resumed,
+    whole,
+)
+from bench.standins.row_store import RowStore
+from gevent import socket
+
+ROOT = Path(__file__).resolve().parents[2]
+LAYERS = 12
+LAST_EVENT = 6
+_EVENT_SECONDS = 0.03
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Server:
+    """An engine or a plain server behind a proxy, registered in the store."""
+
+    def __init__(self, name, world, service, data_centre, kind=""):
+        self.name, self.world, self.kind = name, world, kind
+        self.runs: list[str] = []
+        self.born = 0
+        self.draining = False
+        self.layers = None
+        self.orders = 0
+        self._service, self._data_centre = service, data_centre
+        self._real = PathServer(name, self._answer)
+        self.link = Link(name, self._real.address)
+
+    @property
+    def address(self):
+        return self.link.listen
+
+    @property
+    def identity(self):
+        return f"{self.name}-{self.born}"
+
+    def start(self):
+        """Begin a new incarnation, empty."""
+        self.born += 1
+        self.layers, self.orders, self.draining = None, 0, False
+        self.register()
+
+    def register(self):
+        held = None
+        if self.layers is not None:
+            held = {"from": self.layers[0], "target": self.layers[1], "version": 1}
+        row = {
+            "service": self._service,
+            "address": self.address,
+            "zone": self._data_centre,
+            "slots": 16,
+            "state": "draining" if self.draining else "ready",
+            "born": self.born,
+            "layers": held,
+        }
+        if self.kind:
+            row["route-kind"] = self.kind
+        self.world.store.put("servers", self.identity, row)
+
+    def leave(self):
+        self.world.store.put("servers", self.identity, None)
+
+    def _answer(self, request):
+        headers = request["headers"]
+        if request["target"] == "/order":
+            return self._order(headers, json.loads(request["body"]))
+        if request["target"] == "/report":
+            return report(orders=self.orders)
+        if headers.get("bulrushdrum-expect-instance") != self.identity:
+            return not_executed(request, 421)
+        if self.kind:
+            fault = self.world.check_path(headers["bulrushdrum-hop-count"])
+            if fault is not None:
+                return not_executed(request, 421, fault)
+        self.runs.append(headers["bulrushdrum-attempt-id"])
+        self.world.note_run(self, headers)
+        if not self.kind:
+            return [0.02, *whole(request)]
+        steps = resumed(request, LAST_EVENT)
+        return [part for step in steps for part in (step, _EVENT_SECONDS)]
+
+    def _order(self, headers, order):
+        fits = headers.get("bulrushdrum-expect-instance") == self.identity
+        if not fits or order["expected"] != self.orders:
+            return [b"HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n"]
+        self.orders += 1
+        self.layers = (order["from"], order["target"])
+        gevent.spawn_later(0.2, self.register)
+        return [b"HTTP/1.1 202 X\r\nContent-Length: 0\r\n\r\n"]
+
+
+class World:
+    """Everything but the routers; `violations` collects broken promises."""
+
+    def __init__(self):
+        self.store = RowStore()
+        self.store_link = Link("store", self.store.address)
+        self.violations: list[str] = []
+        self.engines = [Server(f"e{n}", self, "s1", "ab"[n % 2], "k") for n in range(6)]
+        self.plain = [Server(f"p{n}", self, "s2", "ab"[n % 2]) for n in range(2)]
+        self.version = 0
+        self.write_runs: dict[str, int] = {}
+        for server in [*self.engines, *self.plain]:
+            server.start()
+        self.configure("k1")
+
+    def configure(self, *keys):
+        """Write a new version of the configuration with these keys."""
+        self.version += 1
+        self.store.put("op", "config", _configuration(self.version, keys))
+
+    def check_path(self, path):
+        """Return the address that does not hold its part; note a path with gaps."""
+        layer = 0
+        for entry in path.split(","):
+            address, _, part = entry.partition("=")
+            first, _, end = part.partition("-")
+            if int(first) != layer:
+                self.violations.append(f"path {path} does not run layer {layer}")
+            layer = int(end)
+            engine = next((e for e in self.engines if e.address == address), None)
+            held = None if engine is None else engine.layers
+            if held is None or not held[0] <= int(first) < int(end) <= held[1]:
+                return address
+        if layer != LAYERS:
+            self.violations.append(f"path {path} ends at layer {layer}")
+        return None
+
+    def note_run(self, server, headers):
+        if not server.kind and headers["bulrushdrum-attempt-id"].startswith("w"):
+            request = headers["bulrushdrum-attempt-id"]
+            self.write_runs[request] = self.write_runs.get(request, 0) + 1
+            if self.write_runs[request] > 1:
+                self.violations.append(f"{request} ran twice")
+        if headers.get("bulrushdrum-tenant") != "t1":
+            self.violations.append(f"{headers['bulrushdrum-attempt-id']}: no team")
+
+    def ran(self, request):
+        return any(request in s.runs for s in [*self.engines, *self.plain])
+
+    def links(self):
+        return [self.store_link, *(s.link for s in [*self.engines, *self.plain])]
+
+    def stop(self):
+        self.store.stop()
+
+
+class Router:
+    """One router process, and the settings with which it starts again."""
+
+    def __init__(self, name, data_centre, folder, world):
+        self.name, self.port = name, free_port()
+        self.ready_port, self.metrics_port = free_port(), free_port()
+        self._path, self._log = folder / f"{name}.json", folder / f"{name}.log"
+        settings = {
+            "node-name": name,
+            "zone": data_centre,
+            "ip": "127.0.0.1",
+            "listen": {
+                "front": f"127.0.0.1:{self.port}",
+                "ready-addr": f"127.0.0.1:{self.ready_port}",
+            },
+            "internal-ports": [free_port(socket.SOCK_DGRAM), self.metrics_port],
+            "bounds": {"grace-s": 5, "retry-budget-extra": 100},
+            "platform": {"address": world.store_link.listen},
+        }
+        self._path.write_text(json.dumps(settings))
+        self.process = None
+        self.start()
+
+    def start(self):
+        with self._log.open("a") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "bulrushdrum", "router"],
+                env={**os.environ, "BULRUSHDRUM_SETTINGS": str(self._path)},
+                cwd=ROOT,
+                stdout=output,
+                stderr=output,
+            )
+
+    def log_tail(self):
+        return self._log.read_text()[-4000:]
+
+
+def _configuration(version, keys):
+    engine = {
+        "slots": 64,
+        "kv-token-bytes": 100_000,
+        "models": [{"name": "m", "load-s": 0.5}],
+        "step_ms": 1.0,
+        "per_seq_ms": 0.01,
+        "context_per_k": 0.01,
+        "read_per_s": 100_000.0,
+        "usual": {"prompt": 100, "answer": 20},
+        "layers": LAYERS,
+        "layer-mb": 100.0,
+        "kinds": [{"name": "k", "size-mb": 900.0, "pace": 1.0, "read-factor": 1.0}],
+    }
+    route = {"host": "h.example", "timeout-ms": 4000, "goal-ms": 300}
+    return {
+        "version": version,
+        "routes": [
+            {
+                **route,
+                "name": "g",
+                "prefix": "/g/",
+                "route-kind": "streaming",
+                "service": "s1",
+                "max-attempts": 2,
+                "resumable": True,
+                "gap-goal-ms": 150,
+            },
+            {
+                **route,
+                "name": "w",
+                "prefix": "/w/",
+                "route-kind": "non_idempotent",
+                "service": "s2",
+                # More than one, so that only the kind prevents a second run.
+                "max-attempts": 2,
+            },
+            {
+                **route,
+                "name": "r",
+                "prefix": "/r/",
+                "route-kind": "idempotent",
+                "service": "s2",
+                "max-attempts": 2,
+            },
+        ],
+        "services": [
+            {"name": "s1", "max-conns": 100, "engine": engine},
+            {"name": "s2", "max-conns": 100},
+        ],
+        "tenants": [{"name": "t1", "api-keys": list(keys)}],
+    }
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -3,7 +3,7 @@
 from tests.unit.pool_fakes import make_engine
 
 from bulrushdrum._internal.pipelines.fleet import LAPSED_GRACE_SECONDS, Fleet
-from bulrushdrum._internal.world.upstreams import UpstreamState
+from bulrushdrum._internal.world.upstreams import LayerRange, UpstreamState
 
 
 def make_fleet(*names):
@@ -63,6 +63,32 @@
     assert not fleet.is_avoided("x")
 
 
+def test_what_was_learned_of_layers_does_not_outlive_its_time():
+    # Guards against an engine that one router takes as empty for good, because news of
+    # its load came behind its registration (soak, seed 108).
+    fleet, now = make_fleet()
+    fleet.put(make_engine("x", layers=(0, 20)))
+    fleet.learn_layers("x", 1, None, 5.0)
+    assert fleet.get("x").layers is None
+    assert fleet.members("llm")[0].layers is None
+    now[0] += 5.01
+    assert fleet.members("llm")[0].layers == (0, 20)
+
+
+def test_a_registration_that_changes_ends_what_was_learned():
+    fleet, _ = make_fleet("x")
+    fleet.learn_layers("x", 1, LayerRange(0, 5), 15.0)
+    assert fleet.get("x").layers == (0, 5)
+    fleet.put(make_engine("x", layers=(5, 9)))
+    assert fleet.get("x").layers == (5, 9)
+
+
+def test_what_was_learned_of_an_older_incarnation_is_left():
+    fleet, _ = make_fleet("x")
+    fleet.learn_layers("x", 2, LayerRange(0, 5), 15.0)
+    assert fleet.get("x").layers is None
+
+
 def test_the_address_of_a_reused_port_names_the_newer_upstream():
     fleet, _ = make_fleet("x")
     address = fleet.get("x").address
