--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import time
+import traceback
 
 import gevent
 from gevent.event import Event as Signal
@@ -71,6 +72,9 @@
 _STOP_MARGIN_SECONDS = 0.4
 _DRAIN_LOOK_SECONDS = 0.05
 _EXPIRY_SECONDS = 1.0
+_TASK_RESTART_SECONDS = 0.5
+# Characters of a traceback that a log line carries; its end names the fault.
+_LONGEST_TRACEBACK = 1500
 # Routers come and go rarely, and they announce themselves besides.
 _ROUTERS_WAIT_SECONDS = 8.0
 
@@ -165,7 +169,7 @@
             self._placement.run,
             self._expire,
         ):
-            gevent.spawn(task)
+            gevent.spawn(_keep_running, task)
         log_event(
             Event.ROUTER_STARTED,
             node=self._settings.node,
@@ -311,6 +315,7 @@
                 Event.INTERNAL_ERROR,
                 request=description.request_id.decode("latin-1"),
                 reason=repr(error),
+                traceback=traceback.format_exc()[-_LONGEST_TRACEBACK:],
             )
             if not connection.answer_begun:
                 connection.send(failure(502, "internal error"))
@@ -367,7 +372,8 @@
             min(max(priority, 0), 9),
         )
         service = self._choose_service(route)
-        engine = configuration.services[service].engine
+        known = configuration.services.get(service)
+        engine = None if known is None else known.engine
         if engine is None:
             answer = self._plain.run(call, route, service)
             connection.send(self._with_id(answer, description))
@@ -398,6 +404,21 @@
         return answer._replace(headers=[*answer.headers, header])
 
 
+def _keep_running(task):
+    """Run a background task; an error that nobody foresaw does not end it for good."""
+    while True:
+        try:
+            return task()
+        except Exception as error:
+            log_event(
+                Event.INTERNAL_ERROR,
+                task=task.__qualname__,
+                reason=repr(error),
+                traceback=traceback.format_exc()[-_LONGEST_TRACEBACK:],
+            )
+            gevent.sleep(_TASK_RESTART_SECONDS)
+
+
 def run_router() -> int:
     """Run a router with the platform's settings; return the exit code."""
     path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
--- a/tests/integration/test_router_process.py
+++ b/tests/integration/test_router_process.py
@@ -260,3 +260,18 @@
     )
     assert done.returncode == 2
     assert "cannot be read" in done.stderr
+
+
+def test_rows_of_another_writer_do_not_stop_the_router(router, store):
+    # Guards against a background task that ends at the first row it cannot read.
+    serve(router, store)
+    for number, value in enumerate([None, 5, "x", [], {"service": 1}, {"state": {}}]):
+        store.put("servers", f"bad{number}", value)
+        store.put("routers", f"bad{number}", value)
+    store.put("op", "config", configuration(version=12, key="k9"))
+    router.wait_for(
+        lambda: router.get(extra=b"Authorization: Token k9\r\n").status == 200
+    )
+    store.put("op", "config", {"version": "no"})
+    gevent.sleep(0.3)
+    assert router.get(extra=b"Authorization: Token k9\r\n").status == 200
