--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -57,8 +57,10 @@
         try:
             self._await_service(30.0)
             self._end = time.monotonic() + seconds
+            seed_of_answers = self._random.random()
             callers = [gevent.spawn(self._call_forever, n) for n in range(CALLERS)]
             hands = [gevent.spawn(self._disturb_forever) for _ in range(2)]
+            hands.append(gevent.spawn(self._lose_answers_forever, seed_of_answers))
             gevent.joinall([*callers, *hands])
             self._heal()
             if not self._await_service(RECOVER_SECONDS):
@@ -154,6 +156,16 @@
             self.faults.append(fault.__name__)
             fault()
 
+    def _lose_answers_forever(self, seed):
+        """Lose answers of plain servers, the one fault that tempts to run twice."""
+        draw = random.Random(seed)
+        while time.monotonic() < self._end:
+            gevent.sleep(draw.uniform(0.5, 2.0))
+            link = draw.choice(self.world.plain).link
+            link.set_faults(Faults(lose_answers="*"))
+            gevent.sleep(draw.uniform(0.2, 0.8))
+            link.set_faults(Faults())
+
     def _disturb(self, router):
         self._disturbed[router.name] = time.monotonic()
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,13 +4,16 @@
 from tests.soak.soak import run_seed
 from tests.soak.world import LAYERS, World
 
-SECONDS = 6.0
+SECONDS = 7.0
 SEEDS = [1, 2]
+# Seeds that failed once. 108 and 112: a router hid an engine's layers for good, because
+# news of its load came behind its registration.
+FAILED_SEEDS = [108, 112]
 
 pytestmark = pytest.mark.slow
 
 
-@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("seed", [*SEEDS, *FAILED_SEEDS])
 def test_the_promises_hold_under_random_faults(seed):
     # Guards against faults of the router that only overlapping troubles show.
     violations, soak = run_seed(seed, SECONDS)
