--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -241,7 +241,7 @@
         while not reader.is_complete:
             if not upstream_connection.receive(1.0):
                 raise UpstreamFailed("the failure's body did not arrive", True)
-        if described.not_executed or reader.status == 421:
+        if described.has_not_run or reader.status == 421:
             return _Refused(reader.status, described.at_fault)
         if connection.answer_begun or reader.status >= 500:
             raise UpstreamFailed(f"the upstream answered {reader.status}", True)
--- a/src/bulrushdrum/_internal/gateway/messages.py
+++ b/src/bulrushdrum/_internal/gateway/messages.py
@@ -84,7 +84,7 @@
 
     request_id: bytes | None
     signed: bool
-    not_executed: bool
+    has_not_run: bool
     upstream_id: str
     at_fault: str | None
 
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -141,7 +141,7 @@
 
     def _judge(self, call, upstream, reader, described):
         headers, body = end_to_end(reader.headers), b"".join(reader.body)
-        if described.not_executed or reader.status == 421:
+        if described.has_not_run or reader.status == 421:
             if reader.status == 421:
                 self._fleet.avoid(upstream.id)
             log_event(
--- a/src/bulrushdrum/_internal/platform/headers.py
+++ b/src/bulrushdrum/_internal/platform/headers.py
@@ -94,7 +94,7 @@
     return AnswerDescription(
         request_id=values.get(_REQUEST_ID),
         signed=_SIGNATURE in values,
-        not_executed=_NOT_EXECUTED in values,
+        has_not_run=_NOT_EXECUTED in values,
         upstream_id=values.get(_INSTANCE, b"").decode("latin-1"),
         at_fault=None if at_fault is None else at_fault.decode("latin-1"),
     )
--- a/tests/unit/test_layout.py
+++ b/tests/unit/test_layout.py
@@ -6,8 +6,8 @@
 SOURCES = Path(__file__).resolve().parents[2] / "src" / "bulrushdrum"
 ADAPTER = SOURCES / "_internal" / "platform"
 WIRE_NAMES = re.compile(
-    r"Bulrushdrum-[A-Z]|BULRUSHDRUM_SETTINGS|schema-version|rows-(tx|get|feed)|not-executed"
-    r"|hop-count|seq-no|kv-used|gap-goal|route-kind|attempt-id|server-stamp"
+    r"Bulrushdrum-[A-Z]|BULRUSHDRUM_SETTINGS|schema-version|rows-(tx|get|feed)|not[-_]executed"
+    r"|hop[-_]count|seq-no|kv-used|gap-goal|route-kind|attempt-id|server-stamp"
 )
 LARGEST_PART = 0.1
 
--- a/tests/unit/test_router_wire.py
+++ b/tests/unit/test_router_wire.py
@@ -177,7 +177,7 @@
     answer = describe_answer(
         [(b"bulrushdrum-not-executed", b"1"), (b"at-server", b"10.0.0.2:80")]
     )
-    assert answer.not_executed
+    assert answer.has_not_run
     assert answer.at_fault == "10.0.0.2:80"
     assert not answer.signed
 
