Hand work over before a sidecar drains; exchange incidents before a suspect runs again

A sidecar refused an open that an entry had sent before it heard of the drain, which cost that request a second attempt. An entry whose engine died first knew one incident, convicted nobody, and sent the crashing request to a fourth engine while the other entries' incidents were on their way. Change: a leaving sidecar takes work for 0.7 s after its announcement; an entry asks the others which requests of a new incident they run, and waits for their incidents.

--- a/src/bulrushdrum/_internal/peering/messages.py
+++ b/src/bulrushdrum/_internal/peering/messages.py
@@ -381,9 +381,16 @@
 
 
 class Suspects(NamedTuple):
-    """Incidents to share with all entries."""
+    """Incidents to share with all entries.
+
+    One with a `query`, the id of a new incident, asks which of its requests the peer
+    runs. The answer names that id in `answers` and those requests in `running`.
+    """
 
     incidents: tuple[Incident, ...] = ()
+    query: str = ""
+    answers: str = ""
+    running: tuple[str, ...] = ()
 
 
 class OrderLeaseRequest(NamedTuple):
--- a/src/bulrushdrum/_internal/peering/wire.capnp
+++ b/src/bulrushdrum/_internal/peering/wire.capnp
@@ -268,7 +268,12 @@
 struct RecordsFlushed { ids @0 :List(Text); all @1 :Bool; }
 
 struct Incident { id @0 :Text; fingerprints @1 :List(Text); }
-struct Suspects { incidents @0 :List(Incident); }
+struct Suspects {
+  incidents @0 :List(Incident);
+  query @1 :Text;            # id of a new incident: which of its requests run there
+  answers @2 :Text;          # the query that `running` answers
+  running @3 :List(Text);    # fingerprints
+}
 
 struct OrderLeaseRequest { token @0 :Text; upstream @1 :Text; epoch @2 :UInt64; }
 struct OrderLease {
--- a/src/bulrushdrum/_internal/routing/attempts.py
+++ b/src/bulrushdrum/_internal/routing/attempts.py
@@ -22,7 +22,6 @@
     Open,
     Opened,
     Step,
-    Suspects,
     Token,
     Tokens,
 )
@@ -32,6 +31,7 @@
     RequestNotRun,
     RequestOutcomeUnknown,
 )
+from bulrushdrum._internal.routing.incident_exchange import IncidentExchange
 from bulrushdrum._internal.routing.membership import Membership
 from bulrushdrum._internal.routing.retries import RetryBudget
 from bulrushdrum._internal.routing.running_requests import (
@@ -74,14 +74,17 @@
         self._suspects = suspects
         self._settings = settings
         self._running: dict[str, RunningRequest] = {}
+        # Fingerprints of the requests with an attempt in progress, one an attempt.
+        self._attempted: list[str] = []
+        self._incidents = IncidentExchange(
+            self._hub, suspects, lambda: set(self._attempted)
+        )
         self._pool_changed = Signal()
         membership.on_upstream_lost(self._handle_upstream_lost)
         membership.on_change(self._pool_changed.set)
         self._hub.register(Opened, self._handle_opened)
         self._hub.register(Tokens, self._handle_tokens)
         self._hub.register(AttemptFailed, self._handle_failed)
-        self._hub.register(Suspects, self._handle_suspects)
-        self._hub.on_connected(self._share_incidents)
 
     @property
     def running(self) -> dict[str, RunningRequest]:
@@ -121,6 +124,7 @@
 
     def _run_attempts(self, running):
         while True:
+            self._incidents.wait(running.request.fingerprint)
             self._refuse_convicted(running)
             chain = self._wait_for_chain(running)
             number = running.begin_attempt()
@@ -194,6 +198,7 @@
             if suspect:
                 upstream.solo_fingerprints.add(request.fingerprint)
         progressed = 0
+        self._attempted.append(request.fingerprint)
         try:
             self._open_stages(running, chain, number, suspect)
             first = Step(
@@ -217,6 +222,7 @@
                 if token.final:
                     return token.finish_reason
         finally:
+            self._attempted.remove(request.fingerprint)
             for upstream in chain:
                 upstream.unassign(work - progressed)
                 upstream.solo_fingerprints.discard(request.fingerprint)
@@ -390,27 +396,11 @@
 
     def _handle_failed(self, connection, failed):
         if failed.incident:
-            incident = Incident(failed.incident, failed.suspects)
-            if self._suspects.add(incident):
-                log_event(
-                    Event.SUSPECT_REPORTED,
-                    incident=failed.incident,
-                    fingerprints=list(failed.suspects),
-                )
-                self._hub.broadcast("entry", Suspects((incident,)))
+            self._incidents.report(Incident(failed.incident, failed.suspects))
         running = self._running.get(failed.request)
         if running is not None and running.attempt == failed.attempt:
             running.post(ReportedFailure(failed, connection.peer.incarnation))
 
-    def _handle_suspects(self, connection, suspects):
-        for incident in suspects.incidents:
-            self._suspects.add(incident)
-
-    def _share_incidents(self, connection):
-        incidents = self._suspects.incidents()
-        if connection.peer.kind == "entry" and incidents:
-            connection.send(Suspects(incidents))
-
     def _handle_upstream_lost(self, upstream):
         for running in list(self._running.values()):
             running.post(UpstreamLost(upstream))
--- a/src/bulrushdrum/_internal/routing/suspects.py
+++ b/src/bulrushdrum/_internal/routing/suspects.py
@@ -47,6 +47,10 @@
     def is_suspect(self, fingerprint: str) -> bool:
         return fingerprint in self._by_fingerprint
 
+    def incidents_with(self, fingerprint: str) -> frozenset[str]:
+        """Return the ids of the incidents in which a request took part."""
+        return frozenset(self._by_fingerprint.get(fingerprint, ()))
+
     def is_convicted(self, fingerprint: str) -> bool:
         own = self._by_fingerprint.get(fingerprint, set())
         return len(own) > 1 and any(
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -38,6 +38,9 @@
 
 EXIT_ADDRESS_IN_USE = 3
 DRAIN_POLL_SECONDS = 0.05
+# Entries hear of a drain within a round trip, or when a busy one next runs. Until then
+# they still send work here, and a refusal would cost each of them another attempt.
+HAND_OVER_SECONDS = 0.7
 
 
 class Sidecar:
@@ -150,9 +153,11 @@
     def _drain(self):
         """Announce that this sidecar leaves, finish what runs, and stop."""
         log_event(Event.DRAIN_STARTED, running=self._work_running)
-        self._status.update(draining=True)
-        self._heartbeats.beat_now()
         deadline = time.monotonic() + self._settings.drain_timeout
+        self._status.update(leaving=True)
+        self._heartbeats.beat_now()
+        gevent.sleep(min(HAND_OVER_SECONDS, self._settings.drain_timeout))
+        self._status.update(draining=True)
         while self._work_running and time.monotonic() < deadline:
             gevent.sleep(DRAIN_POLL_SECONDS)
         self._server.stop()
--- a/src/bulrushdrum/_internal/sidecar/status.py
+++ b/src/bulrushdrum/_internal/sidecar/status.py
@@ -13,7 +13,9 @@
 
     `engine` is None while a model engine is lost; `reachable` says the same of a plain
     service. Work is also closed while the sidecar drains (`draining`), by the operators
-    (`stopped`) and around an order whose effect is not yet certain (`ordering`).
+    (`stopped`) and around an order whose effect is not yet certain (`ordering`). A
+    sidecar that is `leaving` announces that it drains, but still takes the work that
+    entries sent before they heard of it.
     """
 
     def __init__(self, settings: SidecarSettings):
@@ -22,6 +24,7 @@
         self._values = {
             "engine": None,
             "reachable": False,
+            "leaving": False,
             "draining": False,
             "stopped": False,
             "ordering": False,
@@ -38,8 +41,12 @@
     @property
     def state(self) -> UpstreamState:
         values = self._values
-        if values["draining"]:
+        if values["leaving"] or values["draining"]:
             return UpstreamState.DRAINING
+        return self._state_besides_leaving()
+
+    def _state_besides_leaving(self):
+        values = self._values
         is_engine = self._settings.kind == "engine"
         if not (values["engine"] if is_engine else values["reachable"]):
             return UpstreamState.LOST
@@ -61,6 +68,8 @@
     def refusal(self) -> str:
         """Return why new work is refused, or an empty string if it is not."""
         state = self.state
+        if self._values["leaving"] and not self._values["draining"]:
+            state = self._state_besides_leaving()
         return "" if state is UpstreamState.SERVING else f"upstream_{state.value}"
 
     def describe(self, window: int) -> Describe:
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -413,6 +413,16 @@
     assert stage.open("r5").reason == "upstream_draining"
 
 
+def test_a_leaving_sidecar_takes_what_entries_sent_before_they_heard_of_it():
+    # Guards against a planned stop that costs a request another attempt.
+    stage = StageUnderTest()
+    stage.status.update(leaving=True)
+    assert stage.status.describe(0).state == "draining"
+    assert stage.open("r1").accepted
+    stage.status.update(draining=True)
+    assert stage.open("r2").reason == "upstream_draining"
+
+
 def test_the_memory_of_attempts_never_claims_too_much():
     # Guards against "did not run" for a request that was evicted from the memory.
     memory = AttemptMemory(limit=2)
