Let draining routers serve what they can end, and say when to come back

Cause: a draining router closed new connections 2.6 s after SIGTERM. Change: a draining router accepts to its end, takes generations while the longest 1 in 100 would end in time, refuses later ones as not run with the time at which it is back (or at once if every other router takes work), and ends as soon as it can take no more.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -49,6 +49,7 @@
     heard_at: float
     is_serving: bool
     is_leading: bool
+    takes_work: bool
 
 
 class _LayerNews(NamedTuple):
@@ -90,6 +91,7 @@
         self._peers: dict[str, _Peer] = {}
         self._registered: dict[str, tuple[str, int]] = {}
         self._serving = False
+        self._takes_work = True
         self._leading = False
         self._started_at = time.monotonic()
         self._own_silent: list[str] = []
@@ -112,6 +114,13 @@
         if not serving:
             self._leading = False
 
+    def set_takes_work(self, takes_work: bool):
+        """Say whether this router can end what it begins, though it may not be ready.
+
+        A draining router takes work as long as it has time for it.
+        """
+        self._takes_work = takes_work
+
     def on_rows(self, rows: list[StoredRow], whole: bool):
         """Take over changed rows of the routers' table."""
         if whole:
@@ -156,6 +165,11 @@
         names = [name for name, peer in self._heard().items() if peer.is_serving]
         return sorted({*names, self._settings.node})
 
+    def all_others_take_work(self) -> bool:
+        """Whether every other router that is heard says that it takes work."""
+        heard = self._heard()
+        return bool(heard) and all(peer.takes_work for peer in heard.values())
+
     def count_for_shares(self) -> int:
         """Return the number of routers among which a common bound is divided.
 
@@ -207,6 +221,7 @@
                 "port": self._settings.peer_port,
                 "serving": self._serving,
                 "leading": self._leading,
+                "takes_work": self._takes_work,
                 "silent": self._own_silent,
                 "layers": [list(news) for news in self._layer_news],
                 "uses": {
@@ -216,7 +231,10 @@
             },
             separators=(",", ":"),
         ).encode()[:_LARGEST_DATAGRAM]
-        for name, address in list(self._registered.items()):
+        # One that drains is no longer registered, and needs to hear of the others.
+        targets = {name: peer.address for name, peer in self._heard().items()}
+        targets.update(self._registered)
+        for name, address in targets.items():
             if name == self._settings.node:
                 continue
             try:
@@ -235,6 +253,8 @@
                 }
                 name, serving = str(raw["node"]), bool(raw["serving"])
                 leading = bool(raw["leading"])
+                # Releases before this field take work whenever they serve.
+                takes_work = bool(raw.get("takes_work", serving))
                 silent = [str(upstream_id) for upstream_id in raw["silent"]]
                 news = [_decode_news(entry) for entry in raw["layers"]]
                 incarnation = str(raw["incarnation"])
@@ -244,7 +264,7 @@
             if name not in self._peers:
                 log_event(Event.PEER_CONNECTED, peer=name, serving=serving)
             self._peers[name] = _Peer(
-                address, incarnation, time.monotonic(), serving, leading
+                address, incarnation, time.monotonic(), serving, leading, takes_work
             )
             self._ledger.set_peer(name, uses)
             self._take_over_layers(name, incarnation, news)
--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -77,7 +77,7 @@
                 if now - begun_at > limits.header_timeout:
                     self._refuse(BadRequest(408, "the request did not arrive in time"))
                     return None
-            elif now - idle_since > limits.idle_timeout or self._server.closes_idle:
+            elif now - idle_since > limits.idle_timeout:
                 return None
             self._socket.settimeout(_IDLE_STEP_SECONDS)
             try:
@@ -194,7 +194,6 @@
         self._handler = handler
         self.limits = limits
         self.is_draining = False
-        self.closes_idle = False
         self.requests_in_progress = 0
         self.connections = 0
         self._server = StreamServer((host, int(port)), self._serve, backlog=_BACKLOG)
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -23,6 +23,7 @@
 from bulrushdrum._internal.coordination.following import TableFollower
 from bulrushdrum._internal.coordination.placing import LayerPlacement
 from bulrushdrum._internal.gateway.callers import CallerServer
+from bulrushdrum._internal.gateway.draining import Draining
 from bulrushdrum._internal.gateway.errors import CallerLeft
 from bulrushdrum._internal.gateway.exchange import Call
 from bulrushdrum._internal.gateway.generations import Generations
@@ -65,11 +66,6 @@
 
 _ENGINE_CALL_TIMEOUT_SECONDS = 0.5
 _RETRY_WITHOUT_CONFIGURATION_SECONDS = 1.0
-# The balancer takes a router out after two misses, one second apart; until then it
-# still sends new connections.
-_OUT_OF_ROTATION_SECONDS = 2.6
-# What is still in progress this long before the platform's kill is given up, seconds.
-_STOP_MARGIN_SECONDS = 0.4
 _DRAIN_LOOK_SECONDS = 0.05
 _EXPIRY_SECONDS = 1.0
 _TASK_RESTART_SECONDS = 0.5
@@ -148,6 +144,7 @@
         )
         self._ready = CallerServer(settings.ready_address, self._handle_ready)
         self._numbers = Numbers()
+        self._draining = Draining(settings.stop_grace_seconds, seed=self._incarnation)
         self._inspection = CallerServer(
             f"{settings.ip}:{settings.metrics_port}", self._handle_inspection
         )
@@ -181,17 +178,13 @@
         log_event(Event.PROCESS_STOPPED, node=self._settings.node)
 
     def _drain(self):
-        began = time.monotonic()
-        end = began + self._settings.stop_grace_seconds - _STOP_MARGIN_SECONDS
         log_event(Event.DRAIN_STARTED, requests=self._callers.requests_in_progress)
+        self._draining.begin()
         self._callers.is_draining = True
         self._announcements.set_serving(False)
         gevent.spawn(self._announcements.unregister)
-        gevent.sleep(_OUT_OF_ROTATION_SECONDS)
-        self._callers.closes_idle = True
-        while time.monotonic() < end and (
-            self._callers.requests_in_progress or self._callers.connections
-        ):
+        while not self._draining.is_over(self._callers.requests_in_progress):
+            self._announcements.set_takes_work(self._draining.has_time_for_generation())
             gevent.sleep(_DRAIN_LOOK_SECONDS)
         self._callers.stop_accepting()
 
@@ -377,8 +370,30 @@
         if engine is None:
             answer = self._plain.run(call, route, service)
             connection.send(self._with_id(answer, description))
+        elif not self._draining.try_take_generation():
+            self._refuse_while_draining(connection, description)
         else:
+            began = time.monotonic()
             self._generations.run(connection, call, route, service, engine)
+            if connection.status == 200:
+                self._draining.record_generation(time.monotonic() - began)
+
+    def _refuse_while_draining(self, connection, description):
+        # The balancer may send the caller to any of them; if one does not take work, it
+        # is surer to wait until this router is back.
+        others_take_it = self._announcements.all_others_take_work()
+        answer = refusal(
+            "this router stops before the answer would end",
+            self._draining.retry_after(others_take_it),
+        )
+        log_event(
+            Event.REQUEST_REJECTED,
+            request=description.request_id.decode("latin-1"),
+            status=answer.status,
+            reason="draining",
+            others_take_work=others_take_it,
+        )
+        connection.send(self._with_id(answer, description))
 
     def _reject(self, connection, description, status, reason):
         log_event(
--- a/tests/integration/test_router_process.py
+++ b/tests/integration/test_router_process.py
@@ -226,6 +226,20 @@
     assert store.keys("routers") == []
 
 
+def test_a_new_connection_is_served_while_the_router_drains(router, store):
+    # Guards against resets of connections that a balancer without a ready router still
+    # sends: each costs its caller a retry.
+    serve(router, store, lambda r: stream(r, gap=0.9))
+    long = gevent.spawn(router.get)
+    gevent.sleep(0.4)
+    router.process.send_signal(signal.SIGTERM)
+    gevent.sleep(3.2)
+    refused = router.get()
+    assert refused.status == 503
+    assert long.get(timeout=8.0).body == STREAM_BODY
+    assert router.process.wait(timeout=8.0) == 0
+
+
 def test_a_plain_service_is_served_and_a_moved_address_left(router, store):
     serve(router, store)
     one, two = PathServer("p1", whole), PathServer("p2", lambda r: whole(r, b"two"))
