Refuse requests that crash the upstreams which run them, over all their sendings

Cause: one sending was bounded by its route's attempts, but its caller sends such a request again, at any router, and each sending took further upstreams down.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -16,6 +16,7 @@
 from gevent import socket
 
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.crash_register import CrashRegister
 from bulrushdrum._internal.pipelines.fleet import LEARNED_SECONDS, Fleet
 from bulrushdrum._internal.pipelines.memory import MemoryLedger, Use
 from bulrushdrum._internal.platform.errors import (
@@ -70,6 +71,10 @@
     return _LayerNews(int(number), str(upstream_id), int(born), int(first), int(end))
 
 
+# Announced by releases that count no crashes.
+_NO_FAILURES = {"crashes": {}, "served": []}
+
+
 class RouterAnnouncements:
     """Registers this router, announces it, and listens to the others."""
 
@@ -81,6 +86,7 @@
         fleet: Fleet,
         store: RowStore,
         reaches_store: Callable[[], bool],
+        crashes: CrashRegister,
     ):
         self._settings = settings
         self._incarnation = incarnation
@@ -88,6 +94,7 @@
         self._fleet = fleet
         self._store = store
         self._reaches_store = reaches_store
+        self._crashes = crashes
         self._peers: dict[str, _Peer] = {}
         self._registered: dict[str, tuple[str, int]] = {}
         self._serving = False
@@ -222,6 +229,7 @@
                 "serving": self._serving,
                 "leading": self._leading,
                 "takes_work": self._takes_work,
+                "failures": self._crashes.announced(),
                 "silent": self._own_silent,
                 "layers": [list(news) for news in self._layer_news],
                 "uses": {
@@ -258,6 +266,9 @@
                 silent = [str(upstream_id) for upstream_id in raw["silent"]]
                 news = [_decode_news(entry) for entry in raw["layers"]]
                 incarnation = str(raw["incarnation"])
+                self._crashes.take_over(
+                    name, incarnation, raw.get("failures", _NO_FAILURES)
+                )
             except (KeyError, TypeError, ValueError, IndexError) as error:
                 log_event(Event.PEER_REFUSED, peer=str(address), reason=repr(error))
                 continue
--- a/src/bulrushdrum/_internal/gateway/exchange.py
+++ b/src/bulrushdrum/_internal/gateway/exchange.py
@@ -27,6 +27,8 @@
     deadline: float
     team: str | None
     priority: int | None
+    # The same for each sending of a request by its caller.
+    fingerprint: str = ""
 
 
 class Exchange(NamedTuple):
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -25,6 +25,7 @@
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.crash_register import CrashRegister
 from bulrushdrum._internal.pipelines.errors import NoPath, NoRoom
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory import MemoryLedger
@@ -91,6 +92,7 @@
         budget: RetryWindow,
         count_routers: Callable[[], int],
         diagnose,
+        crashes: CrashRegister,
         seed=None,
     ):
         self._fleet = fleet
@@ -100,6 +102,7 @@
         self._budget = budget
         self._count_routers = count_routers
         self._diagnose = diagnose
+        self._crashes = crashes
         self._random = random.Random(seed)
         self._released = Signal()
 
@@ -150,6 +153,8 @@
             return False
         if progress.attempts and not route.may_repeat:
             return False
+        if self._crashes.is_convicted(call.fingerprint):
+            return False
         if progress.attempts >= route.max_attempts:
             return False
         if progress.refusals > _MOST_REFUSALS:
@@ -316,7 +321,10 @@
             may_have_run=error.may_have_run,
             events_delivered=progress.events,
         )
-        if not error.may_have_run:
+        if error.may_have_run:
+            incarnations = tuple((h.upstream.id, h.upstream.born) for h in path)
+            self._crashes.note_failure(call.fingerprint, incarnations)
+        else:
             self._fleet.avoid(path[0].upstream.id)
             self._pool.drop_address(path[0].address)
         if error.silent:
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -20,6 +20,7 @@
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.crash_register import CrashRegister
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.platform.headers import without_signature
 from bulrushdrum._internal.world.routes import Route
@@ -43,6 +44,7 @@
         budget: RetryWindow,
         data_centre: str,
         count_routers,
+        crashes: CrashRegister,
         seed=None,
     ):
         self._fleet = fleet
@@ -50,6 +52,7 @@
         self._budget = budget
         self._data_centre = data_centre
         self._count_routers = count_routers
+        self._crashes = crashes
         self._in_progress: dict[str, int] = {}
         self._random = random.Random(seed)
 
@@ -167,6 +170,9 @@
             reason=str(error),
             may_have_run=error.may_have_run,
         )
+        if error.may_have_run:
+            incarnation = (upstream.id, upstream.born)
+            self._crashes.note_failure(call.fingerprint, (incarnation,))
         if error.silent or not error.may_have_run:
             self._fleet.avoid(upstream.id)
             self._pool.drop_address(upstream.address)
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -83,6 +83,7 @@
     NO_ROOM = 8208
     REQUEST_ANSWERED = 8209
     REQUEST_REJECTED = 8210
+    CRASHING_REQUEST_FOUND = 8211
 
 
 _outputs: list[LogOutput] = []
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -121,6 +121,11 @@
         upstream = self._upstreams.get(upstream_id)
         return None if upstream is None else self._with_learned(upstream)
 
+    def has_ended(self, upstream_id: str, born: int) -> bool:
+        """Whether an incarnation is no longer registered, or another one is."""
+        known = self._upstreams.get(upstream_id)
+        return known is None or known.born != born
+
     def at_address(self, address: str) -> PoolUpstream | None:
         return self._upstreams.get(self._by_address.get(address, ""))
 
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -39,6 +39,11 @@
     start_bounded_logging,
 )
 from bulrushdrum._internal.observability.metrics_page import Numbers
+from bulrushdrum._internal.pipelines.crash_register import (
+    CONVICTED_SECONDS,
+    CrashRegister,
+    fingerprint_of,
+)
 from bulrushdrum._internal.pipelines.diagnosis import Diagnosis
 from bulrushdrum._internal.pipelines.fleet import LAPSED_GRACE_SECONDS, Fleet
 from bulrushdrum._internal.pipelines.memory import MemoryLedger
@@ -89,6 +94,7 @@
         )
         self._fleet = Fleet()
         self._ledger = MemoryLedger()
+        self._crashes = CrashRegister(self._fleet.has_ended)
         self._announcements = RouterAnnouncements(
             settings,
             self._incarnation,
@@ -96,6 +102,7 @@
             self._fleet,
             store,
             lambda: self._registrations.is_available,
+            self._crashes,
         )
         self._chooser = PathChooser(
             self._fleet, self._ledger, settings.data_centre, self._count_routers
@@ -118,6 +125,7 @@
             budget,
             settings.data_centre,
             self._count_routers,
+            self._crashes,
         )
         diagnosis = Diagnosis(self._fleet, calls.report, self._chooser.set_pace)
         self._generations = Generations(
@@ -128,6 +136,7 @@
             budget,
             self._count_routers,
             diagnosis.diagnose,
+            self._crashes,
         )
         self._configurations = TableFollower(
             store, CONFIGURATION_TABLE, self._on_configuration
@@ -289,6 +298,7 @@
             "reservations": self._ledger.dump(),
             "routers": self._announcements.dump(),
             "placement": self._placement.dump(),
+            "crashing_requests": self._crashes.dump(),
         }
 
     def _handle(self, connection, request):
@@ -363,21 +373,40 @@
             request.read_at + seconds,
             None if team is None else team.name,
             min(max(priority, 0), 9),
+            fingerprint_of(request.path, description.api_key, request.body),
         )
+        if self._crashes.is_convicted(call.fingerprint):
+            self._refuse_convicted(connection, call)
+            return
         service = self._choose_service(route)
         known = configuration.services.get(service)
         engine = None if known is None else known.engine
         if engine is None:
             answer = self._plain.run(call, route, service)
+            if answer.status < 500:
+                self._crashes.note_served(call.fingerprint)
             connection.send(self._with_id(answer, description))
         elif not self._draining.try_take_generation():
             self._refuse_while_draining(connection, description)
         else:
             began = time.monotonic()
             self._generations.run(connection, call, route, service, engine)
-            if connection.status == 200:
+            if connection.status == 200 and not connection.is_broken_off:
+                self._crashes.note_served(call.fingerprint)
                 self._draining.record_generation(time.monotonic() - began)
 
+    def _refuse_convicted(self, connection, call):
+        reason = "this request has crashed the upstreams that ran it"
+        log_event(
+            Event.REQUEST_REJECTED,
+            request=call.description.request_id.decode("latin-1"),
+            status=503,
+            reason=reason,
+            fingerprint=call.fingerprint,
+        )
+        answer = refusal(reason, CONVICTED_SECONDS)
+        connection.send(self._with_id(answer, call.description))
+
     def _refuse_while_draining(self, connection, description):
         # The balancer may send the caller to any of them; if one does not take work, it
         # is surer to wait until this router is back.
--- a/tests/unit/gateway_fakes.py
+++ b/tests/unit/gateway_fakes.py
@@ -12,6 +12,7 @@
 from bulrushdrum._internal.gateway.plain_calls import PlainCalls
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
+from bulrushdrum._internal.pipelines.crash_register import CrashRegister
 from bulrushdrum._internal.pipelines.diagnosis import Diagnosis
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory import MemoryLedger
@@ -48,6 +49,7 @@
     def __init__(self, route, extra=100):
         self.route = route
         self.fleet, self.ledger = Fleet(), MemoryLedger()
+        self.crashes = CrashRegister(self.fleet.has_ended)
         self.pool = ConnectionPool()
         self.model = make_model(layer_bytes=1e9)
         self.servers: dict[str, PathServer] = {}
@@ -64,9 +66,10 @@
             self._budget,
             lambda: 1,
             diagnosis.diagnose,
+            self.crashes,
         )
         self._plain = PlainCalls(
-            self.fleet, self.pool, self._budget, "a", lambda: 1, seed=3
+            self.fleet, self.pool, self._budget, "a", lambda: 1, self.crashes, seed=3
         )
         self.callers = CallerServer("127.0.0.1:0", self._handle)
         self.callers.start()
@@ -82,7 +85,7 @@
     def _handle(self, connection, request):
         description = describe_call(request.headers)
         deadline = request.read_at + (description.seconds_left or self.route.timeout)
-        call = Call(request, description, deadline, "t1", 1)
+        call = Call(request, description, deadline, "t1", 1, "f1")
         if self.route.kind is RequestKind.STREAMING:
             self._generations.run(connection, call, self.route, "llm", self.model)
         else:
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -9,6 +9,7 @@
 from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
 from bulrushdrum._internal.coordination.following import TableFollower
 from bulrushdrum._internal.coordination.placing import LayerPlacement
+from bulrushdrum._internal.pipelines.crash_register import CrashRegister
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory import Hop, MemoryLedger
 from bulrushdrum._internal.platform.engine_calls import EngineReport, OrderOutcome
@@ -93,7 +94,15 @@
         fleet, ledger = Fleet(), MemoryLedger()
         fleet.put(make_engine("e", layers=(0, 20)))
         routers.append(
-            RouterAnnouncements(each, "i1", ledger, fleet, None, reaches_store)
+            RouterAnnouncements(
+                each,
+                "i1",
+                ledger,
+                fleet,
+                None,
+                reaches_store,
+                CrashRegister(fleet.has_ended),
+            )
         )
     rows = [
         StoredRow(
