Let data centres share a copy of the layers that would leave them no room

Change: data centres with room for fewer than 12 usual requests beside their own copy form a group; its data centres choose one after another, so each holds a range of its own.

--- a/src/bulrushdrum/_internal/coordination/placing.py
+++ b/src/bulrushdrum/_internal/coordination/placing.py
@@ -13,12 +13,17 @@
 import gevent
 
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.data_centre_groups import (
+    group_data_centres,
+    near_data_centres,
+)
 from bulrushdrum._internal.pipelines.fleet import LEARNED_SECONDS, Fleet
 from bulrushdrum._internal.pipelines.placement import (
     Move,
     choose_layers,
     choose_moves,
     placement_order,
+    request_tokens,
     room_by_data_centre,
 )
 from bulrushdrum._internal.platform.engine_calls import EngineCalls, OrderOutcome
@@ -98,11 +103,14 @@
         self._forget_ended(engines, now)
         empty = [e for e in engines if e.layers is None and e.id not in self._pending]
         rooms = room_by_data_centre(model, engines)
+        near = near_data_centres(group_data_centres(model, engines, request_tokens))
         holding = [self._as_ordered(e) for e in engines if e not in empty]
         orders = []
-        for engine in placement_order(model, empty):
+        for engine in placement_order(model, empty, near):
             tokens = rooms[engine.data_centre]
-            layers = choose_layers(model, engine, holding, tokens)
+            layers = choose_layers(
+                model, engine, holding, tokens, near[engine.data_centre]
+            )
             if layers is None:
                 log_event(
                     Event.ENGINE_TOO_SMALL, upstream=engine.id, accelerator=engine.kind
--- a/src/bulrushdrum/_internal/pipelines/placement.py
+++ b/src/bulrushdrum/_internal/pipelines/placement.py
@@ -12,6 +12,7 @@
 import math
 from typing import NamedTuple
 
+from bulrushdrum._internal.pipelines.data_centre_groups import group_data_centres
 from bulrushdrum._internal.world.engines import (
     AcceleratorKind,
     EngineModel,
@@ -72,23 +73,27 @@
 def room_by_data_centre(
     model: EngineModel, engines: list[PoolUpstream]
 ) -> dict[str, float]:
-    """Return `request_tokens` for the engines of each data centre.
+    """Return the request tokens that the engines of each data centre leave room for.
 
-    A data centre that cannot hold a copy of the model leaves as much room as the whole
-    fleet would, because its engines serve only paths that cross data centres.
+    A group of data centres that cannot hold a copy of the model leaves as much room as
+    the whole fleet would, because its engines serve only paths that leave the group.
     """
     fleet = request_tokens(model, engines)
-    wanted = model.usual_tokens * _REQUESTS_BEFORE_REPLICAS
     rooms = {}
-    for data_centre in {engine.data_centre for engine in engines}:
-        local = [e for e in engines if e.data_centre == data_centre]
-        choices = [request_tokens(model, local, copies) for copies in _COPIES]
-        packed = request_tokens(model, local)
-        ample = [tokens for tokens in choices if tokens >= wanted]
-        rooms[data_centre] = ample[0] if ample else packed or fleet
+    for group in group_data_centres(model, engines, request_tokens):
+        tokens = _room_of(model, list(group.engines)) or fleet
+        rooms.update(dict.fromkeys(group.data_centres, tokens))
     return rooms
 
 
+def _room_of(model, engines):
+    """Return `request_tokens` with as many copies as leave ample room, or with one."""
+    wanted = model.usual_tokens * _REQUESTS_BEFORE_REPLICAS
+    choices = [request_tokens(model, engines, copies) for copies in _COPIES]
+    ample = [tokens for tokens in choices if tokens >= wanted]
+    return ample[0] if ample else request_tokens(model, engines)
+
+
 def _total(model, kinds, tokens):
     return sum(layers_beside(model, kind, tokens) for kind in kinds)
 
@@ -98,10 +103,12 @@
     engine: PoolUpstream,
     others: list[PoolUpstream],
     tokens: float,
+    near: frozenset[str],
 ) -> LayerRange | None:
     """Return the layers for an empty engine beside what `others` hold.
 
-    None means that the engine cannot hold a single layer.
+    `near` has the data centres that hold copies together with the engine's. None means
+    that the engine cannot hold a single layer.
     """
     kind = model.kinds.get(engine.kind)
     if kind is None:
@@ -116,7 +123,7 @@
         first, end = other.layers.first, min(other.layers.end, model.layers)
         for layer in range(first, end):
             fleet[layer] += 1
-            local[layer] += other.data_centre == engine.data_centre
+            local[layer] += other.data_centre in near
         starts.add(end)
     gains = [_gain(fleet[layer], local[layer]) for layer in range(model.layers)]
     return _best_window(gains, count, starts, engine)
@@ -145,12 +152,26 @@
     return best
 
 
-def placement_order(model: EngineModel, engines: list[PoolUpstream]):
-    """Return engines in the order in which they choose: fast kinds first."""
+def placement_order(
+    model: EngineModel,
+    engines: list[PoolUpstream],
+    near: dict[str, frozenset[str]],
+):
+    """Return engines in the order in which they choose: fast kinds first.
+
+    `near` has the data centres that hold copies together, for each data centre. Where
+    there are several, they choose one after another, so that each holds a range of its
+    own and paths cross between them as rarely as possible.
+    """
 
     def rank(engine):
         kind = model.kinds.get(engine.kind)
-        return (kind.step_factor if kind else float("inf"), engine.address)
+        is_shared = len(near[engine.data_centre]) > 1
+        return (
+            engine.data_centre if is_shared else "",
+            kind.step_factor if kind else float("inf"),
+            engine.address,
+        )
 
     return sorted(engines, key=rank)
 
@@ -170,11 +191,11 @@
 def choose_moves(
     model: EngineModel, engines: list[PoolUpstream], may_widen: bool = False
 ) -> list[Move]:
-    """Return the moves that give each data centre its missing layers.
+    """Return the moves that give each group of data centres its missing layers.
 
     Engines whose layers others hold too move first. If they do not suffice, the engines
-    of the data centre share the layers out anew. A data centre whose engines cannot
-    hold all layers is left as it is. `engines` are those that serve, with the layers
+    of the group share the layers out anew. A group whose engines cannot hold all layers
+    is left as it is. `engines` are those that serve, with the layers
     that were ordered already.
 
     With `may_widen`, one data centre without gaps is shared out anew if that gives its
@@ -182,12 +203,12 @@
     """
     moves, widened = [], []
     rooms = room_by_data_centre(model, engines)
-    for data_centre, tokens in sorted(rooms.items()):
-        local = [
-            e for e in engines if e.data_centre == data_centre and e.layers is not None
-        ]
+    for group in group_data_centres(model, engines, request_tokens):
+        tokens = rooms[min(group.data_centres)]
+        local = [engine for engine in group.engines if engine.layers is not None]
         if not _gaps(model, local):
-            if may_widen and not widened and is_narrow(model, local, tokens):
+            narrow = group.is_single and is_narrow(model, local, tokens)
+            if may_widen and not widened and narrow:
                 widened = [m._replace(urgent=False) for m in _share_out(model, local)]
             continue
         moved = {m.engine.id: m for m in _move_spares(model, local, tokens)}
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -1,14 +1,24 @@
 """Which layers engines get, first and after losses."""
 
+from itertools import pairwise
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from tests.unit.pool_fakes import make_engine, make_model
 
+from bulrushdrum._internal.pipelines.data_centre_groups import (
+    group_data_centres,
+    near_data_centres,
+)
+from bulrushdrum._internal.pipelines.fleet import Fleet
+from bulrushdrum._internal.pipelines.memory import MemoryLedger
+from bulrushdrum._internal.pipelines.paths import Demand, PathChooser
 from bulrushdrum._internal.pipelines.placement import (
     choose_layers,
     choose_moves,
     layers_beside,
     placement_order,
+    request_tokens,
     room_by_data_centre,
 )
 
@@ -18,9 +28,11 @@
 def place_all(model, engines):
     """Give each engine its layers, as a router does for a fleet that has none."""
     rooms = room_by_data_centre(model, engines)
+    near = near_data_centres(group_data_centres(model, engines, request_tokens))
     held = []
-    for engine in placement_order(model, engines):
-        layers = choose_layers(model, engine, held, rooms[engine.data_centre])
+    for engine in placement_order(model, engines, near):
+        place = engine.data_centre
+        layers = choose_layers(model, engine, held, rooms[place], near[place])
         if layers is not None:
             held.append(engine._replace(layers=layers))
     return held
@@ -51,6 +63,48 @@
     assert covered(held, "b") == set(range(model.layers))
 
 
+def test_data_centres_share_a_copy_that_would_leave_either_no_room():
+    # Load pattern: a fleet that just holds a copy in each data centre, and no requests
+    # beside them, under the usual load. Guards against refusing nearly all of it.
+    model = make_model()
+    tight = [
+        make_engine(f"{place}{n}", "small", place) for place in "ab" for n in range(6)
+    ]
+    for place in "ab":
+        local = [engine for engine in tight if engine.data_centre == place]
+        assert request_tokens(model, local) < 12 * model.usual_tokens
+    held = place_all(model, tight)
+    assert covered(held) == set(range(model.layers))
+    assert min(room_by_data_centre(model, tight).values()) > 36 * model.usual_tokens
+    assert choose_moves(model, held) == []
+    # Each holds a range of its own, so that paths cross the pipe once.
+    fleet = Fleet()
+    fleet.replace_all(held)
+    chooser = PathChooser(fleet, MemoryLedger(), "a", seed=1)
+    path = chooser.choose("llm", model, Demand(700.0, 200.0))
+    places = [hop.upstream.data_centre for hop in path]
+    assert sum(one != other for one, other in pairwise(places)) == 1
+
+
+def test_data_centres_behind_a_slow_pipe_do_not_share_a_copy():
+    # Guards against paths over a pipe that a few requests a second fill.
+    model = make_model(pipe_bytes_per_second=1e8)
+    tight = [
+        make_engine(f"{place}{n}", "small", place) for place in "ab" for n in range(6)
+    ]
+    held = place_all(model, tight)
+    assert covered(held, "a") == covered(held, "b") == set(range(model.layers))
+
+
+def test_a_data_centre_without_a_copy_joins_the_one_with_the_least_room():
+    # Guards against a data centre whose engines serve nobody.
+    model = make_model()
+    small = [make_engine(f"c{n}", "small", "c") for n in range(2)]
+    engines = usual_fleet("a") + usual_fleet("b") + small
+    groups = group_data_centres(model, engines, request_tokens)
+    assert sorted(sorted(group.data_centres) for group in groups) == [["a", "c"], ["b"]]
+
+
 def test_a_fleet_that_holds_only_one_copy_spreads_it_over_data_centres():
     # Guards against two halves of the same layers in a fleet that holds one pipeline.
     model = make_model()
@@ -68,7 +122,7 @@
 
 def test_an_engine_of_an_unknown_kind_gets_no_layers():
     engine = make_engine("x", "unheard-of")
-    assert choose_layers(make_model(), engine, [], 1000.0) is None
+    assert choose_layers(make_model(), engine, [], 1000.0, frozenset("a")) is None
 
 
 @given(
