--- a/src/bulrushdrum/__main__.py
+++ b/src/bulrushdrum/__main__.py
@@ -21,6 +21,10 @@
             from bulrushdrum._internal.router_process import run_router
 
             return run_router()
+        case ["router", "--path-policy", name]:
+            from bulrushdrum._internal.router_process import run_router
+
+            return run_router(name)
     from bulrushdrum._internal.operator.commands import run_commands
 
     return run_commands(arguments)
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -13,6 +13,11 @@
 from bulrushdrum._internal.pipelines.errors import NoPath, NoRoom
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory import Hop, MemoryLedger
+from bulrushdrum._internal.pipelines.path_policies import (
+    LeastTime,
+    PathPolicy,
+    layer_cost,
+)
 from bulrushdrum._internal.world.engines import EngineModel, PoolUpstream
 from bulrushdrum._internal.world.upstreams import LayerRange
 
@@ -36,6 +41,9 @@
 _PRESSURE = 1.0
 
 
+_DEFAULT_POLICY = LeastTime()
+
+
 class Demand(NamedTuple):
     """What a request needs: its prompt and expected answer, in tokens."""
 
@@ -85,7 +93,9 @@
         count_routers=lambda: 1,
         seed=None,
         clock=time.monotonic,
+        policy: PathPolicy = _DEFAULT_POLICY,
     ):
+        self._policy = policy
         self._fleet = fleet
         self._ledger = ledger
         self._data_centre = data_centre
@@ -289,7 +299,9 @@
         step = model.step_seconds + use.sequences * (model.sequence_seconds + context)
         read = kind.read_factor / model.read_tokens_per_second
         seconds = demand.answer * kind.step_factor * step + demand.prompt * read
-        self._seconds_per_layer = seconds * pace / model.layers
+        self._cost_per_layer = layer_cost(
+            chooser._policy, engine, seconds * pace / model.layers, chooser._random
+        )
         self._jitter = 1.0 + 0.02 * chooser._random.random()
 
     def entering_cost(self, ways):
@@ -307,4 +319,4 @@
         """Return the cost of running some layers here, or None without room."""
         if layers * self._demand.tokens > self._free:
             return None
-        return layers * self._seconds_per_layer * self._pressure * self._jitter
+        return layers * self._cost_per_layer * self._pressure * self._jitter
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -12,6 +12,7 @@
 import sys
 import time
 import traceback
+from dataclasses import replace
 
 import gevent
 from gevent.event import Event as Signal
@@ -47,7 +48,9 @@
 from bulrushdrum._internal.pipelines.diagnosis import Diagnosis
 from bulrushdrum._internal.pipelines.fleet import LAPSED_GRACE_SECONDS, Fleet
 from bulrushdrum._internal.pipelines.memory import MemoryLedger
+from bulrushdrum._internal.pipelines.path_policies import make_policy
 from bulrushdrum._internal.pipelines.paths import PathChooser
+from bulrushdrum._internal.pipelines.reported_loads import ReportedLoads
 from bulrushdrum._internal.platform.engine_calls import EngineCalls
 from bulrushdrum._internal.platform.errors import MalformedRow
 from bulrushdrum._internal.platform.headers import describe_call, request_id_header
@@ -66,7 +69,7 @@
     RowStore,
 )
 from bulrushdrum._internal.settings.errors import SettingsError
-from bulrushdrum._internal.settings.router import RouterSettings
+from bulrushdrum._internal.settings.router import PathPolicyName, RouterSettings
 from bulrushdrum._internal.world.routes import CallerLimits, RouterConfiguration
 
 _ENGINE_CALL_TIMEOUT_SECONDS = 0.5
@@ -104,11 +107,16 @@
             lambda: self._registrations.is_available,
             self._crashes,
         )
+        calls = EngineCalls(_ENGINE_CALL_TIMEOUT_SECONDS)
+        self._loads = ReportedLoads(self._fleet, calls.report, self._services)
         self._chooser = PathChooser(
-            self._fleet, self._ledger, settings.data_centre, self._count_routers
+            self._fleet,
+            self._ledger,
+            settings.data_centre,
+            self._count_routers,
+            policy=make_policy(settings.path_policy, self._loads.used_parts),
         )
         self._pool = ConnectionPool()
-        calls = EngineCalls(_ENGINE_CALL_TIMEOUT_SECONDS)
         self._placement = LayerPlacement(
             self._fleet,
             calls,
@@ -176,11 +184,14 @@
             self._expire,
         ):
             gevent.spawn(_keep_running, task)
+        if self._settings.path_policy is PathPolicyName.LEAST_REPORTED:
+            gevent.spawn(_keep_running, self._loads.run)
         log_event(
             Event.ROUTER_STARTED,
             node=self._settings.node,
             incarnation=self._incarnation,
             address=self._settings.caller_address,
+            path_policy=self._settings.path_policy.value,
         )
         self._stop.wait()
         self._drain()
@@ -463,11 +474,18 @@
             gevent.sleep(_TASK_RESTART_SECONDS)
 
 
-def run_router() -> int:
+def run_router(path_policy: str = PathPolicyName.LEAST_TIME.value) -> int:
     """Run a router with the platform's settings; return the exit code."""
     path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
     try:
-        settings = read_router_settings(path)
+        policy = PathPolicyName(path_policy)
+    except ValueError:
+        names = ", ".join(PathPolicyName)
+        message = f"--path-policy {path_policy!r} is not one of {names}"
+        print(message, file=sys.stderr)
+        return 2
+    try:
+        settings = replace(read_router_settings(path), path_policy=policy)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return 2
--- a/src/bulrushdrum/_internal/settings/router.py
+++ b/src/bulrushdrum/_internal/settings/router.py
@@ -1,6 +1,15 @@
 """Settings of the router: addresses, limits and bounds that the platform hands out."""
 
 from dataclasses import dataclass
+from enum import StrEnum
+
+
+class PathPolicyName(StrEnum):
+    """How paths are chosen; all but the first are baselines for measurements."""
+
+    LEAST_TIME = "least-time"
+    RANDOM = "random"
+    LEAST_REPORTED = "least-reported"
 
 
 @dataclass(frozen=True)
@@ -25,3 +34,4 @@
     stop_grace_seconds: float = 8.0
     store_timeout: float = 0.8
     feed_wait: float = 1.2
+    path_policy: PathPolicyName = PathPolicyName.LEAST_TIME
--- /dev/null
+++ b/tests/unit/test_path_policies.py
@@ -0,0 +1,52 @@
+"""The choice of paths, and the baselines that it is measured against."""
+
+import pytest
+from tests.unit.pool_fakes import make_engine, make_model
+
+from bulrushdrum._internal.pipelines.fleet import Fleet
+from bulrushdrum._internal.pipelines.memory import MemoryLedger
+from bulrushdrum._internal.pipelines.path_policies import (
+    LeastReported,
+    LeastTime,
+    RandomPath,
+)
+from bulrushdrum._internal.pipelines.paths import Demand, PathChooser
+from bulrushdrum._internal.router_process import run_router
+
+SEED = 20261204
+DEMAND = Demand(700.0, 200.0)
+POLICIES = [LeastTime(), RandomPath(), LeastReported({"fast": 0.9, "slow": 0.1})]
+
+
+def choose(policy, times=1):
+    """Return the engines chosen between a fast and a slow one that hold everything."""
+    model = make_model(layer_bytes=1e8)
+    fleet = Fleet()
+    fleet.put(make_engine("fast", "large", layers=(0, 40)))
+    fleet.put(make_engine("slow", "slow", layers=(0, 40)))
+    chooser = PathChooser(fleet, MemoryLedger(), "a", seed=SEED, policy=policy)
+    paths = [chooser.choose("llm", model, DEMAND) for _ in range(times)]
+    for path in paths:
+        layers = [n for hop in path for n in range(hop.layers.first, hop.layers.end)]
+        assert layers == list(range(model.layers))
+    return [path[0].upstream.id for path in paths]
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_every_policy_gives_whole_paths(policy):
+    # Guards against a baseline that looks worse because its paths are not valid.
+    choose(policy, times=20)
+
+
+def test_the_policies_differ():
+    # Guards against a comparison of one policy with itself.
+    assert set(choose(LeastTime(), 20)) == {"fast"}
+    assert set(choose(RandomPath(), 40)) == {"fast", "slow"}
+    assert set(choose(POLICIES[2], 20)) == {"slow"}
+
+
+def test_an_unknown_policy_is_refused_with_the_names_of_all(capsys):
+    # Guards against a measurement that silently runs the default.
+    assert run_router("fastest") == 2
+    message = capsys.readouterr().err
+    assert "'fastest'" in message and "least-reported" in message
