Blame the refusing upstream of the path, and do not ask it again at once

Its address was looked up among the registrations, where a newer incarnation can have it, so the wrong one was avoided; a stream that had begun before the refusal and ended after it made the upstream trusted again; and all tries of a request went to the same path within 20 ms. Change: the path tells which upstream refused; only requests sent after a failure restore trust; an upstream that refused a request is not asked again by it for 0.15 s.

--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -51,6 +51,9 @@
 # One whose path failed waits for this part of its caller's patience.
 _WAIT_AFTER_FAILURE_PART = 0.4
 _MOST_REFUSALS = 3
+# An upstream that refused a request is not asked again for this long, in seconds: about
+# the time in which one of its requests ends and leaves memory.
+_REFUSED_SECONDS = 0.15
 # Refused callers are asked back after these parts of the time that they have left.
 _EARLIEST_RETURN = 0.05
 _LATEST_RETURN = 0.25
@@ -67,6 +70,12 @@
         self.attempts = 0
         self.refusals = 0
         self.failed_upstreams: set[str] = set()
+        self.refused_until: dict[str, float] = {}
+
+    def refusing_upstreams(self) -> set[str]:
+        """Return the upstreams that refused this request just now."""
+        now = time.monotonic()
+        return {name for name, until in self.refused_until.items() if until > now}
 
 
 def _is_number(text):
@@ -188,16 +197,21 @@
     def _choose(self, service, model, demand, progress):
         """Choose a path around the upstreams that failed this request, if one exists.
 
+        One that refused it just now would refuse it again.
+
         Faults of single answers are more often chance than a broken upstream, so a path
         that comes by them again is better than none.
         """
-        failed = progress.failed_upstreams
-        try:
-            return self._chooser.choose(service, model, demand, failed)
-        except (NoPath, NoRoom):
-            if not failed:
-                raise
-            return self._chooser.choose(service, model, demand)
+        refusing = progress.refusing_upstreams()
+        for excluded in (progress.failed_upstreams | refusing, refusing):
+            try:
+                return self._chooser.choose(service, model, demand, excluded)
+            except NoRoom as error:
+                problem = error
+            except NoPath as error:
+                # What refused lately holds layers, and may have room again soon.
+                problem = NoRoom(str(error)) if refusing else error
+        raise problem
 
     def _log_room(self, call, service, model):
         log_event(
@@ -260,6 +274,7 @@
 
     def _pass_events(self, connection, exchange, route, path, progress):
         upstream_connection, reader = exchange
+        sent_at = time.monotonic()
         splitter = EventSplitter()
         silence = _Silence(route, progress.started)
         while True:
@@ -280,7 +295,7 @@
             progress.started = True
         connection.end_stream()
         for hop in path:
-            self._fleet.trust(hop.upstream.id)
+            self._fleet.trust(hop.upstream.id, sent_at)
 
     def _pass_event(self, connection, reader, event, progress):
         if event.number is not None and progress.last_number is not None:
@@ -337,7 +352,10 @@
                 progress.failed_upstreams.add(hop.upstream.id)
 
     def _note_refusal(self, call, path, refused, progress):
-        upstream = self._fleet.at_address(refused.at_fault or path[0].address)
+        # An address may have another upstream by now, so the path tells which it was.
+        at_fault = refused.at_fault or path[0].address
+        hops = [hop for hop in path if hop.address == at_fault]
+        upstream = hops[0].upstream if hops else None
         log_event(
             Event.UPSTREAM_REFUSED,
             request=call.description.request_id.decode("latin-1"),
@@ -348,7 +366,8 @@
         )
         if upstream is not None:
             self._fleet.avoid(upstream.id)
-            progress.failed_upstreams.add(upstream.id)
+            until = time.monotonic() + _REFUSED_SECONDS
+            progress.refused_until[upstream.id] = until
 
     def _give_up(self, connection, call, progress, reason):
         log_event(
--- a/tests/unit/test_generations.py
+++ b/tests/unit/test_generations.py
@@ -1,5 +1,7 @@
 """Generations over paths of stand-in engines that fail in all ways."""
 
+import time
+
 import gevent
 import pytest
 from bench.standins.path_server import (
@@ -128,6 +130,37 @@
     assert runs(spare) == []
 
 
+def test_an_upstream_that_refused_is_not_asked_again_at_once(gateway):
+    # Load pattern: the only engine with some layers is full or gives them up. Guards
+    # against all tries of a request being spent on it within some milliseconds.
+    refusals = []
+
+    def refuse_for_a_while(request):
+        refusals.append(time.monotonic())
+        if len(refusals) == 1:
+            return not_executed(request)
+        return stream(request)
+
+    gateway.add("one", on_requests(refuse_for_a_while), (0, 40))
+    gateway.fleet.avoid = lambda upstream_id: None
+    gateway.route = gateway.route._replace(goal=1.0)
+    assert gateway.call().status == 200
+    assert len(refusals) == 2
+    assert refusals[1] - refusals[0] >= 0.14
+
+
+def test_the_upstream_of_the_path_is_blamed_though_another_has_its_address(gateway):
+    # Guards against a new incarnation that is avoided for its predecessor, whose stale
+    # registration then stays in use.
+    server = gateway.add("old", on_requests(not_executed), (0, 40))
+    gateway.add("spare", on_requests(stream), (0, 40), data_centre="b")
+    newer = gateway.fleet.get("old")._replace(id="new", layers=None, born=2)
+    gateway.fleet.put(newer)
+    assert gateway.call().status == 200
+    assert len(runs(server)) == 1
+    assert gateway.fleet.is_avoided("old") and not gateway.fleet.is_avoided("new")
+
+
 def test_what_no_upstream_ran_is_refused_with_a_time_to_come_back(gateway):
     one = gateway.add("one", on_requests(not_executed), (0, 40))
     answer = gateway.call()
