Restore trust with any served request again

Cause: restoring it only with requests sent after the failure avoided engines for longer than they refused requests. Change: reverted; its test goes with it.

--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -274,7 +274,6 @@
 
     def _pass_events(self, connection, exchange, route, path, progress):
         upstream_connection, reader = exchange
-        sent_at = time.monotonic()
         splitter = EventSplitter()
         silence = _Silence(route, progress.started)
         while True:
@@ -295,7 +294,7 @@
             progress.started = True
         connection.end_stream()
         for hop in path:
-            self._fleet.trust(hop.upstream.id, sent_at)
+            self._fleet.trust(hop.upstream.id)
 
     def _pass_event(self, connection, reader, event, progress):
         if event.number is not None and progress.last_number is not None:
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -140,9 +140,9 @@
             connection.close()
             raise
         self._pool.give_back(connection, reader.headers)
-        return self._judge(call, upstream, reader, described, now)
+        return self._judge(call, upstream, reader, described)
 
-    def _judge(self, call, upstream, reader, described, sent_at):
+    def _judge(self, call, upstream, reader, described):
         headers, body = end_to_end(reader.headers), b"".join(reader.body)
         if described.has_not_run or reader.status == 421:
             if reader.status == 421:
@@ -154,7 +154,7 @@
                 status=reader.status,
             )
             return _NotRun()
-        self._fleet.trust(upstream.id, sent_at)
+        self._fleet.trust(upstream.id)
         if reader.status in (408, 421, 429, 503):
             # These statuses promise that the request has not run, which the upstream
             # did not say.
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -30,7 +30,6 @@
 
 
 class _Suspicion(NamedTuple):
-    since: float
     until: float
     failures: int
 
@@ -159,19 +158,17 @@
         if seconds is None:
             seconds = _FIRST_AVOIDANCE_SECONDS * 2 ** (failures - 1)
         until = now + min(seconds, _LONGEST_AVOIDANCE_SECONDS)
-        self._suspicions[upstream_id] = _Suspicion(now, until, failures)
+        self._suspicions[upstream_id] = _Suspicion(until, failures)
         self._generation += 1
 
-    def trust(self, upstream_id: str, sent_at: float):
-        """Record that an upstream served a request that was sent to it at `sent_at`.
+    def trust(self, upstream_id: str):
+        """Record that an upstream served a request.
 
-        An upstream that gives its layers up, or has no memory left, refuses new
-        requests and still ends older ones, which does not show that it takes new ones.
+        It may have been sent before a failure. Waiting for one that was sent after it
+        avoids engines for longer than they refuse requests, and serves fewer.
         """
         self._silent.pop(upstream_id, None)
-        known = self._suspicions.get(upstream_id)
-        if known is not None and known.since < sent_at:
-            del self._suspicions[upstream_id]
+        if self._suspicions.pop(upstream_id, None) is not None:
             self._generation += 1
 
     def note_silent(self, upstream_id: str):
