--- a/src/bulrushdrum/__main__.py
+++ b/src/bulrushdrum/__main__.py
@@ -17,14 +17,10 @@
             from bulrushdrum._internal.operator.roles import run_role
 
             return run_role(role, path)
-        case ["router"]:
-            from bulrushdrum._internal.router_process import run_router
+        case ["router", *_]:
+            from bulrushdrum._internal.operator.roles import run_router_role
 
-            return run_router()
-        case ["router", "--path-policy", name]:
-            from bulrushdrum._internal.router_process import run_router
-
-            return run_router(name)
+            return run_router_role(arguments[1:])
     from bulrushdrum._internal.operator.commands import run_commands
 
     return run_commands(arguments)
--- /dev/null
+++ b/src/bulrushdrum/_internal/bounded_http.py
@@ -0,0 +1,62 @@
+"""HTTP clients that bound what a peer in trouble may send.
+
+A body without an end would fill the memory of the process that reads it. Interim
+responses without an end take no memory, but as long as they arrive quickly the reader
+never waits, so no other task of the process runs and no timeout expires.
+"""
+
+import http.client
+
+from urllib3.connection import HTTPConnection
+from urllib3.connectionpool import HTTPConnectionPool
+from urllib3.exceptions import HTTPError
+
+# None of the requests asks for one; a proxy may send a few nevertheless.
+_MAX_INTERIM_RESPONSES = 8
+
+
+class BodyTooLarge(HTTPError):
+    """A response body exceeds the limit, in bytes."""
+
+    def __init__(self, max_bytes: int):
+        super().__init__(f"the body exceeds {max_bytes} bytes")
+
+
+def read_body(response, max_bytes: int) -> bytes:
+    """Return the body of a response of urllib3 or `http.client`.
+
+    Raises `BodyTooLarge`. The connection must then be closed, because the rest of the
+    body is still on it.
+    """
+    body = response.read(max_bytes + 1)
+    if len(body) > max_bytes:
+        raise BodyTooLarge(max_bytes)
+    return body
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """A response that fails after too many interim ones."""
+
+    _heads = 0
+
+    def _read_status(self):
+        # Called for each head until one is final.
+        self._heads += 1
+        if self._heads > _MAX_INTERIM_RESPONSES + 1:
+            self._close_conn()
+            raise http.client.HTTPException(
+                f"more than {_MAX_INTERIM_RESPONSES} interim responses"
+            )
+        return super()._read_status()
+
+
+class BoundedConnection(HTTPConnection):
+    """A connection whose responses are `BoundedResponse`."""
+
+    response_class = BoundedResponse
+
+
+class BoundedConnectionPool(HTTPConnectionPool):
+    """A pool of `BoundedConnection`."""
+
+    ConnectionCls = BoundedConnection
--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -20,6 +20,7 @@
     status_line,
 )
 from bulrushdrum._internal.gateway.parsing import RequestReader
+from bulrushdrum._internal.gateway.request_trace import RequestTrace
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.world.routes import CallerLimits
 
@@ -43,6 +44,8 @@
         self.response_started = False
         self.closing = False
         self.status = 0
+        # The request in progress, for the log.
+        self.trace = RequestTrace()
 
     @property
     def is_incomplete(self) -> bool:
@@ -55,6 +58,7 @@
             if request is None:
                 return
             self._request, self.response_started = request, False
+            self.trace = RequestTrace()
             if not request.keep_alive:
                 self.closing = True
             monitor = _DisconnectMonitor(self._socket)
--- a/src/bulrushdrum/_internal/gateway/errors.py
+++ b/src/bulrushdrum/_internal/gateway/errors.py
@@ -28,3 +28,14 @@
         super().__init__(message)
         self.may_have_run = may_have_run
         self.unresponsive = unresponsive
+
+
+class ResponseTooLarge(UpstreamFailed):
+    """An upstream sent a head, an event or a body larger than the limit, in bytes."""
+
+    def __init__(self, part: str, limit: int):
+        super().__init__(f"the {part} exceeds {limit} bytes", True)
+
+
+class DeadlinePassed(UpstreamFailed):
+    """The deadline of the request passed while its upstream was at work."""
--- a/src/bulrushdrum/_internal/gateway/events_stream.py
+++ b/src/bulrushdrum/_internal/gateway/events_stream.py
@@ -2,27 +2,43 @@
 
 >>> splitter = EventSplitter()
 >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
-[StreamEvent(number=1, raw_id=b'1', data=b'id: 1\\ndata: a\\n\\n')]
+[StreamEvent(number=1, raw_id=b'1', data=b'id: 1\\ndata: a\\n\\n', has_data=True)]
 >>> splitter.has_partial_event
 True
 """
 
 from typing import NamedTuple
 
+from bulrushdrum._internal.gateway.errors import ResponseTooLarge
+from bulrushdrum._internal.settings.router import ResponseLimits
+
+_LF_END = b"\n\n"
+_CRLF_END = b"\r\n\r\n"
+
 
 class StreamEvent(NamedTuple):
-    """A complete event as received; `number` is None unless the id is numeric."""
+    """A complete event as received; `number` is None unless the id is numeric.
+
+    `has_data` is false for events that only consist of comments or fields without data.
+    """
 
     number: int | None
     raw_id: bytes | None
     data: bytes
+    has_data: bool = True
 
 
 class EventSplitter:
-    """Splits received bytes into complete events, buffering a partial one."""
+    """Splits received bytes into complete events, buffering a partial one.
 
-    def __init__(self):
-        self._buffer = b""
+    An event over `max_event_bytes` raises `ResponseTooLarge`.
+    """
+
+    def __init__(self, max_event_bytes: int = ResponseLimits.event_bytes):
+        self._max_event_bytes = max_event_bytes
+        self._buffer = bytearray()
+        # The buffer has no end of an event before this offset.
+        self._scanned = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -30,27 +46,37 @@
         return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        buffer = self._buffer + data
+        self._buffer += data
         events = []
-        while True:
-            end, length = _find_event_end(buffer)
-            if end < 0:
-                self._buffer = buffer
-                return events
-            events.append(_parse_event(buffer[: end + length]))
-            buffer = buffer[end + length :]
-
+        while (end := self._find_event_end()) is not None:
+            if end > self._max_event_bytes:
+                break
+            events.append(_parse_event(bytes(self._buffer[:end])))
+            del self._buffer[:end]
+            self._scanned = 0
+        if len(self._buffer) > self._max_event_bytes:
+            raise ResponseTooLarge("event", self._max_event_bytes)
+        return events
 
-def _find_event_end(buffer):
-    lf, crlf = buffer.find(b"\n\n"), buffer.find(b"\r\n\r\n")
-    if crlf >= 0 and (lf < 0 or crlf < lf):
-        return crlf, 4
-    return lf, 2
+    def _find_event_end(self):
+        lf = self._buffer.find(_LF_END, self._scanned)
+        # Searches no further than the other end, or many small events would each cost
+        # a scan of the whole buffer.
+        limit = len(self._buffer) if lf < 0 else lf
+        crlf = self._buffer.find(_CRLF_END, self._scanned, limit)
+        if crlf >= 0:
+            return crlf + len(_CRLF_END)
+        if lf >= 0:
+            return lf + len(_LF_END)
+        self._scanned = max(len(self._buffer) - len(_CRLF_END) + 1, 0)
+        return None
 
 
 def _parse_event(data):
+    raw_id, has_data = None, False
     for line in data.splitlines():
-        if line.startswith(b"id:"):
+        if raw_id is None and line.startswith(b"id:"):
             raw_id = line[3:].strip()
-            return StreamEvent(int(raw_id) if raw_id.isdigit() else None, raw_id, data)
-    return StreamEvent(None, None, data)
+        has_data |= line.startswith(b"data")
+    number = int(raw_id) if raw_id is not None and raw_id.isdigit() else None
+    return StreamEvent(number, raw_id, data, has_data)
--- a/src/bulrushdrum/_internal/gateway/exchange.py
+++ b/src/bulrushdrum/_internal/gateway/exchange.py
@@ -1,9 +1,10 @@
 """Sends a request to an upstream and validates the head of its response."""
 
+import re
 import time
 from typing import NamedTuple
 
-from bulrushdrum._internal.gateway.errors import UpstreamFailed
+from bulrushdrum._internal.gateway.errors import ResponseTooLarge, UpstreamFailed
 from bulrushdrum._internal.gateway.messages import (
     ForwardingMetadata,
     Request,
@@ -18,9 +19,13 @@
 )
 from bulrushdrum._internal.platform.headers import (
     forwarding_headers,
+    names_other_request,
     parse_response_metadata,
 )
 
+_STATUS_LINE_RE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n")
+_EXCESS_WAIT_SECONDS = 0.05
+
 
 class ProxiedRequest(NamedTuple):
     """A caller's request with its routing attributes."""
@@ -77,17 +82,58 @@
     return PendingResponse(connection, reader)
 
 
-def validate_response_head(reader: ResponseReader, request_id: bytes):
+def receive_body(pending: PendingResponse, deadline: float):
+    """Receive the rest of a response that is buffered whole.
+
+    Raises `UpstreamFailed` if it is not complete at `deadline`, a time of
+    `time.monotonic`, or if its body exceeds the limit.
+    """
+    connection, reader = pending
+    while not reader.is_complete:
+        remaining = deadline - time.monotonic()
+        if remaining <= 0 or not connection.receive(remaining):
+            raise UpstreamFailed("no answer in time", True, unresponsive=True)
+        if reader.body_bytes > connection.limits.body_bytes:
+            raise ResponseTooLarge("body", connection.limits.body_bytes)
+
+
+def validate_response_head(pending: PendingResponse, request_id: bytes):
     """Return the metadata of the response.
 
-    Raises `UpstreamFailed` if the response belongs to another request, has a
-    content encoding, or is successful but not signed.
+    Raises `UpstreamFailed` if the response belongs to another request, has a content
+    encoding, or is successful but not signed. On a connection that was used before, a
+    response without a request id may be a late copy of an earlier one.
     """
+    connection, reader = pending
     metadata = parse_response_metadata(reader.headers)
     if metadata.request_id is not None and metadata.request_id != request_id:
         raise UpstreamFailed("the answer belongs to another request", True)
+    if metadata.request_id is None and not connection.is_new:
+        raise UpstreamFailed("the answer does not name its request", True)
     if any(name == b"content-encoding" for name, _ in reader.headers):
         raise UpstreamFailed("the answer is encoded", True)
     if 200 <= reader.status < 300 and not metadata.signed:
         raise UpstreamFailed("the answer is not signed", True)
     return metadata
+
+
+def validate_body(pending: PendingResponse, request_id: bytes):
+    """Raise `UpstreamFailed` if another response was inserted into a complete body.
+
+    The length of the body is then right, but its last part is left on the connection.
+    Only a connection that was used before can carry a copy of an earlier response.
+    """
+    connection, reader = pending
+    if connection.is_new:
+        return
+    body = b"".join(reader.body)
+    status_line = _STATUS_LINE_RE.search(body)
+    if status_line is None:
+        return
+    if not names_other_request(body[status_line.start() :], request_id):
+        # The remainder may still be on its way.
+        if not reader.has_excess_data:
+            connection.receive(_EXCESS_WAIT_SECONDS)
+        if not reader.has_excess_data:
+            return
+    raise UpstreamFailed("the answer contains another answer", True)
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -17,10 +17,15 @@
     failure_response,
     not_run_response,
 )
-from bulrushdrum._internal.gateway.errors import UpstreamFailed
-from bulrushdrum._internal.gateway.events_stream import EventSplitter
+from bulrushdrum._internal.gateway.errors import (
+    DeadlinePassed,
+    ResponseTooLarge,
+    UpstreamFailed,
+)
+from bulrushdrum._internal.gateway.events_stream import EventSplitter, StreamEvent
 from bulrushdrum._internal.gateway.exchange import (
     ProxiedRequest,
+    receive_body,
     send_request,
     validate_response_head,
 )
@@ -29,6 +34,11 @@
     Response,
     end_to_end,
 )
+from bulrushdrum._internal.gateway.stream_watch import (
+    POLL_INTERVAL_SECONDS,
+    StreamWatch,
+    caller_timeout,
+)
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
 from bulrushdrum._internal.observability.events import Event, log_event
@@ -41,19 +51,8 @@
 from bulrushdrum._internal.world.engines import EngineModel
 from bulrushdrum._internal.world.routes import Route
 
-# Interval at which a waiting generation checks its path or looks for free memory.
-_POLL_INTERVAL_SECONDS = 0.2
-# The path of a stream is checked for a stall after this multiple of the route's gap
-# goal without an event or, before the first event, of the route's goal.
-_STALL_CHECK_GAPS = 1.2
-_STALL_CHECK_GOALS = 0.8
-# Callers cancel a stalled stream after the longest of two seconds, four goals and eight
-# gap goals. The router retries on another path after a fraction of that time, whatever
-# the cause.
-_MIN_CALLER_TIMEOUT_SECONDS = 2.0
-_CALLER_TIMEOUT_GOALS = 4.0
-_CALLER_TIMEOUT_GAPS = 8.0
-_STALL_TIMEOUT_FRACTION = 0.7
+# An error response must arrive within this time.
+_ERROR_BODY_SECONDS = 1.0
 # A request waits for memory for this fraction of its goal and is then refused.
 _MEMORY_WAIT_FRACTION = 0.4
 # A request whose path failed waits for this fraction of its caller's timeout.
@@ -78,8 +77,26 @@
         self.attempts = 0
         self.refusals = 0
         self.failed_upstreams: set[str] = set()
+        # Upstreams of paths that stalled for an unknown reason.
+        self.suspects: set[str] = set()
         self.refused_until: dict[str, float] = {}
 
+    def accept(self, event: StreamEvent) -> bool:
+        """Record the next event; return False if it was already delivered.
+
+        Raises `UpstreamFailed` if events are missing before it.
+        """
+        if event.number is not None and self.last_number is not None:
+            if event.number <= self.last_number:
+                return False
+            if event.number != self.last_number + 1:
+                raise UpstreamFailed(f"event {event.number} is out of order", True)
+        self.events += 1
+        if event.raw_id is not None:
+            self.last_id = event.raw_id
+            self.last_number = event.number
+        return True
+
     def refusing_upstreams(self) -> set[str]:
         """Return the upstreams that recently refused this request."""
         now = time.monotonic()
@@ -133,6 +150,7 @@
     ):
         """Run a generation and send its response to the caller."""
         self._budget.record_request(service)
+        connection.trace.begin(proxied_request.deadline)
         progress = _GenerationProgress(proxied_request.metadata.resume_after)
         demand = _estimate_demand(proxied_request, model)
         while True:
@@ -159,6 +177,12 @@
                 )
             except UpstreamFailed as error:
                 self._record_attempt_failure(proxied_request, path, error, progress)
+                if isinstance(error, DeadlinePassed):
+                    progress.attempts += 1
+                    self._fail_generation(
+                        connection, proxied_request, progress, str(error), status=504
+                    )
+                    return
                 if error.may_have_run:
                     progress.attempts += 1
                 else:
@@ -192,7 +216,7 @@
             # A refusal would discard work that was already done, and the caller waits
             # as long for the next event as for any other.
             wait_until = (
-                time.monotonic() + _caller_timeout(route) * _RETRY_MEMORY_WAIT_FRACTION
+                time.monotonic() + caller_timeout(route) * _RETRY_MEMORY_WAIT_FRACTION
             )
         while True:
             try:
@@ -210,19 +234,26 @@
             remaining = min(wait_until, proxied_request.deadline) - time.monotonic()
             if remaining <= 0:
                 return None
-            self._memory_released.wait(min(remaining, _POLL_INTERVAL_SECONDS))
+            self._memory_released.wait(min(remaining, POLL_INTERVAL_SECONDS))
 
     def _choose_path(self, service, model, demand, progress):
         """Choose a path, preferably without the upstreams that failed this request.
 
         Upstreams that recently refused it are excluded, as they would refuse it again.
         Upstreams that failed it are used if there is no other path: a single failed
-        response is more often chance than a broken upstream.
+        response is more often chance than a broken upstream. A path that stalled for an
+        unknown reason shares as few upstreams as possible with the next one.
         """
         refusing = progress.refusing_upstreams()
-        for excluded in (progress.failed_upstreams | refusing, refusing):
+        failed = progress.failed_upstreams | refusing
+        choices = [(failed, progress.suspects), (refusing, progress.suspects)]
+        if progress.suspects:
+            choices.insert(0, (failed | progress.suspects, frozenset()))
+        for excluded, discouraged in choices:
             try:
-                return self._chooser.choose(service, model, demand, excluded)
+                return self._chooser.choose(
+                    service, model, demand, excluded, discouraged
+                )
             except InsufficientMemory as error:
                 problem = error
             except NoPath as error:
@@ -248,19 +279,26 @@
             progress.last_id,
             proxied_request.priority,
         )
+        can_retry = self._can_retry_elsewhere(route, progress)
+        connection.trace.record_attempt(_describe_path(path), path[0].upstream.id)
         pending = send_request(self._pool, path[0].address, proxied_request, forwarding)
         upstream_connection, reader = pending
+        watch = StreamWatch(route, proxied_request.deadline, progress.started)
         try:
-            self._wait_for_head(pending, route, path)
+            while not reader.has_head:
+                self._receive(connection, pending, path, watch, can_retry)
+            connection.trace.upstream_status = reader.status
             response_metadata = validate_response_head(
-                reader, proxied_request.metadata.request_id
+                pending, proxied_request.metadata.request_id
             )
             if not 200 <= reader.status < 300:
                 refusal = self._read_error_response(
                     connection, pending, proxied_request, response_metadata
                 )
             else:
-                self._forward_events(connection, pending, route, path, progress)
+                self._forward_stream(
+                    connection, pending, path, progress, watch, can_retry
+                )
                 refusal = None
         except BaseException:
             upstream_connection.close()
@@ -268,23 +306,24 @@
         self._pool.release(upstream_connection, reader.headers)
         return refusal
 
-    def _wait_for_head(self, pending, route, path):
-        connection, reader = pending
-        stall_timer = _StallTimer(route, started=False)
-        while not reader.has_head:
-            if connection.receive(_POLL_INTERVAL_SECONDS):
-                continue
-            self._check_path(path, stall_timer)
+    def _can_retry_elsewhere(self, route, progress):
+        """Whether a stalled attempt may be followed by another one."""
+        return route.is_retryable and progress.attempts + 1 < route.max_attempts
+
+    def _receive(self, connection, pending, path, watch, can_retry):
+        """Wait for data; raise `UpstreamFailed` if the path failed or stalled."""
+        received = pending.connection.receive(watch.wait_seconds())
+        if received:
+            connection.trace.record_data()
+        if watch.is_check_due(received):
+            self._check_path(path, watch, can_retry)
 
     def _read_error_response(
         self, connection, pending, proxied_request, response_metadata
     ):
-        upstream_connection, reader = pending
-        while not reader.is_complete:
-            if not upstream_connection.receive(1.0):
-                raise UpstreamFailed(
-                    "the body of the error response did not arrive", True
-                )
+        reader = pending.reader
+        deadline = min(proxied_request.deadline, time.monotonic() + _ERROR_BODY_SECONDS)
+        receive_body(pending, deadline)
         if response_metadata.has_not_run or reader.status == 421:
             return _PathRefusal(reader.status, response_metadata.at_fault)
         if connection.response_started or reader.status >= 500:
@@ -297,23 +336,17 @@
             connection.send(Response(reader.status, headers, b"".join(reader.body)))
         return None
 
-    def _forward_events(self, connection, pending, route, path, progress):
-        upstream_connection, reader = pending
-        splitter = EventSplitter()
-        stall_timer = _StallTimer(route, progress.started)
+    def _forward_stream(self, connection, pending, path, progress, watch, can_retry):
+        reader = pending.reader
+        splitter = EventSplitter(pending.connection.limits.event_bytes)
         while True:
-            forwarded = False
             while reader.body:
-                for event in splitter.feed(reader.body.popleft()):
-                    forwarded |= self._forward_event(
-                        connection, reader, event, progress
-                    )
-            if forwarded:
-                stall_timer = _StallTimer(route, progress.started)
+                events = splitter.feed(reader.body.popleft())
+                if self._forward_events(connection, reader, events, progress):
+                    watch.record_event()
             if reader.is_complete:
                 break
-            if not upstream_connection.receive(_POLL_INTERVAL_SECONDS):
-                self._check_path(path, stall_timer)
+            self._receive(connection, pending, path, watch, can_retry)
         if splitter.has_partial_event:
             raise UpstreamFailed("the stream ended in the middle of an event", True)
         if not progress.started:
@@ -323,24 +356,36 @@
         for hop in path:
             self._fleet.record_success(hop.upstream.id)
 
-    def _forward_event(self, connection, reader, event, progress):
-        if event.number is not None and progress.last_number is not None:
-            if event.number <= progress.last_number:
-                return False
-            if event.number != progress.last_number + 1:
-                raise UpstreamFailed(f"event {event.number} is out of order", True)
-        if not progress.started:
-            connection.start_stream(reader.status, end_to_end(reader.headers))
-            progress.started = True
-        connection.send_chunk(event.data)
-        progress.events += 1
-        if event.raw_id is not None:
-            progress.last_id = event.raw_id
-            progress.last_number = event.number
-        return True
+    def _forward_events(self, connection, reader, events, progress):
+        """Send events to the caller in one chunk; tell whether any of them has data.
+
+        Those before an event that is out of order are sent as well.
+        """
+        accepted, has_data = [], False
+        try:
+            for event in events:
+                if not progress.accept(event):
+                    continue
+                accepted.append(event.data)
+                if event.has_data:
+                    has_data = True
+                    connection.trace.record_event()
+        finally:
+            if accepted:
+                if not progress.started:
+                    connection.start_stream(reader.status, end_to_end(reader.headers))
+                    progress.started = True
+                connection.send_chunk(b"".join(accepted))
+        return has_data
+
+    def _check_path(self, path, watch, can_retry):
+        """Raise `UpstreamFailed` if the path failed or the stream stalled.
 
-    def _check_path(self, path, stall_timer):
-        """Raise `UpstreamFailed` if the path failed or the stream stalled."""
+        A silent stream is left alone if it cannot be retried: its events may still
+        arrive, and ending it would only discard them.
+        """
+        if watch.is_past_deadline():
+            raise DeadlinePassed("the deadline passed", True)
         for hop in path:
             known = self._fleet.get(hop.upstream.id)
             # An unregistered upstream may be shutting down and completes its streams.
@@ -348,15 +393,16 @@
                 raise UpstreamFailed(
                     f"{hop.upstream.id} restarted", True, unresponsive=True
                 )
-        if stall_timer.needs_stall_check():
-            self._detect_stall(path)
-            if any(self._fleet.is_avoided(hop.upstream.id) for hop in path):
-                raise UpstreamFailed(
-                    "an upstream of the path is marked as failed",
-                    True,
-                    unresponsive=True,
-                )
-        if stall_timer.has_expired():
+        if not watch.needs_stall_check():
+            return
+        self._detect_stall(path)
+        if not can_retry:
+            return
+        if any(self._fleet.is_avoided(hop.upstream.id) for hop in path):
+            raise UpstreamFailed(
+                "an upstream of the path is marked as failed", True, unresponsive=True
+            )
+        if watch.has_stalled():
             raise UpstreamFailed("the stream stalled", True, unresponsive=True)
 
     def _record_attempt_failure(self, proxied_request, path, error, progress):
@@ -368,6 +414,9 @@
             may_have_run=error.may_have_run,
             events_delivered=progress.events,
         )
+        if isinstance(error, ResponseTooLarge):
+            self._pool.oversized_responses += 1
+            self._fleet.record_failure(path[0].upstream.id)
         if error.may_have_run:
             incarnations = tuple((h.upstream.id, h.upstream.born) for h in path)
             self._quarantine.record_failure(proxied_request.fingerprint, incarnations)
@@ -379,9 +428,11 @@
         if not error.unresponsive:
             # The connection failed, or the response was invalid.
             progress.failed_upstreams.add(path[0].upstream.id)
-        for hop in path:
-            if self._fleet.is_avoided(hop.upstream.id):
-                progress.failed_upstreams.add(hop.upstream.id)
+        ids = {hop.upstream.id for hop in path}
+        avoided = {name for name in ids if self._fleet.is_avoided(name)}
+        progress.failed_upstreams |= avoided
+        if error.unresponsive and not avoided:
+            progress.suspects |= ids
 
     def _record_refusal(self, proxied_request, path, refusal, progress):
         # Look up the address in the path: another upstream may use it by now.
@@ -401,7 +452,9 @@
             until = time.monotonic() + _REFUSAL_BACKOFF_SECONDS
             progress.refused_until[upstream.id] = until
 
-    def _fail_generation(self, connection, proxied_request, progress, reason):
+    def _fail_generation(
+        self, connection, proxied_request, progress, reason, status=502
+    ):
         log_event(
             Event.GENERATION_GIVEN_UP,
             request=proxied_request.metadata.request_id.decode("latin-1"),
@@ -413,7 +466,7 @@
         if progress.started:
             connection.abort()
         elif progress.attempts:
-            connection.send(failure_response(502, reason))
+            connection.send(failure_response(status, reason))
         else:
             connection.send(
                 not_run_response(reason, self._retry_after(proxied_request))
@@ -427,33 +480,6 @@
         )
 
 
-class _StallTimer:
-    """Measures the time without an event against the limits of the route."""
-
-    def __init__(self, route: Route, started: bool):
-        self._started_at = time.monotonic()
-        if started:
-            self._check_after_seconds = route.gap_goal * _STALL_CHECK_GAPS
-        else:
-            self._check_after_seconds = route.goal * _STALL_CHECK_GOALS
-        self._timeout_seconds = _STALL_TIMEOUT_FRACTION * _caller_timeout(route)
-
-    def needs_stall_check(self):
-        return time.monotonic() - self._started_at > self._check_after_seconds
-
-    def has_expired(self):
-        return time.monotonic() - self._started_at > self._timeout_seconds
-
-
-def _caller_timeout(route):
-    """Return how long a caller waits for the next event, in seconds."""
-    return max(
-        _MIN_CALLER_TIMEOUT_SECONDS,
-        route.goal * _CALLER_TIMEOUT_GOALS,
-        route.gap_goal * _CALLER_TIMEOUT_GAPS,
-    )
-
-
 def _estimate_demand(proxied_request, model):
     generation = proxied_request.metadata.generation
     if generation is None:
--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -5,10 +5,17 @@
 
 import httptools
 
-from bulrushdrum._internal.gateway.errors import BadRequest, UpstreamFailed
+from bulrushdrum._internal.gateway.errors import (
+    BadRequest,
+    ResponseTooLarge,
+    UpstreamFailed,
+)
 from bulrushdrum._internal.gateway.messages import Headers, Request
+from bulrushdrum._internal.settings.router import ResponseLimits
 from bulrushdrum._internal.world.routes import CallerLimits
 
+_DEFAULT_RESPONSE_LIMITS = ResponseLimits()
+
 
 class RequestReader:
     """Parses the requests received on one connection."""
@@ -84,21 +91,31 @@
 
 
 class ResponseReader:
-    """Parses the response to one request; `body` holds the parts not yet consumed."""
+    """Parses the response to one request; `body` holds the parts not yet consumed.
+
+    Trailers are discarded. A head over `limits.head_bytes`, or as many bytes of framing
+    between two parts of the body, raises `ResponseTooLarge`; `body_bytes` counts the
+    body, which the reader does not limit.
+    """
 
-    def __init__(self):
+    def __init__(self, limits: ResponseLimits = _DEFAULT_RESPONSE_LIMITS):
         self.status = 0
         self.headers: Headers = []
         self.body: deque[bytes] = deque()
+        self.body_bytes = 0
         self.has_head = False
         self.is_complete = False
         self.ends_with_connection = False
         self.keep_alive = False
         self.has_excess_data = False
+        self._max_head_bytes = limits.head_bytes
+        # Bytes received since the last part of the body, or in total before the head.
+        self._bytes_without_progress = 0
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes):
         """Parse `data`; raises `UpstreamFailed` if it is not a valid HTTP response."""
+        self._bytes_without_progress += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -107,13 +124,16 @@
                 self.has_excess_data = True
                 return
             raise UpstreamFailed(f"malformed answer: {error}", True) from error
+        if self._bytes_without_progress > self._max_head_bytes and not self.is_complete:
+            part = "framing of the body" if self.has_head else "head"
+            raise ResponseTooLarge(part, self._max_head_bytes)
 
     def on_message_begin(self):
         if self.is_complete:
             self.has_excess_data = True
 
     def on_header(self, name, value):
-        if not self.is_complete:
+        if not self.has_head:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
@@ -125,10 +145,14 @@
         self.ends_with_connection = not framed and self.status not in (204, 304)
         self.has_head = self.status >= 200
         self.keep_alive = self._parser.should_keep_alive()
+        if self.has_head:
+            self._bytes_without_progress = 0
 
     def on_body(self, body):
         if not self.is_complete:
             self.body.append(body)
+            self.body_bytes += len(body)
+            self._bytes_without_progress = 0
 
     def on_message_complete(self):
         if self.status < 200:
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -12,10 +12,12 @@
     failure_response,
     not_run_response,
 )
-from bulrushdrum._internal.gateway.errors import UpstreamFailed
+from bulrushdrum._internal.gateway.errors import ResponseTooLarge, UpstreamFailed
 from bulrushdrum._internal.gateway.exchange import (
     ProxiedRequest,
+    receive_body,
     send_request,
+    validate_body,
     validate_response_head,
 )
 from bulrushdrum._internal.gateway.messages import (
@@ -23,6 +25,7 @@
     Response,
     end_to_end,
 )
+from bulrushdrum._internal.gateway.request_trace import RequestTrace
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
 from bulrushdrum._internal.observability.events import Event, log_event
@@ -63,9 +66,14 @@
         self._random = random.Random(seed)
 
     def run(
-        self, proxied_request: ProxiedRequest, route: Route, service: str
+        self,
+        proxied_request: ProxiedRequest,
+        route: Route,
+        service: str,
+        trace: RequestTrace,
     ) -> Response:
-        """Return the response for the caller."""
+        """Return the response for the caller, and record the attempts in `trace`."""
+        trace.begin(proxied_request.deadline)
         self._budget.record_request(service)
         tried_ids, attempts, refusals, last_response = set(), 0, 0, None
         while attempts < route.max_attempts and refusals < _MAX_REFUSALS:
@@ -83,9 +91,10 @@
             is_last_attempt = (
                 attempts + 1 >= route.max_attempts or not route.is_retryable
             )
+            trace.record_attempt([], upstream.id)
             try:
                 last_response = self._attempt(
-                    proxied_request, route, upstream, is_last_attempt
+                    proxied_request, route, upstream, is_last_attempt, trace
                 )
             except UpstreamFailed as error:
                 self._record_attempt_failure(proxied_request, upstream, error)
@@ -131,16 +140,18 @@
 
         return min(candidates, key=load)
 
-    def _attempt(self, proxied_request, route, upstream, is_last_attempt):
+    def _attempt(self, proxied_request, route, upstream, is_last_attempt, trace):
         self._in_progress[upstream.id] = self._in_progress.get(upstream.id, 0) + 1
         try:
             return self._send_and_receive(
-                proxied_request, route, upstream, is_last_attempt
+                proxied_request, route, upstream, is_last_attempt, trace
             )
         finally:
             self._in_progress[upstream.id] -= 1
 
-    def _send_and_receive(self, proxied_request, route, upstream, is_last_attempt):
+    def _send_and_receive(
+        self, proxied_request, route, upstream, is_last_attempt, trace
+    ):
         now = time.monotonic()
         attempt_deadline = proxied_request.deadline
         if not is_last_attempt:
@@ -154,17 +165,15 @@
             self._pool, upstream.address, proxied_request, forwarding
         )
         connection, reader = pending
+        request_id = proxied_request.metadata.request_id
         try:
-            while not reader.is_complete:
-                remaining = attempt_deadline - time.monotonic()
-                if remaining <= 0 or not connection.receive(remaining):
-                    raise UpstreamFailed("no answer in time", True, unresponsive=True)
-            response_metadata = validate_response_head(
-                reader, proxied_request.metadata.request_id
-            )
+            receive_body(pending, attempt_deadline)
+            response_metadata = validate_response_head(pending, request_id)
+            validate_body(pending, request_id)
         except BaseException:
             connection.close()
             raise
+        trace.upstream_status = reader.status
         self._pool.release(connection, reader.headers)
         return self._interpret_response(
             proxied_request, upstream, reader, response_metadata
@@ -201,6 +210,9 @@
         if error.may_have_run:
             incarnation = (upstream.id, upstream.born)
             self._quarantine.record_failure(proxied_request.fingerprint, (incarnation,))
+        if isinstance(error, ResponseTooLarge):
+            self._pool.oversized_responses += 1
+            self._fleet.record_failure(upstream.id)
         if error.unresponsive or not error.may_have_run:
             self._fleet.record_failure(upstream.id)
             self._pool.drop_address(upstream.address)
--- /dev/null
+++ b/src/bulrushdrum/_internal/gateway/request_trace.py
@@ -0,0 +1,75 @@
+"""What happened to one request, for the log lines that end it.
+
+The trace tells a slow stream, a silent one and a caller that left by choice apart: a
+slow stream shows events and a long gap, a silent one a long time since the last data,
+and neither explains a caller that left early.
+"""
+
+import time
+
+
+class RequestTrace:
+    """Collects the outcome of a request while it is processed; times in seconds."""
+
+    def __init__(self, clock=time.monotonic):
+        self._clock = clock
+        self._began_at = clock()
+        self._first_event_at: float | None = None
+        self._last_event_at: float | None = None
+        self._last_data_at: float | None = None
+        self._longest_gap = 0.0
+        self._events = 0
+        self._deadline: float | None = None
+        self.path: list[str] = []
+        self.upstream: str | None = None
+        self.upstream_status: int | None = None
+        self.attempts = 0
+
+    def begin(self, deadline: float):
+        """Record the deadline, which is a time of the clock."""
+        self._deadline = deadline
+
+    def record_attempt(self, path: list[str], upstream: str):
+        """Record that the request was sent; `upstream` is the one it was sent to."""
+        self.path, self.upstream, self.upstream_status = path, upstream, None
+        self.attempts += 1
+        self._last_data_at = None
+
+    def record_data(self):
+        self._last_data_at = self._clock()
+
+    def record_event(self):
+        now = self._clock()
+        if self._first_event_at is None:
+            self._first_event_at = now
+        else:
+            self._longest_gap = max(self._longest_gap, now - self._last_event_at)
+        self._last_event_at = now
+        self._events += 1
+
+    def summary(self) -> dict:
+        """Return the fields that fit every line of a completed request."""
+        if self.upstream is None:
+            return {}
+        fields = {"upstream": self.upstream, "attempts": self.attempts}
+        if self.upstream_status is not None:
+            fields["upstream_status"] = self.upstream_status
+        if self._events:
+            fields["events"] = self._events
+            fields["first_event"] = round(self._first_event_at - self._began_at, 3)
+            fields["longest_gap"] = round(self._longest_gap, 3)
+        return fields
+
+    def details(self) -> dict:
+        """Return all fields, for a request that was not completed."""
+        now = self._clock()
+        fields = self.summary()
+        if self.path:
+            fields["path"] = self.path
+        if self._last_event_at is not None:
+            fields["since_event"] = round(now - self._last_event_at, 3)
+        if self._last_data_at is not None:
+            fields["since_data"] = round(now - self._last_data_at, 3)
+        if self._deadline is not None:
+            fields["time_left"] = round(self._deadline - now, 3)
+        return fields
--- a/src/bulrushdrum/_internal/gateway/upstream_connections.py
+++ b/src/bulrushdrum/_internal/gateway/upstream_connections.py
@@ -4,13 +4,19 @@
 import time
 from collections import deque
 
+import gevent
 from gevent import socket
 
 from bulrushdrum._internal.gateway.errors import UpstreamFailed
 from bulrushdrum._internal.gateway.messages import Headers
 from bulrushdrum._internal.gateway.parsing import ResponseReader
+from bulrushdrum._internal.settings.router import ResponseLimits
 
-_RECEIVE_BYTES = 65536
+_DEFAULT_RESPONSE_LIMITS = ResponseLimits()
+_RECEIVE_BYTES = 16_384
+# Reading returns at once while data is available, so that a fast upstream would keep
+# all other tasks from running. Others run after this many bytes.
+_YIELD_BYTES = 16_384
 CONNECT_TIMEOUT_SECONDS = 0.35
 # An idle connection is not reused within this time before the upstream's keep-alive
 # timeout, because the upstream may close it while the request is sent.
@@ -22,10 +28,12 @@
 class UpstreamConnection:
     """One connection to one upstream; carries one request at a time."""
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, limits: ResponseLimits):
         host, _, port = address.rpartition(":")
         self.address = address
         self.is_new = True
+        self.limits = limits
+        self._bytes_since_yield = 0
         self.expires_at = 0.0
         self._reader: ResponseReader | None = None
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -42,7 +50,7 @@
 
     def send(self, data: bytes, timeout: float) -> ResponseReader:
         """Send a request and return the reader of its response."""
-        self._reader = ResponseReader()
+        self._reader = ResponseReader(self.limits)
         self._socket.settimeout(max(timeout, 0.001))
         try:
             self._socket.sendall(data)
@@ -65,6 +73,10 @@
             raise UpstreamFailed(f"connection lost: {error}", True) from error
         if data:
             self._reader.feed(data)
+            self._bytes_since_yield += len(data)
+            if self._bytes_since_yield > _YIELD_BYTES:
+                self._bytes_since_yield = 0
+                gevent.sleep(0)
             return True
         self._reader.feed_eof()
         if not self._reader.is_complete:
@@ -103,11 +115,14 @@
 
 
 class ConnectionPool:
-    """Pool of idle connections by address."""
+    """Pool of idle connections by address; `limits` bound each response."""
 
-    def __init__(self):
+    def __init__(self, limits: ResponseLimits = _DEFAULT_RESPONSE_LIMITS):
         self._idle: dict[str, deque[UpstreamConnection]] = {}
+        self._limits = limits
         self.opened = 0
+        # Responses that were aborted because they exceeded a limit.
+        self.oversized_responses = 0
 
     def acquire(self, address: str, force_new: bool = False) -> UpstreamConnection:
         """Return an idle connection or a new one; raises `UpstreamFailed`."""
@@ -120,7 +135,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        return UpstreamConnection(address)
+        return UpstreamConnection(address, self._limits)
 
     def release(self, connection: UpstreamConnection, headers: Headers):
         """Return a connection to the pool, or close it if it cannot be reused."""
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -41,7 +41,8 @@
 # The cost of a hop increases linearly with the memory in use, by this fraction at full
 # memory, so that load spreads before engines are full.
 _UTILIZATION_COST_FACTOR = 1.0
-
+# Exceeds the cost of any path, so that the number of such hops decides first.
+_DISCOURAGED_PENALTY_SECONDS = 1e6
 
 _DEFAULT_POLICY = LeastTime()
 
@@ -116,10 +117,18 @@
         self._slowdowns[upstream_id] = max(slowdown, 0.1)
 
     def choose(
-        self, service: str, model: EngineModel, demand: Demand, excluded=frozenset()
+        self,
+        service: str,
+        model: EngineModel,
+        demand: Demand,
+        excluded=frozenset(),
+        discouraged=frozenset(),
     ) -> tuple[Hop, ...]:
         """Return the cheapest path with enough free memory.
 
+        The path has none of the upstreams `excluded`, and as few as possible of those
+        `discouraged`.
+
         Raises `NoPath` if some layers are not available, or `InsufficientMemory`.
         """
         engines = [
@@ -137,7 +146,8 @@
             if self._has_memory(model, engine, demand.tokens)
         ]
         costs = [
-            _EngineCosts(self, model, engine, demand) for engine in engines_with_memory
+            _EngineCosts(self, model, engine, demand, engine.id in discouraged)
+            for engine in engines_with_memory
         ]
         local_path = self._cheapest_within_data_centre(model, costs, demand)
         if local_path is not None:
@@ -209,7 +219,7 @@
     def _path_cost(self, path, costs):
         by_id = {engine_costs.engine.id: engine_costs for engine_costs in costs}
         return sum(
-            by_id[hop.upstream.id].execution_cost(hop.layers.end - hop.layers.first)
+            by_id[hop.upstream.id].hop_cost(hop.layers.end - hop.layers.first)
             for hop in path
         )
 
@@ -255,7 +265,7 @@
                 if allow_partial_ranges:
                     ends += [s for s in starts if layer < s < ends[0]]
                 for end in ends:
-                    cost = engine_costs.execution_cost(end - layer)
+                    cost = engine_costs.hop_cost(end - layer)
                     if cost is None:
                         continue
                     total, previous = arrival[0] + cost, arrival[1]
@@ -302,7 +312,7 @@
 class _EngineCosts:
     """Costs of running one request on one engine, in seconds under `LeastTime`."""
 
-    def __init__(self, chooser, model, engine: PoolUpstream, demand):
+    def __init__(self, chooser, model, engine: PoolUpstream, demand, is_discouraged):
         kind = model.kinds[engine.kind]
         usage = chooser._reservations.usage(engine.id)
         slowdown = chooser._slowdowns.get(engine.id, 1.0)
@@ -330,6 +340,7 @@
         self._cost_per_layer = layer_cost(
             chooser._policy, engine, seconds * slowdown / model.layers, chooser._random
         )
+        self._fixed_cost = _DISCOURAGED_PENALTY_SECONDS if is_discouraged else 0.0
         self._jitter = 1.0 + 0.02 * chooser._random.random()
 
     def cheapest_arrival(self, arrivals):
@@ -348,10 +359,10 @@
                 best = (total, step)
         return best
 
-    def execution_cost(self, layer_count):
+    def hop_cost(self, layer_count):
         """Return the cost of running `layer_count` layers, or None without memory."""
         if layer_count * self._demand.tokens > self._free_token_layers:
             return None
-        return (
+        return self._fixed_cost + (
             layer_count * self._cost_per_layer * self._utilization_factor * self._jitter
         )
--- a/src/bulrushdrum/_internal/platform/engine_calls.py
+++ b/src/bulrushdrum/_internal/platform/engine_calls.py
@@ -8,9 +8,18 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from bulrushdrum._internal.bounded_http import BoundedConnectionPool, read_body
 from bulrushdrum._internal.platform.router_config import decode_layers
 from bulrushdrum._internal.world.upstreams import LayerRange
 
+# A report lists at most some hundred stalled requests.
+_MAX_RESPONSE_BYTES = 1024 * 1024
+
+
+class _EngineResponse(NamedTuple):
+    status: int
+    data: bytes
+
 
 class OrderOutcome(StrEnum):
     """The result of an order; the values are those that the log records."""
@@ -47,6 +56,7 @@
         self._timeout = timeout
         # Calls are rare, and an idle connection would occupy one that requests need.
         self._pool_manager = urllib3.PoolManager(num_pools=4, maxsize=1, retries=False)
+        self._pool_manager.pool_classes_by_scheme = {"http": BoundedConnectionPool}
 
     def order_layers(
         self, address, upstream_id, layers: LayerRange, expected_orders, urgent=False
@@ -105,13 +115,30 @@
             headers["Content-Type"] = "application/json"
         if upstream_id:
             headers["Bulrushdrum-Expect-Instance"] = upstream_id
+        timer = gevent.Timeout(self._timeout)
         try:
-            with gevent.Timeout(self._timeout):
-                return self._pool_manager.request(
-                    method,
-                    f"http://{address}{path}",
-                    body=None if body is None else json.dumps(body).encode(),
-                    headers=headers,
-                )
-        except (HTTPError, OSError, gevent.Timeout):
+            with timer:
+                return self._exchange(method, f"http://{address}{path}", body, headers)
+        except gevent.Timeout as error:
+            if error is not timer:
+                raise
+            return None
+        except (HTTPError, OSError):
             return None
+
+    def _exchange(self, method, url, body, headers):
+        response = self._pool_manager.request(
+            method,
+            url,
+            body=None if body is None else json.dumps(body).encode(),
+            headers=headers,
+            preload_content=False,
+        )
+        try:
+            return _EngineResponse(
+                response.status, read_body(response, _MAX_RESPONSE_BYTES)
+            )
+        finally:
+            # Each call has a connection of its own.
+            response.close()
+            response.release_conn()
--- a/src/bulrushdrum/_internal/platform/headers.py
+++ b/src/bulrushdrum/_internal/platform/headers.py
@@ -3,6 +3,8 @@
 Names are lower-case bytes, as the parser in `gateway` returns them.
 """
 
+import re
+
 from bulrushdrum._internal.gateway.messages import (
     ForwardingMetadata,
     Generation,
@@ -12,6 +14,9 @@
 
 _PREFIX = b"bulrushdrum-"
 _REQUEST_ID = _PREFIX + b"attempt-id"
+_REQUEST_ID_RE = re.compile(
+    rb"^" + _REQUEST_ID + rb":[ \t]*([^\s]*)", re.IGNORECASE | re.MULTILINE
+)
 _DEADLINE_MS = _PREFIX + b"deadline-ms"
 _EXPECTED_UPSTREAM = _PREFIX + b"expect-instance"
 _TEAM = _PREFIX + b"tenant"
@@ -101,6 +106,11 @@
     )
 
 
+def names_other_request(data: bytes, request_id: bytes) -> bool:
+    """Whether `data`, part of a body, has the header that names another request."""
+    return any(found != request_id for found in _REQUEST_ID_RE.findall(data))
+
+
 def strip_signature(headers):
     """Remove the upstream's signature, for a response that the router sends itself."""
     return [pair for pair in headers if pair[0] != _SIGNATURE]
--- a/src/bulrushdrum/_internal/platform/service.py
+++ b/src/bulrushdrum/_internal/platform/service.py
@@ -7,11 +7,14 @@
 """
 
 import json
+from collections.abc import Mapping
+from typing import NamedTuple
 
 import gevent
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from bulrushdrum._internal.bounded_http import BoundedConnectionPool, read_body
 from bulrushdrum._internal.platform.errors import (
     PlatformError,
     StoreUnavailable,
@@ -22,6 +25,17 @@
 # Concurrent requests beyond this number use connections that are closed afterwards.
 _MAX_POOLED_CONNECTIONS = 16
 _REQUEST_TIMEOUT_STATUS = 408
+# A page of rows is about 1.4 MB and an object at most 8 MiB; a feed that waited out an
+# outage may hold the changes of all upstreams.
+_MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+
+
+class ServiceResponse(NamedTuple):
+    """A complete response of a service."""
+
+    status: int
+    headers: Mapping[str, str]
+    data: bytes
 
 
 class PlatformService:
@@ -37,7 +51,7 @@
         self._timeout_seconds = timeout_seconds
         # The connect timeout is shorter than the total, so that a connection that was
         # never established is distinguished from a request that was sent.
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = BoundedConnectionPool(
             host,
             port,
             maxsize=_MAX_POOLED_CONNECTIONS,
@@ -84,7 +98,7 @@
         try:
             # Bounds the entire request: urllib3's timeout restarts with every read.
             with timer:
-                return self._pool.urlopen(method, path, body=body, headers=headers)
+                return self._exchange(method, path, body, headers)
         except gevent.Timeout as error:
             if error is not timer:
                 raise
@@ -96,6 +110,19 @@
         except (HTTPError, OSError) as error:
             raise error_after_send(f"{self._name}: {error}") from error
 
+    def _exchange(self, method, path, body, headers):
+        response = self._pool.urlopen(
+            method, path, body=body, headers=headers, preload_content=False
+        )
+        try:
+            data = read_body(response, _MAX_RESPONSE_BYTES)
+        except BaseException:
+            response.close()
+            raise
+        finally:
+            response.release_conn()
+        return ServiceResponse(response.status, response.headers, data)
+
     def _describe_response(self, response):
         text = " ".join(response.data[:2000].decode(errors="replace").split())
         return f"status {response.status}: {text[:200]}"
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -76,7 +76,11 @@
     RowStore,
 )
 from bulrushdrum._internal.settings.errors import SettingsError
-from bulrushdrum._internal.settings.router import PathPolicyName, RouterSettings
+from bulrushdrum._internal.settings.router import (
+    PathPolicyName,
+    ResponseLimits,
+    RouterSettings,
+)
 from bulrushdrum._internal.world.routes import CallerLimits, RouterConfiguration
 
 _ENGINE_CALL_TIMEOUT_SECONDS = 0.5
@@ -125,7 +129,7 @@
                 settings.path_policy, self._reported_loads.memory_utilization
             ),
         )
-        self._connection_pool = ConnectionPool()
+        self._connection_pool = ConnectionPool(settings.response_limits)
         self._placement = PlacementController(
             self._fleet,
             calls,
@@ -319,6 +323,7 @@
             "requests_in_progress": self._caller_server.requests_in_progress,
             "caller_connections": self._caller_server.connections,
             "upstream_connections_opened": self._connection_pool.opened,
+            "upstream_responses_too_large": self._connection_pool.oversized_responses,
             "upstreams_avoided": len(self._fleet.avoided_ids()),
             "routers": self._router_count(),
             "ready": int(self._is_ready()),
@@ -347,6 +352,7 @@
                 Event.CALLER_LEFT,
                 request=metadata.request_id.decode("latin-1"),
                 seconds=round(time.monotonic() - request.read_at, 3),
+                **connection.trace.details(),
             )
             raise
         except Exception as error:
@@ -363,6 +369,9 @@
         seconds = time.monotonic() - request.read_at
         self._metrics.increment("answers", status=str(connection.status))
         self._metrics.record("answer", seconds)
+        succeeded = connection.status < 500 and not connection.is_incomplete
+        trace = connection.trace
+        fields = trace.summary() if succeeded else trace.details()
         log_event(
             Event.REQUEST_ANSWERED,
             request=metadata.request_id.decode("latin-1"),
@@ -370,6 +379,7 @@
             status=connection.status,
             seconds=round(seconds, 3),
             complete=not connection.is_incomplete,
+            **fields,
         )
 
     def _route_request(self, connection, request, metadata):
@@ -418,7 +428,9 @@
         service = configuration.services.get(service_name)
         engine = None if service is None else service.engine
         if engine is None:
-            response = self._plain_call_proxy.run(proxied_request, route, service_name)
+            response = self._plain_call_proxy.run(
+                proxied_request, route, service_name, connection.trace
+            )
             if response.status < 500:
                 self._quarantine.record_success(proxied_request.fingerprint)
             connection.send(self._with_request_id(response, metadata))
@@ -501,7 +513,10 @@
             gevent.sleep(_TASK_RESTART_SECONDS)
 
 
-def run_router(path_policy: str = PathPolicyName.LEAST_TIME.value) -> int:
+def run_router(
+    path_policy: str = PathPolicyName.LEAST_TIME.value,
+    response_limits: ResponseLimits | None = None,
+) -> int:
     """Run a router with the platform's settings; return the exit code."""
     path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
     try:
@@ -512,7 +527,11 @@
         print(message, file=sys.stderr)
         return 2
     try:
-        settings = replace(read_router_settings(path), path_policy=policy)
+        settings = replace(
+            read_router_settings(path),
+            path_policy=policy,
+            response_limits=response_limits or ResponseLimits(),
+        )
     except SettingsError as error:
         print(error, file=sys.stderr)
         return 2
--- a/src/bulrushdrum/_internal/settings/router.py
+++ b/src/bulrushdrum/_internal/settings/router.py
@@ -1,8 +1,11 @@
 """Settings of the router: addresses and limits assigned by the platform."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, fields
 from enum import StrEnum
 
+# The head of an ordinary response does not fit into less.
+MIN_RESPONSE_LIMIT_BYTES = 1024
+
 
 class PathPolicyName(StrEnum):
     """Policy for choosing paths.
@@ -15,6 +18,30 @@
     LEAST_REPORTED = "least-reported"
 
 
+@dataclass(frozen=True)
+class ResponseLimits:
+    """Limits on a response of an upstream, in bytes.
+
+    `head_bytes` bounds what is received before the head is complete, `event_bytes` one
+    event of a stream, and `body_bytes` a body that is buffered whole. A stream may have
+    any number of events.
+    """
+
+    head_bytes: int = 65_536
+    event_bytes: int = 1_048_576
+    body_bytes: int = 8_388_608
+
+    def __post_init__(self):
+        for limit in fields(self):
+            value = getattr(self, limit.name)
+            if value < MIN_RESPONSE_LIMIT_BYTES:
+                name = limit.name.replace("_", "-")
+                raise ValueError(
+                    f"{name} is {value}, but must be at least "
+                    f"{MIN_RESPONSE_LIMIT_BYTES} bytes"
+                )
+
+
 @dataclass(frozen=True)
 class RouterSettings:
     """Settings of a router process, fixed at its start.
@@ -39,3 +66,4 @@
     store_timeout: float = 0.8
     feed_wait: float = 1.2
     path_policy: PathPolicyName = PathPolicyName.LEAST_TIME
+    response_limits: ResponseLimits = field(default_factory=ResponseLimits)
--- a/src/bulrushdrum/_internal/settings/sidecar.py
+++ b/src/bulrushdrum/_internal/settings/sidecar.py
@@ -141,6 +141,13 @@
         low=1024,
         high=15 * 1024 * 1024,
     )
+    max_engine_answer_bytes: int = setting(
+        64 * 1024 * 1024,
+        unit="bytes",
+        help="largest answer of an engine",
+        low=65_536,
+        high=1024 * 1024 * 1024,
+    )
     next_hop_idle: float = setting(
         60.0,
         unit="s",
--- a/src/bulrushdrum/_internal/sidecar/engine_client.py
+++ b/src/bulrushdrum/_internal/sidecar/engine_client.py
@@ -10,6 +10,7 @@
 from contextlib import contextmanager
 from typing import NamedTuple
 
+import gevent
 import urllib3
 from gevent.monkey import get_original
 from urllib3.exceptions import (
@@ -19,6 +20,13 @@
     ReadTimeoutError,
 )
 
+from bulrushdrum._internal.bounded_http import (
+    BodyTooLarge,
+    BoundedConnectionPool,
+    BoundedResponse,
+    read_body,
+)
+from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.errors import (
     EngineLost,
     EngineRefused,
@@ -91,19 +99,34 @@
         self._connection = http.client.HTTPConnection(
             *address, timeout=CONNECT_TIMEOUT_SECONDS
         )
+        self._connection.response_class = BoundedResponse
+
+    def post(
+        self, path: str, data: str, timeout: float, max_bytes: int
+    ) -> tuple[int, bytes]:
+        """Return the status and body of the response.
 
-    def post(self, path: str, data: str, timeout: float) -> tuple[int, bytes]:
-        """Return the status and body of the response."""
+        `timeout` bounds the whole call in seconds, however slowly bytes arrive.
+        """
         self._ensure_connected()
-        self._connection.sock.settimeout(timeout)
+        timer = gevent.Timeout(timeout)
+        timer.start()
         try:
             self._connection.request("POST", path, data, _JSON_HEADERS)
             response = self._connection.getresponse()
-            return response.status, response.read()
-        except (OSError, http.client.HTTPException) as error:
+            return response.status, read_body(response, max_bytes)
+        except gevent.Timeout as error:
+            self._connection.close()
+            if error is not timer:
+                raise
+            message = f"no whole answer in {timeout:.1f} s"
+            raise EngineLost(message, crashed=False) from error
+        except (OSError, http.client.HTTPException, BodyTooLarge) as error:
             self._connection.close()
-            crashed = not isinstance(error, TimeoutError)
+            crashed = not isinstance(error, (TimeoutError, BodyTooLarge))
             raise EngineLost(f"{type(error).__name__}: {error}", crashed) from error
+        finally:
+            timer.close()
 
     def _ensure_connected(self):
         sock = self._connection.sock
@@ -119,34 +142,60 @@
 
 
 class EngineClient:
-    """Calls the engine at `url`. Each call blocks the calling greenlet."""
+    """Calls the engine at `settings.upstream_url`.
+
+    Each call blocks the calling greenlet.
+    """
 
-    def __init__(self, url: str, step_timeout: float, order_timeout: float):
+    def __init__(self, settings: SidecarSettings):
+        url = settings.upstream_url
         self._address = parse_address(url.removeprefix("http://").rstrip("/"))
         self._idle_connections: list[_KeepAliveConnection] = []
-        self._step_timeout = step_timeout
-        self._order_timeout = order_timeout
-        self._pool = urllib3.connection_from_url(url, maxsize=4, retries=False)
+        self._step_timeout = settings.engine_timeout
+        self._order_timeout = settings.order_timeout
+        self._max_answer_bytes = settings.max_engine_answer_bytes
+        self._pool = BoundedConnectionPool(*self._address, maxsize=4, retries=False)
 
     def _request(self, method, path, body=None, timeout=CONTROL_TIMEOUT_SECONDS):
         data = None if body is None else json.dumps(body, separators=(",", ":"))
+        timer = gevent.Timeout(CONNECT_TIMEOUT_SECONDS + timeout)
+        timer.start()
         try:
-            # `urlopen` takes 150 us less processor time than `request`.
-            response = self._pool.urlopen(
-                method,
-                path,
-                body=data,
-                headers=_JSON_HEADERS,
-                retries=False,
-                redirect=False,
-                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=timeout),
-            )
+            return _decode_response(*self._exchange(method, path, data, timeout))
+        except gevent.Timeout as error:
+            if error is not timer:
+                raise
+            message = f"no whole answer in {timeout:.1f} s"
+            raise EngineLost(message, crashed=False) from error
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise EngineUnreachable(str(error)) from error
         except (HTTPError, OSError) as error:
-            crashed = not isinstance(error, (ReadTimeoutError, TimeoutError))
+            crashed = not isinstance(
+                error, (ReadTimeoutError, TimeoutError, BodyTooLarge)
+            )
             raise EngineLost(f"{type(error).__name__}: {error}", crashed) from error
-        return _decode_response(response.status, response.data)
+        finally:
+            timer.close()
+
+    def _exchange(self, method, path, data, timeout):
+        # `urlopen` takes 150 us less processor time than `request`.
+        response = self._pool.urlopen(
+            method,
+            path,
+            body=data,
+            headers=_JSON_HEADERS,
+            retries=False,
+            redirect=False,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=timeout),
+            preload_content=False,
+        )
+        try:
+            return response.status, read_body(response, self._max_answer_bytes)
+        except BaseException:
+            response.close()
+            raise
+        finally:
+            response.release_conn()
 
     def read_state(self) -> EngineState:
         return _parse_engine_state(self._request("GET", "/v1/engine"))
@@ -166,7 +215,9 @@
         idle = self._idle_connections
         connection = idle.pop() if idle else _KeepAliveConnection(self._address)
         try:
-            response = connection.post("/v1/steps", data, self._step_timeout)
+            response = connection.post(
+                "/v1/steps", data, self._step_timeout, self._max_answer_bytes
+            )
         finally:
             idle.append(connection)
         raw = _decode_response(*response)
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -71,9 +71,7 @@
             self._on_next_hop_lost,
             self._handle_next_hop_message,
         )
-        self._engine = EngineClient(
-            settings.upstream_url, settings.engine_timeout, settings.order_timeout
-        )
+        self._engine = EngineClient(settings)
         self._stages = StageExecutor(
             self._hub,
             settings,
--- a/src/bulrushdrum/_internal/sidecar/service_client.py
+++ b/src/bulrushdrum/_internal/sidecar/service_client.py
@@ -10,9 +10,9 @@
 import re
 
 import gevent
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from bulrushdrum._internal.bounded_http import BoundedConnection
 from bulrushdrum._internal.peering.messages import Call, CallResult, Header
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.world.addresses import parse_address
@@ -52,7 +52,7 @@
         """Make one call; `timeout` covers sending and receiving, in seconds."""
         if not _TARGET_RE.fullmatch(call.path) or not _METHOD_RE.fullmatch(call.method):
             return _failed(Outcome.NOT_RUN, "malformed method or path")
-        connection = HTTPConnection(
+        connection = BoundedConnection(
             self._host, self._port, timeout=CONNECT_TIMEOUT_SECONDS
         )
         try:
--- a/tests/unit/gateway_fakes.py
+++ b/tests/unit/gateway_fakes.py
@@ -19,6 +19,7 @@
 from bulrushdrum._internal.pipelines.stall_detection import StallDetector
 from bulrushdrum._internal.platform.engine_calls import EngineCalls
 from bulrushdrum._internal.platform.headers import parse_request_metadata
+from bulrushdrum._internal.settings.router import ResponseLimits
 from bulrushdrum._internal.world.routes import RequestKind, Route, ServiceShare
 
 REQUEST = (
@@ -46,11 +47,11 @@
 class Gateway:
     """Serves one route on a loopback port, with its own fleet and pool."""
 
-    def __init__(self, route, extra=100):
+    def __init__(self, route, extra=100, limits=None):
         self.route = route
         self.fleet, self.reservations = Fleet(), MemoryReservations()
         self.quarantine = CrashQuarantine(self.fleet.has_terminated)
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(limits or ResponseLimits())
         self.model = make_model(layer_bytes=1e9)
         self.servers: dict[str, PathServer] = {}
         self.seconds = None
@@ -91,9 +92,10 @@
                 connection, proxied_request, self.route, "llm", self.model
             )
         else:
-            connection.send(
-                self._plain_call_proxy.run(proxied_request, self.route, "llm")
+            response = self._plain_call_proxy.run(
+                proxied_request, self.route, "llm", connection.trace
             )
+            connection.send(response)
 
     def connect(self):
         port = self.callers._server.server_port
--- a/tests/unit/test_generations.py
+++ b/tests/unit/test_generations.py
@@ -269,3 +269,50 @@
     for _ in range(3):
         assert gateway.call().body == EVENTS
         let_others_run()
+
+
+def silent(request):
+    return [head(request), event(1), 10.0]
+
+
+def hops_of(server):
+    return [r["headers"]["bulrushdrum-hop-count"] for r in generation_requests(server)]
+
+
+def test_a_retry_after_unexplained_silence_uses_other_upstreams(gateway):
+    # The report names nobody. Guards against stalling on the same path once more while
+    # other healthy upstreams are idle.
+    _, two = add_pair(gateway, silent, resumed)
+    response = gateway.call()
+    assert (response.body, response.is_complete) == (EVENTS, True)
+    assert len(generation_requests(two)) == 1
+
+
+def test_a_retry_after_unexplained_silence_shares_the_fewest_upstreams(gateway):
+    # There is only one first half, so only the second half can change.
+    attempts = []
+
+    def silent_once(request):
+        attempts.append(request)
+        return silent(request) if len(attempts) == 1 else resumed(request)
+
+    gateway.add_server("x", with_reports(silent_once), (0, 20))
+    for name in "yz":
+        gateway.add_server(name, with_reports(stream), (20, 40))
+    response = gateway.call()
+    assert (response.body, response.is_complete) == (EVENTS, True)
+    first, second = hops_of(gateway.servers["x"])
+    assert first.split(",")[0] == second.split(",")[0]
+    assert first.split(",")[1] != second.split(",")[1]
+
+
+def test_a_retry_after_silence_repeats_the_path_if_there_is_no_other(gateway):
+    attempts = []
+
+    def silent_once(request):
+        attempts.append(request)
+        return silent(request) if len(attempts) == 1 else resumed(request)
+
+    gateway.add_server("one", with_reports(silent_once), (0, 40))
+    assert gateway.call().is_complete
+    assert len(attempts) == 2
