Answer what was accepted before a planned stop ends

Cause: a draining router accepted every call of a plain service until it exited, and exited with calls in progress and with whole requests unread in its sockets and its accept queue. In test_requests_accepted_during_a_planned_stop_are_answered (12 callers on kept connections, a stream that holds the router to the end of its grace) 12 calls of 0.02 s and 12 of 0.5 s were cut on. Idle caller connections stayed open until the process ended.

Change: a call is accepted while one of the 99th percentile would end in time; before it exits, the router accepts what waits in the queue, answers what has arrived and closes idle connections.

--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -4,6 +4,7 @@
 `CallerDisconnected` is raised in the greenlet that handles the request.
 """
 
+import select
 import time
 from collections.abc import Callable
 
@@ -28,6 +29,7 @@
 # Timeout of a write, after which a caller that does not read is disconnected.
 _WRITE_TIMEOUT_SECONDS = 5.0
 _BACKLOG = 1024
+_FINISH_POLL_SECONDS = 0.01
 # Keeps reads short so that the idle and header timeouts are checked regularly.
 _RECEIVE_TIMEOUT_SECONDS = 0.5
 
@@ -41,6 +43,7 @@
         self._reader = RequestReader(server.limits())
         self._request: Request | None = None
         self._streaming = False
+        self._is_waiting = False
         self.response_started = False
         self.closing = False
         self.status = 0
@@ -71,7 +74,22 @@
             if not self.response_started or self._streaming:
                 return
 
+    def close_if_idle(self):
+        """Close the connection unless a request has arrived, whole or in part."""
+        if self._is_waiting and not self._reader.has_partial_request:
+            readable, _, _ = select.select([self._socket], [], [], 0)
+            if not readable:
+                self.closing = True
+                self._socket.shutdown(socket.SHUT_RDWR)
+
     def _next_request(self):
+        self._is_waiting = True
+        try:
+            return self._receive_request()
+        finally:
+            self._is_waiting = False
+
+    def _receive_request(self):
         limits = self._server.limits()
         idle_since, started_at = time.monotonic(), None
         while not self._reader.requests:
@@ -205,15 +223,38 @@
         self.limits = limits
         self.is_draining = False
         self.requests_in_progress = 0
-        self.connections = 0
+        self._open: set[CallerConnection] = set()
         self._server = StreamServer((host, int(port)), self._serve, backlog=_BACKLOG)
 
+    @property
+    def connections(self) -> int:
+        return len(self._open)
+
     def start(self):
         self._server.start()
 
     def stop_accepting(self):
         self._server.close()
 
+    def finish(self, seconds: float):
+        """Stop accepting, and answer the requests that have already been sent.
+
+        Idle connections are closed. Returns after `seconds` at the latest.
+        """
+        deadline = time.monotonic() + seconds
+        # Connections that wait in the listener's queue would be reset.
+        while self._accept_pending() and time.monotonic() < deadline:
+            gevent.sleep(_FINISH_POLL_SECONDS)
+        self.stop_accepting()
+        while self._open and time.monotonic() < deadline:
+            for connection in list(self._open):
+                connection.close_if_idle()
+            gevent.sleep(_FINISH_POLL_SECONDS)
+
+    def _accept_pending(self):
+        readable, _, _ = select.select([self._server.socket], [], [], 0)
+        return bool(readable)
+
     def begin_request(self):
         self.requests_in_progress += 1
 
@@ -224,14 +265,15 @@
         self._handler(connection, request)
 
     def _serve(self, sock, _address):
-        self.connections += 1
+        connection = CallerConnection(sock, self)
+        self._open.add(connection)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            CallerConnection(sock, self).serve()
+            connection.serve()
         except CallerDisconnected as error:
             log_event(Event.CALLER_LEFT, reason=str(error))
         except OSError as error:
             log_event(Event.CALLER_LEFT, reason=f"connection lost: {error}")
         finally:
-            self.connections -= 1
+            self._open.discard(connection)
             sock.close()
--- a/src/bulrushdrum/_internal/gateway/draining.py
+++ b/src/bulrushdrum/_internal/gateway/draining.py
@@ -26,16 +26,36 @@
 _RESTART_JITTER_SECONDS = 0.8
 # Jitter for refused callers that another router can serve immediately.
 _OTHER_ROUTER_JITTER_SECONDS = 0.2
-# A generation is accepted if one of this percentile of durations would end in time. The
-# percentile is high because a generation that is interrupted by the kill is lost.
+# A request is accepted if one of this percentile of durations would end in time. The
+# percentile is high because a request that is interrupted by the kill is lost.
 _EXPECTED_DURATION_PERCENTILE = 99.0
-# Assumed duration until enough generations have been recorded.
+# Assumed durations until enough requests have been recorded.
 _DEFAULT_GENERATION_SECONDS = 4.0
+_DEFAULT_CALL_SECONDS = 1.0
 _MIN_DURATION_SAMPLES = 20
 _MAX_RECORDED_MS = 600_000
 _SIGNIFICANT_DIGITS = 2
 
 
+class _DurationEstimate:
+    """Estimates how long a request may take from those that completed."""
+
+    def __init__(self, default_seconds: float):
+        self._default_seconds = default_seconds
+        self._durations = HdrHistogram(1, _MAX_RECORDED_MS, _SIGNIFICANT_DIGITS)
+
+    def record(self, seconds: float):
+        self._durations.record_value(max(int(seconds * 1000), 1))
+
+    def seconds(self) -> float:
+        if self._durations.get_total_count() < _MIN_DURATION_SAMPLES:
+            return self._default_seconds
+        milliseconds = self._durations.get_value_at_percentile(
+            _EXPECTED_DURATION_PERCENTILE
+        )
+        return milliseconds / 1000.0
+
+
 class DrainController:
     """Controls the drain of a router that is killed `grace` seconds after SIGTERM."""
 
@@ -46,7 +66,8 @@
         self._started_at: float | None = None
         self._idle_since: float | None = None
         self._last_admitted_at = clock()
-        self._durations = HdrHistogram(1, _MAX_RECORDED_MS, _SIGNIFICANT_DIGITS)
+        self._generations = _DurationEstimate(_DEFAULT_GENERATION_SECONDS)
+        self._calls = _DurationEstimate(_DEFAULT_CALL_SECONDS)
 
     @property
     def is_draining(self) -> bool:
@@ -57,7 +78,21 @@
 
     def record_generation(self, seconds: float):
         """Record the duration of a completed generation."""
-        self._durations.record_value(max(int(seconds * 1000), 1))
+        self._generations.record(seconds)
+
+    def record_call(self, seconds: float):
+        """Record the duration of a completed call of a plain service."""
+        self._calls.record(seconds)
+
+    def has_time_for_call(self, timeout: float) -> bool:
+        """Whether a call started now should end before the router exits.
+
+        It takes at most `timeout` seconds.
+        """
+        if self._started_at is None:
+            return True
+        expected_seconds = min(self._calls.seconds(), timeout)
+        return self._clock() + expected_seconds <= self._stop_deadline()
 
     def try_admit_generation(self) -> bool:
         """Admit a generation if it should end before the router exits."""
@@ -70,16 +105,14 @@
         """Whether a generation started now should end before the router exits."""
         if self._started_at is None:
             return True
-        return (
-            self._clock() + self._expected_generation_seconds() <= self._stop_deadline()
-        )
+        return self._clock() + self._generations.seconds() <= self._stop_deadline()
 
     def retry_after(self, others_accept_work: bool) -> float:
         """Return the seconds after which a refused caller should retry."""
         jitter = self._random.random()
         if others_accept_work:
             return jitter * _OTHER_ROUTER_JITTER_SECONDS
-        busy_until = self._last_admitted_at + self._expected_generation_seconds()
+        busy_until = self._last_admitted_at + self._generations.seconds()
         ready_in = max(busy_until - self._clock(), 0.0) + _RESTART_SECONDS
         return ready_in + jitter * _RESTART_JITTER_SECONDS
 
@@ -99,13 +132,9 @@
         is_out_of_rotation = now - self._started_at >= _OUT_OF_ROTATION_SECONDS
         return is_out_of_rotation and now - self._idle_since >= _IDLE_SECONDS
 
+    def seconds_until_stop(self) -> float:
+        """Return the time until the router exits at the latest."""
+        return max(self._stop_deadline() - self._clock(), 0.0)
+
     def _stop_deadline(self):
         return self._started_at + self._grace - _STOP_MARGIN_SECONDS
-
-    def _expected_generation_seconds(self):
-        if self._durations.get_total_count() < _MIN_DURATION_SAMPLES:
-            return _DEFAULT_GENERATION_SECONDS
-        milliseconds = self._durations.get_value_at_percentile(
-            _EXPECTED_DURATION_PERCENTILE
-        )
-        return milliseconds / 1000.0
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -86,6 +86,9 @@
 _ENGINE_CALL_TIMEOUT_SECONDS = 0.5
 _RETRY_WITHOUT_CONFIGURATION_SECONDS = 1.0
 _DRAIN_POLL_SECONDS = 0.05
+# Requests that arrive when a router is about to exit are refused at once, so that only
+# slow senders take longer.
+_MAX_FINISH_SECONDS = 0.5
 _MAINTENANCE_INTERVAL_SECONDS = 1.0
 _TASK_RESTART_SECONDS = 0.5
 # Log lines carry the end of a traceback, which names the fault.
@@ -233,7 +236,9 @@
                 self._drain_controller.has_time_for_generation()
             )
             gevent.sleep(_DRAIN_POLL_SECONDS)
-        self._caller_server.stop_accepting()
+        self._caller_server.finish(
+            min(self._drain_controller.seconds_until_stop(), _MAX_FINISH_SECONDS)
+        )
 
     def _log_reload(self):
         log_event(Event.SETTINGS_CHANGED, node=self._settings.node)
@@ -428,12 +433,7 @@
         service = configuration.services.get(service_name)
         engine = None if service is None else service.engine
         if engine is None:
-            response = self._plain_call_proxy.run(
-                proxied_request, route, service_name, connection.trace
-            )
-            if response.status < 500:
-                self._quarantine.record_success(proxied_request.fingerprint)
-            connection.send(self._with_request_id(response, metadata))
+            self._run_plain_call(connection, proxied_request, route, service_name)
         elif not self._drain_controller.try_admit_generation():
             self._reject_while_draining(connection, metadata)
         else:
@@ -445,6 +445,20 @@
                 self._quarantine.record_success(proxied_request.fingerprint)
                 self._drain_controller.record_generation(time.monotonic() - started_at)
 
+    def _run_plain_call(self, connection, proxied_request, route, service_name):
+        started_at = time.monotonic()
+        timeout = proxied_request.deadline - started_at
+        if not self._drain_controller.has_time_for_call(timeout):
+            self._reject_while_draining(connection, proxied_request.metadata)
+            return
+        response = self._plain_call_proxy.run(
+            proxied_request, route, service_name, connection.trace
+        )
+        self._drain_controller.record_call(time.monotonic() - started_at)
+        if response.status < 500:
+            self._quarantine.record_success(proxied_request.fingerprint)
+        connection.send(self._with_request_id(response, proxied_request.metadata))
+
     def _reject_quarantined(self, connection, proxied_request):
         reason = "this request has crashed the upstreams that ran it"
         log_event(
--- a/tests/integration/test_router_process.py
+++ b/tests/integration/test_router_process.py
@@ -1,5 +1,7 @@
 """Tests of a router process with a stand-in store and stand-in servers."""
 
+import collections
+import itertools
 import json
 import os
 import signal
@@ -250,6 +252,96 @@
     assert router.process.wait(timeout=8.0) == 0
 
 
+# The platform's `loss-slack-ms`: what a caller sent this long before a planned stop cut
+# its connection has been lost.
+LOSS_SLACK_SECONDS = 0.2
+
+
+class KeepAliveCaller:
+    """Calls a plain service on one connection after the other until none opens."""
+
+    def __init__(self, router, number):
+        self._router = router
+        self._number = number
+        self.statuses = []
+        self.lost = []
+
+    def run(self, served_ids):
+        for connection in itertools.count():
+            try:
+                sock = socket.create_connection(("127.0.0.1", self._router.port))
+            except OSError:
+                return
+            with sock:
+                for call in range(20):
+                    request_id = f"r{self._number}-{connection}-{call}"
+                    if not self._call(sock, request_id, served_ids):
+                        break
+
+    def _call(self, sock, request_id, served_ids):
+        request = (
+            b"POST /a/b/x HTTP/1.1\r\nHost: h.example\r\nBulrushdrum-Attempt-Id: %s\r\n"
+            b"Authorization: Token k1\r\nContent-Length: 0\r\n\r\n"
+        )
+        try:
+            sock.sendall(request % request_id.encode())
+        except OSError:
+            return False
+        sent_at, response = time.monotonic(), None
+        try:
+            response = read_response(sock)
+        except OSError:
+            pass
+        if response is not None and response.is_complete:
+            self.statuses.append(response.status)
+            return response.headers.get("connection") != "close"
+        waited = time.monotonic() - sent_at
+        if waited > LOSS_SLACK_SECONDS or request_id in served_ids:
+            self.lost.append((request_id, waited))
+        return False
+
+
+@pytest.mark.parametrize("call_seconds", [0.02, 0.5])
+def test_requests_accepted_during_a_planned_stop_are_answered(
+    router, store, call_seconds
+):
+    # A long stream keeps the router up until the end of its grace period, and callers
+    # go on sending. Guards against calls that are cut because they were accepted just
+    # before the exit.
+    serve_generations(router, store, lambda r: stream(r, gap=1.1))
+    served_ids = set()
+
+    def respond(request):
+        served_ids.add(request["headers"]["bulrushdrum-attempt-id"])
+        return [call_seconds, *complete_response(request)]
+
+    server = PathServer("p1", respond)
+    store.put(
+        "servers",
+        "p1",
+        {
+            "service": "s2",
+            "zone": "a",
+            "slots": 64,
+            "state": "ready",
+            "address": server.address,
+        },
+    )
+    router.wait_for(lambda: router.send_request(b"/a/b/x").body == b"done")
+    long_request = gevent.spawn(router.send_request)
+    callers = [KeepAliveCaller(router, number) for number in range(12)]
+    tasks = [gevent.spawn(caller.run, served_ids) for caller in callers]
+    gevent.sleep(0.6)
+    router.process.send_signal(signal.SIGTERM)
+    assert router.process.wait(timeout=8.0) == 0
+    gevent.joinall(tasks, timeout=5.0)
+    assert [loss for caller in callers for loss in caller.lost] == []
+    statuses = collections.Counter(s for c in callers for s in c.statuses)
+    assert statuses[200] > 50 and set(statuses) <= {200, 503}
+    assert long_request.get(timeout=1.0).is_complete
+    server.stop()
+
+
 def test_plain_service_is_served_and_draining_upstream_gets_no_requests(router, store):
     serve_generations(router, store)
     first, second = (
