--- a/src/bulrushdrum/__main__.py
+++ b/src/bulrushdrum/__main__.py
@@ -18,7 +18,7 @@
 
             return run_role(role, path)
         case ["router", *_]:
-            from bulrushdrum._internal.operator.roles import run_router_role
+            from bulrushdrum._internal.operator.router_role import run_router_role
 
             return run_router_role(arguments[1:])
     from bulrushdrum._internal.operator.commands import run_commands
