Read bursts of changes in the store together

The first change after a quiet time is read at once.

Tests: bursts, a single change, the wait (test_coordination), the bounds of the settings (test_router_wire); restarts after a key was withdrawn and a server left, without the store, and a paused router (test_router_process): green before as well, kept as guards. An assertion of test_coordination that could not fail is replaced by one that can.

--- a/src/bulrushdrum/_internal/coordination/table_follower.py
+++ b/src/bulrushdrum/_internal/coordination/table_follower.py
@@ -2,6 +2,10 @@
 
 Reads a snapshot of the table and then its changes, and a new snapshot when the store
 has dropped the history. During an outage the state that was read last stays in force.
+
+Every router follows every change, so calls grow with routers times changes. Changes
+come in bursts: the first one is read at once, and those that follow it within the
+spacing are read together.
 """
 
 import time
@@ -20,12 +24,23 @@
     """Calls `on_rows(rows, is_snapshot)` with each snapshot or change of `table`.
 
     `on_rows` must not block. Rows that are missing from a snapshot no longer exist.
+    After changes were read, the next call is made `spacing` seconds later. It waits
+    that much less, so that an unresponsive connection is noticed as early as without
+    spacing.
     """
 
-    def __init__(self, store: RowStore, table: str, on_rows, clock=time.monotonic):
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        on_rows,
+        spacing: float = 0.0,
+        clock=time.monotonic,
+    ):
         self._store = store
         self._table = table
         self._on_rows = on_rows
+        self._spacing = spacing
         self._clock = clock
         self._version: int | None = None
         self._available = False
@@ -48,11 +63,14 @@
         return self._clock() - self._recovered_at
 
     def run(self):
-        retry_seconds = _MIN_RETRY_SECONDS
+        retry_seconds, spaced = _MIN_RETRY_SECONDS, 0.0
         while True:
             try:
-                self._poll()
+                has_changes = self._poll(spaced)
                 retry_seconds = _MIN_RETRY_SECONDS
+                spaced = self._spacing if has_changes else 0.0
+                if spaced:
+                    gevent.sleep(spaced)
             except HistoryLost as error:
                 log_event(
                     Event.STORE_HISTORY_LOST, table=self._table, reason=str(error)
@@ -63,17 +81,19 @@
                 gevent.sleep(retry_seconds)
                 retry_seconds = min(retry_seconds * 2, _MAX_RETRY_SECONDS)
 
-    def _poll(self):
+    def _poll(self, spaced):
+        """Make a call `spaced` seconds after the last; return whether it had rows."""
         is_snapshot = self._version is None
         if is_snapshot:
             state = self._store.read_table(self._table)
         else:
-            state = self._store.read_changes(self._table, self._version)
+            state = self._store.read_changes(self._table, self._version, spaced)
         self._record_success()
         if is_snapshot or state.rows:
             self._on_rows(state.rows, is_snapshot)
         if self._version is None or state.version > self._version:
             self._version = state.version
+        return bool(state.rows)
 
     def _record_failure(self, error):
         if self._available or self._failed_at is None:
--- a/src/bulrushdrum/_internal/platform/router_settings.py
+++ b/src/bulrushdrum/_internal/platform/router_settings.py
@@ -11,6 +11,9 @@
 _STORE_TIMEOUT_SECONDS = 0.8
 # The maximum time for a new connection to the store and the first read on it.
 _RECONNECT_SECONDS = 0.4
+# Part of the time in which a change must be in force that may pass before it is read.
+# The rest is for an unresponsive connection to the store.
+_SPACING_FRACTION = 0.25
 
 
 def read_router_settings(path: str) -> RouterSettings:
@@ -30,6 +33,10 @@
     # An unresponsive connection must be replaced, and the table read, within the time
     # after which the platform considers a machine to be in contact again.
     contact = float(bounds.get("contact-ms", 3000)) / 1000.0
+    apply = min(
+        float(bounds.get(name, 2000)) / 1000.0
+        for name in ("drain-ms", "config-apply-ms", "revoke-ms")
+    )
     return RouterSettings(
         node=raw["node-name"],
         data_centre=raw["zone"],
@@ -45,4 +52,5 @@
         stop_grace_seconds=float(bounds.get("grace-s", 8)),
         store_timeout=_STORE_TIMEOUT_SECONDS,
         feed_wait=max(contact - _STORE_TIMEOUT_SECONDS - _RECONNECT_SECONDS, 0.5),
+        feed_spacing=apply * _SPACING_FRACTION,
     )
--- a/src/bulrushdrum/_internal/platform/rows.py
+++ b/src/bulrushdrum/_internal/platform/rows.py
@@ -64,7 +64,8 @@
     def __init__(self, address: str, timeout: float, feed_wait: float = 1.0):
         self._service = PlatformService("store", address, timeout)
         self._feed_service = PlatformService("store", address, feed_wait + timeout)
-        self._feed_wait_ms = int(feed_wait * 1000)
+        self._feed_wait = feed_wait
+        self._timeout = timeout
 
     def read_table(self, table: str, part: str = "") -> TableState:
         """Return all rows of one part; raises `StoreUnavailable`.
@@ -85,13 +86,19 @@
                 return TableState(rows, first_version)
             start = page.rows[-1].key + "\x00"
 
-    def read_changes(self, table: str, after: int) -> TableState:
+    def read_changes(
+        self, table: str, after: int, shorten_wait: float = 0.0
+    ) -> TableState:
         """Wait for rows that changed after a version; the result may be empty.
 
-        Raises `StoreUnavailable`, or `HistoryLost` if the store dropped the changes.
+        The wait is `shorten_wait` seconds shorter than usual. Raises
+        `StoreUnavailable`, or `HistoryLost` if the store dropped the changes.
         """
-        query = {"table": table, "after": after, "wait-ms": self._feed_wait_ms}
-        state, _ = self._read_rows(self._feed_service, "/rows-feed", query)
+        wait = max(self._feed_wait - shorten_wait, 0.0)
+        query = {"table": table, "after": after, "wait-ms": int(wait * 1000)}
+        state, _ = self._read_rows(
+            self._feed_service, "/rows-feed", query, wait + self._timeout
+        )
         return state
 
     def write(self, table: str, key: str, value: bytes | None, expected=None):
@@ -116,8 +123,10 @@
         if response.status == 412:
             raise WriteConflict([_decode_row(row) for row in raw.get("rows", ())])
 
-    def _read_rows(self, service, path, query):
-        response = service.read(f"{path}?{urlencode(query)}", (200, 410))
+    def _read_rows(self, service, path, query, timeout=None):
+        response = service.read(
+            f"{path}?{urlencode(query)}", (200, 410), timeout_seconds=timeout
+        )
         if response.status == 410:
             raise HistoryLost(f"the store dropped changes of table {query['table']!r}")
         raw = service.decode_json(response, StoreUnavailable)
--- a/src/bulrushdrum/_internal/platform/service.py
+++ b/src/bulrushdrum/_internal/platform/service.py
@@ -59,9 +59,16 @@
             timeout=urllib3.Timeout(connect=timeout_seconds / 2, read=timeout_seconds),
         )
 
-    def read(self, path: str, expected: tuple[int, ...], headers=None):
-        """Send a GET; a status outside `expected` raises `StoreUnavailable`."""
-        response = self._request("GET", path, None, headers, StoreUnavailable)
+    def read(
+        self, path: str, expected: tuple[int, ...], headers=None, timeout_seconds=None
+    ):
+        """Send a GET; a status outside `expected` raises `StoreUnavailable`.
+
+        `timeout_seconds` replaces the timeout of the client, which it must not exceed.
+        """
+        response = self._request(
+            "GET", path, None, headers, StoreUnavailable, timeout_seconds
+        )
         if response.status not in expected:
             raise StoreUnavailable(f"{self._name}: {self._describe_response(response)}")
         return response
@@ -93,8 +100,11 @@
             raise error(f"{self._name}: the answer is not a JSON object")
         return value
 
-    def _request(self, method, path, body, headers, error_after_send):
-        timer = gevent.Timeout(self._timeout_seconds)
+    def _request(
+        self, method, path, body, headers, error_after_send, timeout_seconds=None
+    ):
+        timeout_seconds = timeout_seconds or self._timeout_seconds
+        timer = gevent.Timeout(timeout_seconds)
         try:
             # Bounds the entire request: urllib3's timeout restarts with every read.
             with timer:
@@ -103,7 +113,7 @@
             if error is not timer:
                 raise
             raise error_after_send(
-                f"{self._name}: no answer within {self._timeout_seconds} s"
+                f"{self._name}: no answer within {timeout_seconds} s"
             ) from error
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise StoreUnavailable(f"{self._name}: {error}") from error
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -165,16 +165,25 @@
             self._quarantine,
         )
         self._configuration_follower = TableFollower(
-            store, CONFIGURATION_TABLE, self._on_configuration
+            store,
+            CONFIGURATION_TABLE,
+            self._on_configuration,
+            settings.feed_spacing,
         )
         self._registration_follower = TableFollower(
-            store, REGISTRATIONS_TABLE, self._on_registrations
+            store,
+            REGISTRATIONS_TABLE,
+            self._on_registrations,
+            settings.feed_spacing,
         )
         routers_store = RowStore(
             settings.store_address, settings.store_timeout, _ROUTERS_FEED_WAIT_SECONDS
         )
         self._router_follower = TableFollower(
-            routers_store, ROUTERS_TABLE, self._announcements.on_rows
+            routers_store,
+            ROUTERS_TABLE,
+            self._announcements.on_rows,
+            settings.feed_spacing,
         )
         self._caller_server = CallerServer(
             settings.caller_address, self._handle_request, self._limits
--- a/src/bulrushdrum/_internal/settings/router.py
+++ b/src/bulrushdrum/_internal/settings/router.py
@@ -48,7 +48,7 @@
 
     Addresses are like `10.0.0.1:8080`, times are in seconds. All routers together may
     retry `retry_ratio` of the requests in each window of `retry_window_seconds`, plus
-    `retry_extra` requests.
+    `retry_extra` requests. Changes in the store are read once in `feed_spacing`.
     """
 
     node: str
@@ -65,5 +65,6 @@
     stop_grace_seconds: float = 8.0
     store_timeout: float = 0.8
     feed_wait: float = 1.2
+    feed_spacing: float = 0.0
     path_policy: PathPolicyName = PathPolicyName.LEAST_TIME
     response_limits: ResponseLimits = field(default_factory=ResponseLimits)
--- a/tests/integration/test_router_process.py
+++ b/tests/integration/test_router_process.py
@@ -123,10 +123,14 @@
         path = folder / "boot.json"
         path.write_text(json.dumps(settings))
         self.log = folder / "log"
-        with self.log.open("w") as output:
+        self._settings_path = path
+        self.start()
+
+    def start(self):
+        with self.log.open("a") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "bulrushdrum", "router"],
-                env={**os.environ, "BULRUSHDRUM_SETTINGS": str(path)},
+                env={**os.environ, "BULRUSHDRUM_SETTINGS": str(self._settings_path)},
                 cwd=ROOT,
                 stdout=output,
             )
@@ -209,6 +213,74 @@
     assert router.send_request(headers=b"Authorization: Token k2\r\n").status == 200
 
 
+def restart(router):
+    router.process.kill()
+    router.process.wait(timeout=10)
+    router.start()
+    router.wait_for(lambda: router.send_request(port=router.ready_port).status)
+
+
+def test_withdrawn_key_and_removed_server_are_not_used_after_restart(router, store):
+    # Guards against a restart that brings back what was withdrawn before it.
+    engine = serve_generations(router, store)
+    other = FakeEngine("e2", store)
+    router.wait_for(lambda: other.orders)
+    router.process.kill()
+    store.put("op", "config", make_configuration(version=9, key="k2"))
+    store.put("servers", "e1", None)
+    count = len(engine.server.requests)
+    restart(router)
+    new_key = b"Authorization: Token k2\r\n"
+    router.wait_for(lambda: router.send_request(headers=new_key).status == 200)
+    for _ in range(5):
+        assert router.send_request().status == 401
+        assert router.send_request(headers=new_key).status == 200
+    assert len(engine.server.requests) == count
+
+
+def test_nothing_is_used_after_a_restart_without_the_store(router, store):
+    # Guards against a router that starts from a state which may have been withdrawn.
+    engine = serve_generations(router, store)
+    store.is_down = True
+    count = len(engine.server.requests)
+    restart(router)
+    for _ in range(5):
+        assert router.send_request().status == 503
+        assert router.send_request(port=router.ready_port).status == 503
+    assert len(engine.server.requests) == count
+    store.is_down = False
+    router.wait_for(lambda: router.send_request().status == 200)
+
+
+@pytest.mark.parametrize("seconds", [1.0, 2.5])
+def test_a_paused_router_does_not_restart_its_streams(router, store, seconds):
+    # Guards against taking the router's own pause for silence of an engine.
+    engine = serve_generations(router, store, lambda r: stream(r, gap=0.2))
+    count = len([r for r in engine.server.requests if r["target"] == "/a/x"])
+    caller = gevent.spawn(router.send_request)
+    gevent.sleep(0.5)
+    router.process.send_signal(signal.SIGSTOP)
+    gevent.sleep(seconds)
+    router.process.send_signal(signal.SIGCONT)
+    response = caller.get(timeout=8.0)
+    assert (response.body, response.is_complete) == (STREAM_BODY, True)
+    sent = len([r for r in engine.server.requests if r["target"] == "/a/x"])
+    assert sent == count + 1
+
+
+def test_a_silent_store_and_registration_do_not_stop_streams(router, store):
+    # The engine's registration lapses while it is at work; it goes on to its end.
+    engine = serve_generations(router, store, lambda r: stream(r, gap=0.3))
+    count = len([r for r in engine.server.requests if r["target"] == "/a/x"])
+    caller = gevent.spawn(router.send_request)
+    gevent.sleep(0.5)
+    store.put("servers", "e1", None)
+    response = caller.get(timeout=8.0)
+    assert (response.body, response.is_complete) == (STREAM_BODY, True)
+    sent = len([r for r in engine.server.requests if r["target"] == "/a/x"])
+    assert sent == count + 1
+
+
 def test_requests_are_served_while_store_is_unavailable(router, store):
     serve_generations(router, store)
     store.is_down = True
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -1,9 +1,11 @@
 """Tests of table followers, router announcements, the leader and layer placement."""
 
 import json
+import time
 
 import gevent
 import pytest
+from gevent.event import Event
 from tests.unit.pool_fakes import make_engine, make_model
 
 from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
@@ -26,6 +28,7 @@
     def __init__(self, *script):
         self.script = list(script)
         self.calls = []
+        self.shortened = []
 
     def _next(self, call):
         self.calls.append(call)
@@ -39,7 +42,8 @@
     def read_table(self, table):
         return self._next("snapshot")
 
-    def read_changes(self, table, after):
+    def read_changes(self, table, after, shorten_wait=0.0):
+        self.shortened.append(shorten_wait)
         return self._next(after)
 
 
@@ -87,6 +91,93 @@
     assert received[-1] == (["b"], False)
 
 
+class ChangingStore:
+    """A table whose rows change while it is followed; calls wait 0.5 s for changes."""
+
+    def __init__(self):
+        self.version = 0
+        self.calls = 0
+        self._changed = Event()
+
+    def change(self):
+        self.version += 1
+        self._changed.set()
+        self._changed.clear()
+
+    def read_table(self, table):
+        self.calls += 1
+        return TableState([], self.version)
+
+    def read_changes(self, table, after, shorten_wait=0.0):
+        self.calls += 1
+        if self.version == after:
+            self._changed.wait(0.5 - shorten_wait)
+        rows = [row(str(n)) for n in range(after + 1, self.version + 1)]
+        return TableState(rows, self.version)
+
+
+@pytest.fixture
+def followed():
+    """Follow a changing table with a spacing of 0.2 s; yield it and what arrived."""
+    store, received = ChangingStore(), []
+    follower = TableFollower(
+        store,
+        "t",
+        lambda rows, _: received.extend((r.key, time.monotonic()) for r in rows),
+        spacing=0.2,
+    )
+    greenlet = gevent.spawn(follower.run)
+    gevent.sleep(0.05)
+    yield store, received
+    greenlet.kill()
+
+
+def test_a_burst_of_changes_is_read_together(followed):
+    # The registrations of a fleet change one by one when it starts or loses servers.
+    # Guards against calls that grow with routers times changes.
+    store, received = followed
+    for _ in range(100):
+        store.change()
+        gevent.sleep(0.01)
+    gevent.sleep(0.3)
+    assert [key for key, _ in received] == [str(n) for n in range(1, 101)]
+    # One call for each 0.2 s of the burst, and those before and after it.
+    assert store.calls <= 1.4 / 0.2 + 3
+
+
+def test_a_change_after_a_quiet_time_is_read_at_once(followed):
+    store, received = followed
+    gevent.sleep(0.3)
+    changed_at = time.monotonic()
+    store.change()
+    gevent.sleep(0.1)
+    assert [key for key, _ in received] == ["1"]
+    assert received[0][1] - changed_at < 0.1
+
+
+def test_a_change_during_the_spacing_is_read_after_it(followed):
+    store, received = followed
+    store.change()
+    gevent.sleep(0.05)
+    changed_at = time.monotonic()
+    store.change()
+    gevent.sleep(0.4)
+    assert [key for key, _ in received] == ["1", "2"]
+    assert received[1][1] - changed_at < 0.2 + 0.1
+
+
+def test_the_wait_after_the_spacing_is_shorter():
+    # Guards against noticing an unresponsive connection later than without spacing.
+    store = ScriptedStore(
+        TableState([row("a")], 5), TableState([], 7), TableState([row("b")], 9)
+    )
+    follower = TableFollower(store, "t", lambda rows, _: None, spacing=0.1)
+    greenlet = gevent.spawn(follower.run)
+    gevent.sleep(0.5)
+    greenlet.kill()
+    assert store.shortened == [0.1, 0.0, 0.1]
+
+
 def make_routers(*names, reaches_store=lambda: True):
     settings = [
         RouterSettings(name, "a", "127.0.0.1", "", "", 0, 0, "") for name in names
@@ -170,7 +261,8 @@
 def test_leader_keeps_role_when_router_with_earlier_name_starts(routers):
     # Guards against two routers that both send orders during a restart.
     first, second = routers
-    assert second.is_leader() is False or first is not None
+    # It has heard of no other router yet.
+    assert second.is_leader()
     second._is_leader = True
     send_announcements(first, second)
     assert second.is_leader()
--- a/tests/unit/test_router_wire.py
+++ b/tests/unit/test_router_wire.py
@@ -195,6 +195,40 @@
         read_router_settings(str(path))
 
 
+@pytest.mark.parametrize(
+    "bounds",
+    [
+        {},
+        {"contact-ms": 3000, "drain-ms": 2000, "config-apply-ms": 2000},
+        {"contact-ms": 5000, "drain-ms": 4000, "config-apply-ms": 4000},
+        {"contact-ms": 5000, "drain-ms": 4000, "config-apply-ms": 500},
+    ],
+)
+def test_a_change_is_read_within_the_time_in_which_it_must_be_in_force(
+    tmp_path, bounds
+):
+    # A change is read at the latest after the spacing and one call that times out on an
+    # unresponsive connection; the platform allows `contact-ms` for the second.
+    path = tmp_path / "boot.json"
+    raw = {
+        "node-name": "r1",
+        "zone": "a",
+        "ip": "127.0.0.1",
+        "listen": {"front": "127.0.0.1:1", "ready-addr": "127.0.0.1:2"},
+        "internal-ports": [3, 4],
+        "bounds": bounds,
+        "platform": {"address": "127.0.0.1:5"},
+    }
+    path.write_text(json.dumps(raw))
+    settings = read_router_settings(str(path))
+    apply_seconds = min(
+        bounds.get("drain-ms", 2000), bounds.get("config-apply-ms", 2000)
+    )
+    assert 0 < settings.feed_spacing <= apply_seconds / 1000 / 4
+    contact_seconds = bounds.get("contact-ms", 3000) / 1000
+    assert settings.feed_wait + settings.store_timeout < contact_seconds
+
+
 def test_unreadable_settings_file_is_reported(tmp_path):
     with pytest.raises(SettingsError, match="cannot be read"):
         read_router_settings(str(tmp_path / "missing.json"))
