Reject step results that belong to other steps of a sequence

Cause: a sidecar keeps its connections to the engine. A late second copy of an answer that arrives after the next call was sent has the same request and attempt, and its token was delivered again at the next position. Ruled out: a copy on an idle connection (the connection is closed). Change: results are compared with the positions that were sent; a mismatch closes the connection and counts as an answer that did not come.

--- a/src/bulrushdrum/_internal/sidecar/engine_client.py
+++ b/src/bulrushdrum/_internal/sidecar/engine_client.py
@@ -128,6 +128,9 @@
         finally:
             timer.close()
 
+    def close(self):
+        self._connection.close()
+
     def _ensure_connected(self):
         sock = self._connection.sock
         if sock is not None and self._select([sock], [], [], 0)[0]:
@@ -209,7 +212,8 @@
     def run_steps(self, steps: list[dict]) -> tuple[LoadedModel, dict]:
         """Run steps; return the model that ran them and the results.
 
-        The results are keyed by (request, attempt).
+        The results are keyed by (request, attempt). A connection may carry a late copy
+        of an earlier answer, which is recognised by the positions that it names.
         """
         data = json.dumps({"steps": steps}, separators=(",", ":"))
         idle = self._idle_connections
@@ -226,6 +230,11 @@
                 (result["request"], result["attempt"]): result
                 for result in raw["results"]
             }
+            foreign = _foreign_results(steps, results)
+        if foreign:
+            connection.close()
+            raise EngineLost(f"the answer is for other steps: {foreign}", crashed=False)
+        with _refuse_malformed_response():
             loaded_model = LoadedModel(
                 raw["model"], raw["model_version"], raw["role"], tuple(raw["adapters"])
             )
@@ -257,12 +266,23 @@
             ]
 
 
+def _foreign_results(steps, results):
+    """Return the keys of results that do not answer any of `steps`."""
+    positions = {(step["request"], step["attempt"]): step["position"] for step in steps}
+    return [
+        key
+        for key, result in results.items()
+        if key not in positions
+        or result.get("position", positions[key]) != positions[key]
+    ]
+
+
 @contextmanager
 def _refuse_malformed_response():
     """Turn errors of reading a response body into `EngineRefused`."""
     try:
         yield
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise EngineRefused(200, f"answer is malformed: {error!r}") from error
 
 
