Hold a resumed sidecar until it knows which entries gave up

Cause: an entry that hears nothing from a paused sidecar closes the connection, answers the request over other stages and gives its permit to another request.

Change: a sidecar that was paused for as long as peers need to give it up runs no step for one heartbeat interval, then cancels the attempts whose entry has closed its connection. A shorter pause interrupts nothing.

This is the product's own stack; the router does not use it.

--- a/src/bulrushdrum/_internal/sidecar/heartbeats.py
+++ b/src/bulrushdrum/_internal/sidecar/heartbeats.py
@@ -4,6 +4,10 @@
 sides check this. If a link fails in one direction only, the side that receives nothing
 closes the connection and the other side sees the close, so heartbeats don't need to
 echo sequence numbers.
+
+A peer cannot tell a paused sidecar from a dead one, and starts its requests elsewhere.
+After a pause, the sidecar therefore runs nothing until it knows which of its peers have
+closed their connections.
 """
 
 import time
@@ -24,8 +28,8 @@
 class Heartbeats:
     """Sends heartbeats on every connection and closes silent ones.
 
-    `build_heartbeat` returns the heartbeat to send, and `on_tick` is called once per
-    interval with the monotonic time.
+    `build_heartbeat` returns the heartbeat to send. `on_tick` is called once per
+    interval with the monotonic time and whether the process resumed in the last one.
     """
 
     def __init__(
@@ -34,7 +38,7 @@
         next_hops: NextHops,
         settings: SidecarSettings,
         build_heartbeat: Callable[[], Beat],
-        on_tick: Callable[[float], None],
+        on_tick: Callable[[float, bool], None],
     ):
         self._hub = hub
         self._next_hops = next_hops
@@ -43,9 +47,18 @@
         self._on_tick = on_tick
         self._last_heard_at: dict[PeerConnection, float] = {}
         self._next_tick_at = time.monotonic()
+        self._is_resuming = False
         hub.register(Beat, self.handle_heartbeat)
 
+    @property
+    def is_resuming(self) -> bool:
+        """Whether this process was paused for so long that peers may have closed their
+        connections, and has not yet read what they sent.
+        """
+        return self._is_resuming or self._was_paused(time.monotonic())
+
     def start(self):
+        self._next_tick_at = time.monotonic()
         spawn_loop("heartbeats", self._tick)
 
     def handle_heartbeat(self, connection: PeerConnection, beat: Beat):
@@ -81,6 +94,11 @@
     def _connections(self):
         return self._hub.connections() + self._next_hops.connections()
 
+    def _was_paused(self, now):
+        # Peers last heard from this process up to one interval before the missed tick.
+        intervals = self._settings.missed_heartbeats - 1
+        return now - self._next_tick_at > intervals * self._settings.heartbeat_interval
+
     def _tick(self):
         interval = self._settings.heartbeat_interval
         now = time.monotonic()
@@ -89,10 +107,14 @@
             # This process was paused, so the silence is not evidence of a lost peer.
             log_event(Event.CLOCK_GAP, seconds=round(overrun, 3))
             self._last_heard_at = dict.fromkeys(self._last_heard_at, now)
+        # What peers sent during the pause is read within one interval.
+        resumed, paused = self._is_resuming, self._was_paused(now)
+        self._is_resuming = resumed or paused
         self._next_tick_at = now + interval
         self._close_silent_connections(now)
         self.send_heartbeats()
-        self._on_tick(now)
+        self._on_tick(now, resumed and not paused)
+        self._is_resuming = paused
         gevent.sleep(max(0.0, self._next_tick_at - time.monotonic()))
 
     def _close_silent_connections(self, now):
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -116,7 +116,7 @@
         self._heartbeats.start()
         self._orders.start()
         if self._settings.kind == "engine":
-            self._stages.step_loop.start()
+            self._stages.step_loop.start(lambda: self._heartbeats.is_resuming)
         log_event(
             Event.SIDECAR_READY,
             node=self._local.node,
@@ -208,8 +208,12 @@
         messages = tuple(CacheEvent(event.prefix, event.stored) for event in events)
         self._hub.broadcast("entry", CacheEvents(events[-1].sequence_number, messages))
 
-    def _clean_up(self, now):
-        """Cancel the attempts of lost entries, and close idle connections."""
+    def _clean_up(self, now, resumed):
+        """Cancel the attempts of lost entries, and close idle connections.
+
+        An entry that closed its connection while this process was paused has given up
+        its attempts; any other may connect again.
+        """
         self._next_hops.close_idle(self._stages.next_stage_incarnations())
         open_connections = set()
         for sequence in self._stages.sequences():
@@ -222,7 +226,7 @@
             silent_since = self._silent_since.setdefault(
                 connection, last_heard_at or now
             )
-            if now - silent_since >= self._settings.entry_lost_after:
+            if resumed or now - silent_since >= self._settings.entry_lost_after:
                 self._stages.cancel_attempt(sequence)
         for connection in list(self._silent_since):
             if connection not in open_connections:
--- a/src/bulrushdrum/_internal/sidecar/step_loop.py
+++ b/src/bulrushdrum/_internal/sidecar/step_loop.py
@@ -6,8 +6,10 @@
 customers' shares.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
+import gevent
 from gevent.event import Event
 
 from bulrushdrum._internal.limits.fair_queue import FairQueue
@@ -28,6 +30,7 @@
 MAX_CALLS_IN_FLIGHT = 2
 # With fewer tokens, the fixed time of an engine iteration exceeds the time of its work.
 MIN_CALL_TOKENS = 4
+_RESUME_POLL_SECONDS = 0.02
 
 
 def _step_payload(sequence: Sequence, step: Step) -> dict:
@@ -103,7 +106,9 @@
             "calls_done": self._calls_done,
         }
 
-    def start(self):
+    def start(self, is_resuming: Callable[[], bool] = lambda: False):
+        """Run steps from now on, except while `is_resuming()` after a pause."""
+        self._is_resuming = is_resuming
         for _ in range(MAX_CALLS_IN_FLIGHT):
             spawn_loop("step loop", self._run_next_batch)
 
@@ -165,6 +170,8 @@
 
     def _run_next_batch(self):
         self._ready.wait()
+        while self._is_resuming():
+            gevent.sleep(_RESUME_POLL_SECONDS)
         batch = self._next_batch()
         if not batch:
             return
--- a/tests/integration/test_sidecar_processes.py
+++ b/tests/integration/test_sidecar_processes.py
@@ -239,6 +239,47 @@
     assert verdict.violations == []
 
 
+@pytest.mark.parametrize("prompt_in_progress", [True, False])
+def test_a_resumed_sidecar_runs_no_step_that_its_entry_gave_up(
+    system, prompt_in_progress
+):
+    # The entry has lost the sidecar, answered the request over other stages and given
+    # its permit to another request. Guards against a customer whose limit is exceeded
+    # by steps that were waiting in the paused sidecar.
+    chain = system.chain(1, engine={"iteration_ms": 30}, chunk_tokens=8, call_tokens=16)
+    tokens = 1 if prompt_in_progress else 400
+    jobs = [
+        gevent.spawn(
+            system.probe.request, chain, PROMPT, tokens, request=f"r{n}", seed=n
+        )
+        for n in range(6)
+    ]
+    gevent.sleep(0.4 if prompt_in_progress else 2.5)
+    system.processes["s0"].pause()
+    gevent.sleep(0.5)
+    gevent.killall(jobs)
+    chain[0].close()
+    gevent.sleep(0.3)
+    count = len(read_journal(system.port["e0"]))
+    assert count > 0
+    system.processes["s0"].resume()
+    gevent.sleep(1.5)
+    assert len(read_journal(system.port["e0"])) == count
+
+
+def test_a_short_pause_of_a_sidecar_interrupts_nothing(system):
+    # Guards against attempts that are cancelled although their entry still waits.
+    chain = system.chain(1, engine={"iteration_ms": 10}, heartbeat_interval=0.5)
+    running = gevent.spawn(system.probe.request, chain, PROMPT, 60, request="r")
+    gevent.sleep(0.4)
+    system.processes["s0"].pause()
+    gevent.sleep(0.6)
+    system.processes["s0"].resume()
+    answer = running.get(timeout=20)
+    assert answer.failure is None
+    assert [token.token for token in answer.tokens] == expected(60)
+
+
 def test_only_one_sidecar_holds_the_slot(system):
     # Guards against two sidecars that send orders to one engine.
     system.chain(1)
