Put servers in trouble and restarts after a withdrawn key into the soak

Servers cut answers at any byte, send a second copy late, heads and bodies without end, trickle or send comments only; a router that started after a key was withdrawn must not take it.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,7 +22,7 @@
 import gevent  # noqa: E402
 from bench.proxy import Faults  # noqa: E402
 from gevent import socket  # noqa: E402
-from tests.soak.world import LAST_EVENT, Environment, Router  # noqa: E402
+from tests.soak.world import LAST_EVENT, TROUBLES, Environment, Router  # noqa: E402
 from tests.unit.gateway_fakes import read_response  # noqa: E402
 
 CALLERS = 6
@@ -42,7 +42,7 @@
 
     def __init__(self, seed: int, folder: Path):
         self._random = random.Random(seed)
-        self.environment = Environment()
+        self.environment = Environment(seed)
         self.routers = [
             Router(f"r{n}", "ab"[n % 2], folder, self.environment) for n in range(2)
         ]
@@ -52,6 +52,7 @@
         self._end = 0.0
         # When each router's last fault was; APPLY_SECONDS is not checked soon after.
         self._disturbed: dict[str, float] = {}
+        self._started_at: dict[str, float] = {}
         self._key, self._old_key, self._changed_at = "k1", None, 0.0
         self.faults: list[str] = []
 
@@ -114,6 +115,13 @@
                     self._add_violation(
                         f"a removed key got status {status} at {router.name}"
                     )
+            if uses_old and key == self._old_key:
+                # A router that started after the change has never known the key.
+                restarted_at = self._started_at.get(router.name, 0.0)
+                if changed_at < restarted_at < started_at and status == 200:
+                    self._add_violation(
+                        f"a removed key works at {router.name} after its restart"
+                    )
             gevent.sleep(draw.random() * 0.05)
 
     def _call(self, router, kind, key):
@@ -155,6 +163,8 @@
                     self._store_link,
                     self._server_link,
                     self._server_link,
+                    self._server_trouble,
+                    self._server_trouble,
                     self._crash,
                     self._drain,
                     self._change_key,
@@ -187,6 +197,7 @@
         router.process.wait()
         gevent.sleep(self._random.uniform(0.0, 0.5))
         if router.process.poll() is not None:
+            self._started_at[router.name] = time.monotonic()
             router.start()
         self._mark_disturbed(router)
 
@@ -241,6 +252,14 @@
         )
         self._link_faults(self._random.choice(servers).link)
 
+    def _server_trouble(self):
+        servers = [*self.environment.engines, *self.environment.plain_servers]
+        server = self._random.choice(servers)
+        server.trouble = self._random.choice(TROUBLES)
+        self.faults.append(server.trouble.__name__)
+        gevent.sleep(self._random.uniform(0.5, 2.0))
+        server.trouble = None
+
     def _crash(self):
         server = self._random.choice(
             [*self.environment.engines, *self.environment.plain_servers]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,8 +4,10 @@
 guarantees are checked against what callers and servers observe.
 """
 
+import itertools
 import json
 import os
+import random
 import subprocess
 import sys
 from pathlib import Path
@@ -34,6 +36,49 @@
         return sock.getsockname()[1]
 
 
+# What a server in trouble does to the steps of an answer; `draw` is a random source.
+def _cut(steps, draw):
+    data = b"".join(step for step in steps if isinstance(step, bytes))
+    return [data[: draw.randrange(len(data))], None]
+
+
+def _send_copy_late(steps, draw):
+    return [*steps, draw.uniform(0.0, 0.2), *steps]
+
+
+def _send_head_without_end(steps, draw):
+    return itertools.chain([steps[0][:40]], itertools.repeat(b"x" * 4000))
+
+
+def _send_body_without_end(steps, draw):
+    head, _, _ = steps[0].partition(b"\r\n\r\n")
+    kept = [line for line in head.split(b"\r\n") if b"ontent-" not in line]
+    chunked = b"\r\n".join([*kept, b"Transfer-Encoding: chunked"])
+    return itertools.chain([chunked + b"\r\n\r\n"], itertools.repeat(_FILLER))
+
+
+def _trickle(steps, draw):
+    data = b"".join(step for step in steps if isinstance(step, bytes))
+    return itertools.chain.from_iterable(
+        (data[n : n + 1], 0.05) for n in range(len(data))
+    )
+
+
+def _send_comments(steps, draw):
+    return itertools.chain(steps[:1], itertools.cycle([b"2\r\n:\n\r\n", 0.05]))
+
+
+TROUBLES = (
+    _cut,
+    _send_copy_late,
+    _send_head_without_end,
+    _send_body_without_end,
+    _trickle,
+    _send_comments,
+)
+_FILLER = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+
+
 class Server:
     """An engine or a plain server behind a proxy, registered in the store."""
 
@@ -44,6 +89,7 @@
         self.draining = False
         self.layers = None
         self.orders = 0
+        self.trouble = None
         self._service, self._data_centre = service, data_centre
         self._path_server = PathServer(name, self._answer)
         self.link = Link(name, self._path_server.address)
@@ -100,10 +146,14 @@
                 return not_executed(request, 421, fault)
         self.runs.append(headers["bulrushdrum-attempt-id"])
         self.environment.record_run(self, headers)
-        if not self.kind:
-            return [0.02, *complete_response(request)]
-        steps = resumed(request, LAST_EVENT)
-        return [part for step in steps for part in (step, _EVENT_SECONDS)]
+        if self.kind:
+            steps = resumed(request, LAST_EVENT)
+            steps = [part for step in steps for part in (step, _EVENT_SECONDS)]
+        else:
+            steps = complete_response(request)
+        if self.trouble is not None:
+            return self.trouble(steps, self.environment.random)
+        return steps if self.kind else [0.02, *steps]
 
     def _order(self, headers, order):
         matches = headers.get("bulrushdrum-expect-instance") == self.identity
@@ -116,9 +166,13 @@
 
 
 class Environment:
-    """All components but the routers; `violations` lists violated guarantees."""
+    """All components but the routers; `violations` lists violated guarantees.
+
+    `random` decides where answers of servers in trouble are cut.
+    """
 
-    def __init__(self):
+    def __init__(self, seed=None):
+        self.random = random.Random(seed)
         self.store = RowStore()
         self.store_link = Link("store", self.store.address)
         self.violations: list[str] = []
