Watch each attempt of a generation until its first event as such

Change: one watch an attempt, the goal until its first event; a restarted upstream makes no suspects; progress and demand in a module of their own. Tests as before.

--- a/src/bulrushdrum/_internal/gateway/errors.py
+++ b/src/bulrushdrum/_internal/gateway/errors.py
@@ -39,3 +39,7 @@
 
 class DeadlinePassed(UpstreamFailed):
     """The deadline of the request passed while its upstream was at work."""
+
+
+class UpstreamRestarted(UpstreamFailed):
+    """An upstream of the path was replaced by a new incarnation, which has no layers."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/gateway/generation_progress.py
@@ -0,0 +1,67 @@
+"""What a generation has delivered and tried so far, and what it demands.
+
+A generation may take several attempts on different paths. Each one continues after the
+last event that the caller received, and avoids the upstreams that failed before.
+"""
+
+import time
+
+from bulrushdrum._internal.gateway.errors import UpstreamFailed
+from bulrushdrum._internal.gateway.events_stream import StreamEvent
+from bulrushdrum._internal.gateway.exchange import ProxiedRequest
+from bulrushdrum._internal.pipelines.paths import Demand
+from bulrushdrum._internal.world.engines import EngineModel
+
+
+class GenerationProgress:
+    """The events, attempts and failures of a generation so far."""
+
+    def __init__(self, resume_after):
+        self.last_id = resume_after
+        self.last_number = int(resume_after) if _is_number(resume_after) else None
+        self.events = 0
+        self.started = False
+        self.attempts = 0
+        self.refusals = 0
+        self.failed_upstreams: set[str] = set()
+        # Upstreams of paths that stalled for an unknown reason.
+        self.suspects: set[str] = set()
+        self.refused_until: dict[str, float] = {}
+
+    def accept(self, event: StreamEvent) -> bool:
+        """Record the next event; return False if it was already delivered.
+
+        Raises `UpstreamFailed` if events are missing before it.
+        """
+        if event.number is not None and self.last_number is not None:
+            if event.number <= self.last_number:
+                return False
+            if event.number != self.last_number + 1:
+                raise UpstreamFailed(f"event {event.number} is out of order", True)
+        self.events += 1
+        if event.raw_id is not None:
+            self.last_id = event.raw_id
+            self.last_number = event.number
+        return True
+
+    def refusing_upstreams(self) -> set[str]:
+        """Return the upstreams that recently refused this request."""
+        now = time.monotonic()
+        return {name for name, until in self.refused_until.items() if until > now}
+
+
+def _is_number(text):
+    return text is not None and text.isdigit()
+
+
+def estimate_demand(proxied_request: ProxiedRequest, model: EngineModel) -> Demand:
+    """Return the tokens that a generation is expected to need."""
+    generation = proxied_request.metadata.generation
+    if generation is None:
+        return Demand(model.mean_prompt_tokens, model.mean_answer_tokens)
+    output_tokens = generation.max_output or model.mean_answer_tokens
+    if generation.expected_output is not None:
+        # The caller's estimate is often far off, so it is averaged with the mean.
+        estimate = (generation.expected_output + model.mean_answer_tokens) / 2
+        output_tokens = min(output_tokens, estimate)
+    return Demand(generation.prompt, output_tokens)
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -21,14 +21,19 @@
     DeadlinePassed,
     ResponseTooLarge,
     UpstreamFailed,
+    UpstreamRestarted,
 )
-from bulrushdrum._internal.gateway.events_stream import EventSplitter, StreamEvent
+from bulrushdrum._internal.gateway.events_stream import EventSplitter
 from bulrushdrum._internal.gateway.exchange import (
     ProxiedRequest,
     receive_body,
     send_request,
     validate_response_head,
 )
+from bulrushdrum._internal.gateway.generation_progress import (
+    GenerationProgress,
+    estimate_demand,
+)
 from bulrushdrum._internal.gateway.messages import (
     ForwardingMetadata,
     Response,
@@ -46,7 +51,7 @@
 from bulrushdrum._internal.pipelines.errors import InsufficientMemory, NoPath
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import MemoryReservations
-from bulrushdrum._internal.pipelines.paths import Demand, PathChooser
+from bulrushdrum._internal.pipelines.paths import PathChooser
 from bulrushdrum._internal.platform.headers import strip_signature
 from bulrushdrum._internal.world.engines import EngineModel
 from bulrushdrum._internal.world.routes import Route
@@ -66,47 +71,6 @@
 _MAX_RETRY_AFTER_FRACTION = 0.25
 
 
-class _GenerationProgress:
-    """The events, attempts and failures of a generation so far."""
-
-    def __init__(self, resume_after):
-        self.last_id = resume_after
-        self.last_number = int(resume_after) if _is_number(resume_after) else None
-        self.events = 0
-        self.started = False
-        self.attempts = 0
-        self.refusals = 0
-        self.failed_upstreams: set[str] = set()
-        # Upstreams of paths that stalled for an unknown reason.
-        self.suspects: set[str] = set()
-        self.refused_until: dict[str, float] = {}
-
-    def accept(self, event: StreamEvent) -> bool:
-        """Record the next event; return False if it was already delivered.
-
-        Raises `UpstreamFailed` if events are missing before it.
-        """
-        if event.number is not None and self.last_number is not None:
-            if event.number <= self.last_number:
-                return False
-            if event.number != self.last_number + 1:
-                raise UpstreamFailed(f"event {event.number} is out of order", True)
-        self.events += 1
-        if event.raw_id is not None:
-            self.last_id = event.raw_id
-            self.last_number = event.number
-        return True
-
-    def refusing_upstreams(self) -> set[str]:
-        """Return the upstreams that recently refused this request."""
-        now = time.monotonic()
-        return {name for name, until in self.refused_until.items() if until > now}
-
-
-def _is_number(text):
-    return text is not None and text.isdigit()
-
-
 class _PathRefusal(NamedTuple):
     """A path refused the request; `at_fault` is the address of the cause, if known."""
 
@@ -151,8 +115,8 @@
         """Run a generation and send its response to the caller."""
         self._budget.record_request(service)
         connection.trace.begin(proxied_request.deadline)
-        progress = _GenerationProgress(proxied_request.metadata.resume_after)
-        demand = _estimate_demand(proxied_request, model)
+        progress = GenerationProgress(proxied_request.metadata.resume_after)
+        demand = estimate_demand(proxied_request, model)
         while True:
             if progress.attempts + progress.refusals > 0 and not self._may_retry(
                 proxied_request, route, service, progress
@@ -283,7 +247,7 @@
         connection.trace.record_attempt(_describe_path(path), path[0].upstream.id)
         pending = send_request(self._pool, path[0].address, proxied_request, forwarding)
         upstream_connection, reader = pending
-        watch = StreamWatch(route, proxied_request.deadline, progress.started)
+        watch = StreamWatch(route, proxied_request.deadline)
         try:
             while not reader.has_head:
                 self._receive(connection, pending, path, watch, can_retry)
@@ -390,7 +354,7 @@
             known = self._fleet.get(hop.upstream.id)
             # An unregistered upstream may be shutting down and completes its streams.
             if known is not None and known.born != hop.upstream.born:
-                raise UpstreamFailed(
+                raise UpstreamRestarted(
                     f"{hop.upstream.id} restarted", True, unresponsive=True
                 )
         if not watch.needs_stall_check():
@@ -431,7 +395,8 @@
         ids = {hop.upstream.id for hop in path}
         avoided = {name for name in ids if self._fleet.is_avoided(name)}
         progress.failed_upstreams |= avoided
-        if error.unresponsive and not avoided:
+        is_unexplained = not avoided and not isinstance(error, UpstreamRestarted)
+        if error.unresponsive and is_unexplained:
             progress.suspects |= ids
 
     def _record_refusal(self, proxied_request, path, refusal, progress):
@@ -480,17 +445,5 @@
         )
 
 
-def _estimate_demand(proxied_request, model):
-    generation = proxied_request.metadata.generation
-    if generation is None:
-        return Demand(model.mean_prompt_tokens, model.mean_answer_tokens)
-    output_tokens = generation.max_output or model.mean_answer_tokens
-    if generation.expected_output is not None:
-        # The caller's estimate is often far off, so it is averaged with the mean.
-        estimate = (generation.expected_output + model.mean_answer_tokens) / 2
-        output_tokens = min(output_tokens, estimate)
-    return Demand(generation.prompt, output_tokens)
-
-
 def _describe_path(path):
     return [f"{hop.upstream.id}={hop.layers.first}-{hop.layers.end}" for hop in path]
--- a/src/bulrushdrum/_internal/gateway/stream_watch.py
+++ b/src/bulrushdrum/_internal/gateway/stream_watch.py
@@ -41,17 +41,15 @@
 class StreamWatch:
     """Measures the time without an event against the limits of the route.
 
-    `deadline` is a time of `clock`; `started` tells whether the caller already has
-    events, so that a gap is limited rather than the time to the first event.
+    It watches one attempt, which must read the prompt before its first event even if
+    an earlier attempt has delivered events. `deadline` is a time of `clock`.
     """
 
-    def __init__(
-        self, route: Route, deadline: float, started: bool, clock=time.monotonic
-    ):
+    def __init__(self, route: Route, deadline: float, clock=time.monotonic):
         self._clock = clock
         self._route = route
         self._give_up_at = deadline + _DEADLINE_MARGIN_SECONDS
-        self._started = started
+        self._has_events = False
         self._silent_seconds = 0.0
         self._observed_at = self._checked_at = clock()
 
@@ -62,7 +60,7 @@
 
     def record_event(self):
         """Record that an event arrived."""
-        self._started = True
+        self._has_events = True
         self._silent_seconds = 0.0
         self._observed_at = self._checked_at = self._clock()
 
@@ -79,7 +77,7 @@
 
     def needs_stall_check(self) -> bool:
         """Whether the upstreams of the path should be asked for the cause."""
-        if self._started:
+        if self._has_events:
             return self._silent_seconds > self._route.gap_goal * _STALL_CHECK_GAPS
         return self._silent_seconds > self._route.goal * _STALL_CHECK_GOALS
 
