--- a/src/bulrushdrum/_internal/gateway/errors.py
+++ b/src/bulrushdrum/_internal/gateway/errors.py
@@ -42,4 +42,4 @@
 
 
 class UpstreamRestarted(UpstreamFailed):
-    """An upstream of the path was replaced by a new incarnation, which has no layers."""
+    """An upstream of the path has restarted and holds no layers."""
