--- a/bench/settings_page.py
+++ b/bench/settings_page.py
@@ -3,6 +3,11 @@
 import dataclasses
 
 from bulrushdrum._internal.settings.entry import EntrySettings
+from bulrushdrum._internal.settings.router import (
+    MIN_RESPONSE_LIMIT_BYTES,
+    PathPolicyName,
+    ResponseLimits,
+)
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 
 
@@ -24,6 +29,15 @@
         yield f"| `{prefix}{field.name}` | {default} | {unit} | {bounds} | {text} |"
 
 
+def _router_options():
+    policies = ", ".join(PathPolicyName)
+    yield f"| `--path-policy` | {PathPolicyName.LEAST_TIME} | | {policies} |"
+    for limit in dataclasses.fields(ResponseLimits):
+        option = f"--max-{limit.name.replace('_', '-')}"
+        bounds = f"{MIN_RESPONSE_LIMIT_BYTES} or more"
+        yield f"| `{option}` | {limit.default} | bytes | {bounds} |"
+
+
 def page() -> str:
     """Return the settings reference as Markdown."""
     lines = [
@@ -39,6 +53,18 @@
             "|---|---|---|---|---|",
         ]
         lines += _rows(kind)
+    lines += [
+        "",
+        "## `bulrushdrum router`",
+        "",
+        "Its addresses come from the platform's settings file (docs/platform.md); these",
+        "are options of the command line. A response of an upstream over a limit closes",
+        "the connection and counts as a failure of the upstream.",
+        "",
+        "| option | default | unit | values |",
+        "|---|---|---|---|",
+        *_router_options(),
+    ]
     return "\n".join(lines) + "\n"
 
 
