Log and count the limits on requests that upstreams name

The head of a response is validated and its limit recorded before its body is read, for calls as for streams.

--- a/src/bulrushdrum/_internal/gateway/exchange.py
+++ b/src/bulrushdrum/_internal/gateway/exchange.py
@@ -87,6 +87,15 @@
     return PendingResponse(connection, reader)
 
 
+def receive_head(pending: PendingResponse, deadline: float):
+    """Receive the head of a response; raises `UpstreamFailed` as `receive_body`."""
+    connection, reader = pending
+    while not reader.has_head:
+        remaining = deadline - time.monotonic()
+        if remaining <= 0 or not connection.receive(remaining):
+            raise UpstreamFailed("no answer in time", True, unresponsive=True)
+
+
 def receive_body(pending: PendingResponse, deadline: float):
     """Receive the rest of a response that is buffered whole.
 
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -48,6 +48,7 @@
 )
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
+from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.errors import InsufficientMemory, NoPath
 from bulrushdrum._internal.pipelines.fleet import Fleet
@@ -94,6 +95,7 @@
         count_routers: Callable[[], int],
         detect_stall,
         crash_evidence: CrashEvidence,
+        limits: UpstreamLimits,
         seed=None,
     ):
         self._fleet = fleet
@@ -104,6 +106,7 @@
         self._count_routers = count_routers
         self._detect_stall = detect_stall
         self._crash_evidence = crash_evidence
+        self._limits = limits
         self._random = random.Random(seed)
         self._memory_released = Signal()
 
@@ -266,6 +269,11 @@
             response_metadata = validate_response_head(
                 pending, proxied_request.metadata.request_id
             )
+            self._limits.record_statement(
+                path[0].upstream,
+                response_metadata.statements.limit,
+                has_run=200 <= reader.status < 300,
+            )
             if not 200 <= reader.status < 300:
                 refusal = self._read_error_response(
                     connection, pending, proxied_request, response_metadata
--- a/src/bulrushdrum/_internal/gateway/messages.py
+++ b/src/bulrushdrum/_internal/gateway/messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from bulrushdrum._internal.pipelines.memory_reservations import Hop
+from bulrushdrum._internal.world.statements import UpstreamStatements
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -91,6 +92,7 @@
     has_not_run: bool
     upstream_id: str
     at_fault: str | None
+    statements: UpstreamStatements
 
 
 class Response(NamedTuple):
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -16,6 +16,7 @@
 from bulrushdrum._internal.gateway.exchange import (
     ProxiedRequest,
     receive_body,
+    receive_head,
     send_request,
     validate_body,
     validate_response_head,
@@ -28,6 +29,7 @@
 from bulrushdrum._internal.gateway.request_trace import RequestTrace
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
+from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.pipelines.fleet import Fleet
@@ -54,6 +56,7 @@
         data_centre: str,
         count_routers,
         quarantine: CrashQuarantine,
+        limits: UpstreamLimits,
         seed=None,
     ):
         self._fleet = fleet
@@ -62,6 +65,7 @@
         self._data_centre = data_centre
         self._count_routers = count_routers
         self._quarantine = quarantine
+        self._limits = limits
         self._in_progress: dict[str, int] = {}
         self._random = random.Random(seed)
 
@@ -167,8 +171,14 @@
         connection, reader = pending
         request_id = proxied_request.metadata.request_id
         try:
-            receive_body(pending, attempt_deadline)
+            receive_head(pending, attempt_deadline)
             response_metadata = validate_response_head(pending, request_id)
+            self._limits.record_statement(
+                upstream,
+                response_metadata.statements.limit,
+                has_run=not response_metadata.has_not_run and reader.status < 300,
+            )
+            receive_body(pending, attempt_deadline)
             validate_body(pending, request_id)
         except BaseException:
             connection.close()
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -90,6 +90,8 @@
     UPSTREAM_CRASHED = 8214
     CRASHING_PARTS_FOUND = 8215
     CRASHING_PARTS_CLEARED = 8216
+    UPSTREAM_LIMIT_CHANGED = 8217
+    UPSTREAM_LIMIT_UNREADABLE = 8218
 
 
 _bounded_outputs: list[LogOutput] = []
--- a/src/bulrushdrum/_internal/platform/headers.py
+++ b/src/bulrushdrum/_internal/platform/headers.py
@@ -12,6 +12,13 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from bulrushdrum._internal.world.statements import (
+    LimitStatement,
+    NoLimit,
+    RequestLimit,
+    UnreadableLimit,
+    UpstreamStatements,
+)
 
 _PREFIX = b"bulrushdrum-"
 _REQUEST_ID = _PREFIX + b"attempt-id"
@@ -35,11 +42,16 @@
 _RESUME_AFTER = b"last-event-id"
 _AUTHORIZATION = b"authorization"
 _FAULTY_UPSTREAM = b"at-server"
+# The requests a second that the upstream accepts from all routers together.
+_REQUEST_LIMIT = b"server-limit"
 
 # No request has more tokens; estimates are made from numbers that callers state.
 _MAX_TOKENS = 1e8
 # Longer lists are cut, so that a caller cannot make a request expensive to examine.
 _MAX_PROMPT_PARTS = 32
+# Longer numbers are no rates that an upstream could mean.
+_RATE_RE = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+_MAX_QUOTED_BYTES = 60
 _PART_ID_RE = re.compile(rb"[0-9A-Fa-f]{1,32}")
 
 _NOT_FORWARDED = frozenset(
@@ -129,9 +141,24 @@
         has_not_run=_NOT_EXECUTED in values,
         upstream_id=values.get(_UPSTREAM_ID, b"").decode("latin-1"),
         at_fault=None if at_fault is None else at_fault.decode("latin-1"),
+        statements=parse_statements(headers),
     )
 
 
+def parse_statements(headers) -> UpstreamStatements:
+    """Decode what an upstream says of its own state in the head of a response."""
+    values = dict(headers)
+    return UpstreamStatements(limit=_parse_limit(values.get(_REQUEST_LIMIT)))
+
+
+def _parse_limit(text: bytes | None) -> LimitStatement:
+    if text is None:
+        return NoLimit()
+    if not _RATE_RE.fullmatch(text.strip()):
+        return UnreadableLimit(text[:_MAX_QUOTED_BYTES].decode("latin-1"))
+    return RequestLimit(float(text))
+
+
 def names_other_request(data: bytes, request_id: bytes) -> bool:
     """Whether `data`, part of a body, has the header that names another request."""
     return any(found != request_id for found in _REQUEST_ID_RE.findall(data))
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -37,6 +37,7 @@
 )
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
+from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import (
     Event,
     flush_and_count_omitted,
@@ -102,6 +103,7 @@
         )
         self._fleet = Fleet()
         self._reservations = MemoryReservations()
+        self._upstream_limits = UpstreamLimits()
         self._quarantine = CrashQuarantine(self._fleet.has_terminated)
         self._part_quarantine = PartQuarantine(
             self._fleet.has_terminated,
@@ -147,6 +149,7 @@
             settings.data_centre,
             self._router_count,
             self._quarantine,
+            self._upstream_limits,
         )
         stall_detector = StallDetector(
             self._fleet, calls.report, self._path_chooser.set_slowdown
@@ -160,6 +163,7 @@
             self._router_count,
             stall_detector.check_path,
             CrashEvidence(self._fleet, self._quarantine, self._part_quarantine),
+            self._upstream_limits,
         )
         self._configuration_follower = TableFollower(
             store,
@@ -354,6 +358,8 @@
             "upstream_connections_opened": self._connection_pool.opened,
             "upstream_responses_too_large": self._connection_pool.oversized_responses,
             "upstreams_avoided": len(self._fleet.avoided_ids()),
+            "upstream_limits": self._upstream_limits.count,
+            "upstream_limit_changes": self._upstream_limits.changes,
             "routers": self._router_count(),
             "ready": int(self._is_ready()),
         }
@@ -368,6 +374,7 @@
             "reservations": self._reservations.dump(),
             "routers": self._announcements.dump(),
             "placement": self._placement.dump(),
+            "upstream_limits": self._upstream_limits.dump(),
             "crashing_requests": self._quarantine.dump(),
             "crashing_parts": self._part_quarantine.dump(),
         }
--- /dev/null
+++ b/src/bulrushdrum/_internal/world/statements.py
@@ -0,0 +1,34 @@
+"""What an upstream says of its own state in the head of a response."""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+
+@dataclass(frozen=True)
+class NoLimit:
+    """The response names no limit on requests."""
+
+
+@dataclass(frozen=True)
+class RequestLimit:
+    """The upstream accepts so many requests a second from all routers together."""
+
+    requests_per_second: float
+
+
+@dataclass(frozen=True)
+class UnreadableLimit:
+    """The response names a limit that is not a number."""
+
+    text: str
+
+
+LimitStatement = NoLimit | RequestLimit | UnreadableLimit
+
+_NO_LIMIT = NoLimit()
+
+
+class UpstreamStatements(NamedTuple):
+    """The statements of one response."""
+
+    limit: LimitStatement = _NO_LIMIT
--- a/tests/unit/gateway_fakes.py
+++ b/tests/unit/gateway_fakes.py
@@ -13,6 +13,7 @@
 from bulrushdrum._internal.gateway.plain_calls import PlainCallProxy
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
+from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import MemoryReservations
@@ -56,6 +57,7 @@
         self.part_quarantine = PartQuarantine(
             self.fleet.has_terminated, self.fleet.software_versions
         )
+        self.limits = UpstreamLimits()
         self.pool = ConnectionPool(limits or ResponseLimits())
         self.model = make_model(layer_bytes=1e9)
         self.servers: dict[str, PathServer] = {}
@@ -73,9 +75,17 @@
             lambda: 1,
             stall_detector.check_path,
             CrashEvidence(self.fleet, self.quarantine, self.part_quarantine),
+            self.limits,
         )
         self._plain_call_proxy = PlainCallProxy(
-            self.fleet, self.pool, self._budget, "a", lambda: 1, self.quarantine, seed=3
+            self.fleet,
+            self.pool,
+            self._budget,
+            "a",
+            lambda: 1,
+            self.quarantine,
+            self.limits,
+            seed=3,
         )
         self.callers = CallerServer("127.0.0.1:0", self._handle)
         self.callers.start()
