--- /dev/null
+++ b/tests/integration/router_system.py
@@ -0,0 +1,155 @@
+"""Router processes, and engines that they place layers on, for integration tests."""
+
+import json
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import gevent
+from bench.standins.path_server import PathServer, report, resumed
+from gevent import socket
+from tests.unit.gateway_fakes import read_response
+from tests.unit.test_router_wire import CONFIGURATION
+
+ROOT = Path(__file__).resolve().parents[2]
+AUTHORIZATION = b"Authorization: Token k1\r\n"
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class FakeEngine:
+    """An engine that accepts layer orders and serves streams."""
+
+    def __init__(self, upstream_id, store, script=resumed):
+        self.id = upstream_id
+        self.orders = []
+        self._script = script
+        self.server = PathServer(upstream_id, self._answer)
+        self._registration = {
+            "service": "s1",
+            "address": self.server.address,
+            "zone": "a",
+            "slots": 8,
+            "state": "ready",
+            "born": 1,
+            "route-kind": "k",
+            "layers": None,
+        }
+        self._store = store
+        store.put("servers", upstream_id, self._registration)
+
+    def _answer(self, request):
+        if request["target"] == "/order":
+            self.orders.append(json.loads(request["body"]))
+            order = self.orders[-1]
+            layers = {"from": order["from"], "target": order["target"], "version": 1}
+            self._registration["layers"] = layers
+            self._store.put("servers", self.id, self._registration)
+            return [b"HTTP/1.1 202 OK\r\nContent-Length: 0\r\n\r\n"]
+        if request["target"] == "/report":
+            return report(orders=len(self.orders))
+        return self._script(request)
+
+
+def make_configuration(version=7, key="k1"):
+    engine = {
+        "slots": 8,
+        "kv-token-bytes": 100_000,
+        "stride": 4,
+        "models": [{"name": "m", "load-s": 1.0}],
+        "step_ms": 1.0,
+        "per_seq_ms": 0.01,
+        "context_per_k": 0.01,
+        "read_per_s": 100_000.0,
+        "usual": {"prompt": 100, "answer": 20},
+        "layers": 10,
+        "layer-mb": 100.0,
+        "kinds": [{"name": "k", "size-mb": 5000.0, "pace": 1.0, "read-factor": 1.0}],
+    }
+    routes = [
+        {**CONFIGURATION["routes"][0], "split": None, "service": "s1"},
+        {**CONFIGURATION["routes"][1], "public": False},
+    ]
+    return {
+        **CONFIGURATION,
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "s1", "max-conns": 10, "engine": engine},
+            {"name": "s2", "max-conns": 20},
+        ],
+        "tenants": [{"name": "t1", "api-keys": [key]}],
+    }
+
+
+class Router:
+    """A router process with its settings file."""
+
+    def __init__(self, folder, store, node="r1"):
+        self.port, self.ready_port, metrics = free_port(), free_port(), free_port()
+        self.metrics_port = metrics
+        settings = {
+            "node-name": node,
+            "zone": "a",
+            "ip": "127.0.0.1",
+            "listen": {
+                "front": f"127.0.0.1:{self.port}",
+                "ready-addr": f"127.0.0.1:{self.ready_port}",
+            },
+            "internal-ports": [free_port(), metrics],
+            "bounds": {"grace-s": 6},
+            "platform": {"address": store.address},
+        }
+        path = folder / f"{node}.json"
+        path.write_text(json.dumps(settings))
+        self.log = folder / f"{node}.log"
+        self._settings_path = path
+        self.start()
+
+    def start(self):
+        with self.log.open("a") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "bulrushdrum", "router"],
+                env={**os.environ, "BULRUSHDRUM_SETTINGS": str(self._settings_path)},
+                cwd=ROOT,
+                stdout=output,
+            )
+
+    def send_request(
+        self, path=b"/a/x", method=b"POST", port=None, headers=AUTHORIZATION
+    ):
+        request = (
+            b"%s %s HTTP/1.1\r\nHost: h.example\r\nBulrushdrum-Attempt-Id: r1\r\n"
+            b"%sContent-Length: 0\r\n\r\n" % (method, path, headers)
+        )
+        address = ("127.0.0.1", port or self.port)
+        with socket.create_connection(address, timeout=8.0) as sock:
+            sock.sendall(request)
+            return read_response(sock)
+
+    def wait_for(self, condition, seconds=15.0):
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            try:
+                if condition():
+                    return
+            except OSError:
+                # The process is not listening yet.
+                pass
+            gevent.sleep(0.1)
+        raise AssertionError(f"timed out; log: {self.log.read_text()[-3000:]}")
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(timeout=10)
+
+    def events(self):
+        lines = self.log.read_text().splitlines()
+        return [json.loads(line)["event"] for line in lines]
