Keep the limits on requests that upstreams name, all routers together

Cause: nothing read the limit.

Each router reads it from every valid response, announces it with its age and its own demand, and takes a max-min fair share of it. Paths need room below the limits of all their upstreams; if there is none, requests wait in turn and are refused at once where they cannot get it.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -17,6 +17,7 @@
 from gevent import socket
 from gevent.event import Event as Signal
 
+from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.pipelines.fleet import LAYER_OVERRIDE_SECONDS, Fleet
@@ -48,6 +49,9 @@
 # How long an upstream is remembered as reported unresponsive by a peer.
 _PEER_REPORT_SECONDS = 4.0
 _REGISTER_RETRY_SECONDS = 0.5
+# A registered router that has been silent for this long is taken as gone, unless this
+# router may be the one that is partitioned.
+_SILENT_ROUTER_SECONDS = 15.0
 
 
 class _Peer(NamedTuple):
@@ -97,6 +101,7 @@
         reaches_store: Callable[[], bool],
         quarantine: CrashQuarantine,
         part_quarantine: PartQuarantine,
+        limits: UpstreamLimits,
     ):
         self._settings = settings
         self._incarnation = incarnation
@@ -106,8 +111,11 @@
         self._reaches_store = reaches_store
         self._quarantine = quarantine
         self._part_quarantine = part_quarantine
+        self._limits = limits
         self._peers: dict[str, _Peer] = {}
         self._registered: dict[str, tuple[str, int]] = {}
+        # When each registered router was last heard, or first seen in the table.
+        self._last_known_at: dict[str, float] = {}
         self._is_serving = False
         self._accepts_work = True
         self._ready_in = 0.0
@@ -154,6 +162,7 @@
             try:
                 raw = json.loads(row.value)
                 self._registered[row.key] = (str(raw["ip"]), int(raw["port"]))
+                self._last_known_at.setdefault(row.key, time.monotonic())
             except (KeyError, TypeError, ValueError) as error:
                 log_event(Event.VM_ROW_INVALID, row=row.key, reason=repr(error))
 
@@ -207,6 +216,17 @@
         """
         return max(len({*self._registered, self._settings.node}), 1)
 
+    def silent_router_count(self) -> int:
+        """Return how many other routers may be running without being heard.
+
+        They use what they believe to be their share of common limits.
+        """
+        oldest = time.monotonic() - _SILENT_ROUTER_SECONDS
+        if not self._reaches_store():
+            oldest = float("-inf")
+        silent = set(self._registered) - set(self._peers) - {self._settings.node}
+        return sum(self._last_known_at[name] >= oldest for name in silent)
+
     def is_leader(self) -> bool:
         """Whether this router is the leader, which sends orders to engines.
 
@@ -262,6 +282,7 @@
                 "ready_in": round(self._ready_in, 2),
                 "failures": self._quarantine.announcement(),
                 "prompt_parts": self._part_quarantine.announcement(),
+                "limits": self._limits.announcement(),
                 "silent": self._own_unresponsive,
                 "layers": [list(update) for update in self._layer_updates],
                 "uses": {
@@ -312,6 +333,8 @@
                 self._part_quarantine.apply_announcement(
                     raw.get("prompt_parts", _NO_CRASHES)
                 )
+                # Releases without this field know no limits of upstreams.
+                self._limits.apply_announcement(name, raw.get("limits", []))
             except (
                 AttributeError,
                 KeyError,
@@ -324,7 +347,7 @@
                 continue
             if name not in self._peers:
                 log_event(Event.PEER_CONNECTED, peer=name, serving=serving)
-            now = time.monotonic()
+            now = self._last_known_at[name] = time.monotonic()
             self._peers[name] = _Peer(
                 address,
                 incarnation,
@@ -376,6 +399,7 @@
         for name in set(self._peers) - set(live_peers):
             elapsed = time.monotonic() - self._peers.pop(name).received_at
             self._reservations.remove_peer(name)
+            self._limits.remove_peer(name)
             log_event(Event.PEER_SILENT, peer=name, seconds=round(elapsed, 3))
 
     def dump(self) -> dict:
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from gevent.event import Event as Signal
-
 from bulrushdrum._internal.gateway.callers import CallerConnection
 from bulrushdrum._internal.gateway.crash_evidence import CrashEvidence
 from bulrushdrum._internal.gateway.error_responses import (
@@ -41,30 +39,22 @@
     Response,
     end_to_end,
 )
-from bulrushdrum._internal.gateway.stream_watch import (
-    POLL_INTERVAL_SECONDS,
-    StreamWatch,
-    caller_timeout,
-)
+from bulrushdrum._internal.gateway.path_waiting import PathWaiter, describe_refusal
+from bulrushdrum._internal.gateway.stream_watch import StreamWatch
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
 from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
-from bulrushdrum._internal.pipelines.errors import InsufficientMemory, NoPath
+from bulrushdrum._internal.pipelines.errors import PipelineError
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import MemoryReservations
 from bulrushdrum._internal.pipelines.part_quarantine import QUARANTINE_SECONDS
-from bulrushdrum._internal.pipelines.paths import PathChooser
 from bulrushdrum._internal.platform.headers import strip_signature
 from bulrushdrum._internal.world.engines import EngineModel
 from bulrushdrum._internal.world.routes import Route
 
 # An error response must arrive within this time.
 _ERROR_BODY_SECONDS = 1.0
-# A request waits for memory for this fraction of its goal and is then refused.
-_MEMORY_WAIT_FRACTION = 0.4
-# A request whose path failed waits for this fraction of its caller's timeout.
-_RETRY_MEMORY_WAIT_FRACTION = 0.4
 _MAX_REFUSALS = 3
 _QUARANTINE_REASON = "upstreams crash when they run this request"
 # A request does not retry an upstream within this time after a refusal, which is about
@@ -89,7 +79,7 @@
         self,
         fleet: Fleet,
         reservations: MemoryReservations,
-        chooser: PathChooser,
+        path_waiter: PathWaiter,
         pool: ConnectionPool,
         budget: RetryWindow,
         count_routers: Callable[[], int],
@@ -100,7 +90,7 @@
     ):
         self._fleet = fleet
         self._reservations = reservations
-        self._chooser = chooser
+        self._path_waiter = path_waiter
         self._pool = pool
         self._budget = budget
         self._count_routers = count_routers
@@ -108,7 +98,6 @@
         self._crash_evidence = crash_evidence
         self._limits = limits
         self._random = random.Random(seed)
-        self._memory_released = Signal()
 
     def run(
         self,
@@ -133,13 +122,13 @@
                     connection, proxied_request, progress, "no attempt is left"
                 )
                 return
-            path = self._wait_for_path(
-                proxied_request, route, service, model, demand, progress
-            )
-            if path is None:
-                self._log_insufficient_memory(proxied_request, service, model)
+            try:
+                path = self._path_waiter.wait_for_path(
+                    proxied_request, route, service, model, demand, progress
+                )
+            except PipelineError as error:
                 self._fail_generation(
-                    connection, proxied_request, progress, "no path has room"
+                    connection, proxied_request, progress, describe_refusal(error)
                 )
                 return
             if self._crash_evidence.is_quarantined(proxied_request):
@@ -167,8 +156,7 @@
                 continue
             finally:
                 self._reservations.release(reservation)
-                self._memory_released.set()
-                self._memory_released.clear()
+                self._path_waiter.notify()
             if outcome is None:
                 return
             progress.refusals += 1
@@ -187,65 +175,6 @@
             return False
         return self._budget.try_spend(service, self._count_routers())
 
-    def _wait_for_path(self, proxied_request, route, service, model, demand, progress):
-        wait_until = time.monotonic() + route.goal * _MEMORY_WAIT_FRACTION
-        if progress.attempts:
-            # A refusal would discard work that was already done, and the caller waits
-            # as long for the next event as for any other.
-            wait_until = (
-                time.monotonic() + caller_timeout(route) * _RETRY_MEMORY_WAIT_FRACTION
-            )
-        while True:
-            try:
-                return self._choose_path(service, model, demand, progress)
-            except NoPath as error:
-                log_event(
-                    Event.NO_PATH,
-                    request=proxied_request.metadata.request_id.decode("latin-1"),
-                    reason=str(error),
-                )
-                if not progress.started:
-                    return None
-            except InsufficientMemory:
-                pass
-            remaining = min(wait_until, proxied_request.deadline) - time.monotonic()
-            if remaining <= 0:
-                return None
-            self._memory_released.wait(min(remaining, POLL_INTERVAL_SECONDS))
-
-    def _choose_path(self, service, model, demand, progress):
-        """Choose a path, preferably without the upstreams that failed this request.
-
-        Upstreams that recently refused it are excluded, as they would refuse it again.
-        Upstreams that failed it are used if there is no other path: a single failed
-        response is more often chance than a broken upstream. A path that stalled for an
-        unknown reason shares as few upstreams as possible with the next one.
-        """
-        refusing = progress.refusing_upstreams()
-        failed = progress.failed_upstreams | refusing
-        choices = [(failed, progress.suspects), (refusing, progress.suspects)]
-        if progress.suspects:
-            choices.insert(0, (failed | progress.suspects, frozenset()))
-        for excluded, discouraged in choices:
-            try:
-                return self._chooser.choose(
-                    service, model, demand, excluded, discouraged
-                )
-            except InsufficientMemory as error:
-                problem = error
-            except NoPath as error:
-                # The excluded upstreams hold layers and may have free memory soon.
-                problem = InsufficientMemory(str(error)) if refusing else error
-        raise problem
-
-    def _log_insufficient_memory(self, proxied_request, service, model):
-        log_event(
-            Event.NO_ROOM,
-            request=proxied_request.metadata.request_id.decode("latin-1"),
-            service=service,
-            data_centres=self._chooser.describe_memory(service, model),
-        )
-
     def _attempt(self, connection, proxied_request, route, path, progress):
         """Forward the stream of `path`; return None at its end, or a `_PathRefusal`."""
         forwarding = ForwardingMetadata(
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -7,6 +7,7 @@
 
 import random
 import time
+from dataclasses import dataclass, field
 
 from bulrushdrum._internal.gateway.error_responses import (
     failure_response,
@@ -27,13 +28,20 @@
     end_to_end,
 )
 from bulrushdrum._internal.gateway.request_trace import RequestTrace
+from bulrushdrum._internal.gateway.turns import Turn, TurnWaiter
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
 from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
+from bulrushdrum._internal.pipelines.errors import (
+    LimitsReached,
+    NoPath,
+    PipelineError,
+)
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.platform.headers import strip_signature
+from bulrushdrum._internal.world.engines import PoolUpstream
 from bulrushdrum._internal.world.routes import Route
 
 # Limit on refusals by upstreams, in addition to the attempts that may have run.
@@ -42,9 +50,22 @@
 # another upstream, if another attempt is left.
 _ATTEMPT_TIME_FRACTION = 0.45
 _RETRY_AFTER_SECONDS = 0.3
+# A request whose upstreams have reached their limits waits for this fraction of its
+# goal and is then refused.
+_WAIT_FRACTION = 0.4
+# Bounds of the random `Retry-After` then, as fractions of the time to the deadline.
+_MIN_RETRY_AFTER_FRACTION = 0.05
+_MAX_RETRY_AFTER_FRACTION = 0.25
 _SERVER_ERRORS = (500, 502, 503, 504)
 
 
+@dataclass(eq=False)
+class _TriedUpstreams:
+    """The upstreams to which one request was sent."""
+
+    ids: set[str] = field(default_factory=set)
+
+
 class PlainCallProxy:
     """Sends requests to plain services."""
 
@@ -57,6 +78,7 @@
         count_routers,
         quarantine: CrashQuarantine,
         limits: UpstreamLimits,
+        turns: TurnWaiter,
         seed=None,
     ):
         self._fleet = fleet
@@ -66,6 +88,7 @@
         self._count_routers = count_routers
         self._quarantine = quarantine
         self._limits = limits
+        self._turns = turns
         self._in_progress: dict[str, int] = {}
         self._random = random.Random(seed)
 
@@ -79,19 +102,24 @@
         """Return the response for the caller, and record the attempts in `trace`."""
         trace.begin(proxied_request.deadline)
         self._budget.record_request(service)
-        tried_ids, attempts, refusals, last_response = set(), 0, 0, None
+        tried, attempts, refusals, last_response = _TriedUpstreams(), 0, 0, None
+        problem: PipelineError | None = None
         while attempts < route.max_attempts and refusals < _MAX_REFUSALS:
-            upstream = self._choose_upstream(service, tried_ids)
-            if upstream is None:
+            try:
+                upstream = self._wait_for_upstream(
+                    proxied_request, route, service, tried
+                )
+            except PipelineError as error:
+                problem = error
                 break
-            if tried_ids and not self._budget.try_spend(service, self._count_routers()):
+            if tried.ids and not self._budget.try_spend(service, self._count_routers()):
                 log_event(
                     Event.RETRY_NOT_ALLOWED,
                     request=proxied_request.metadata.request_id.decode("latin-1"),
                     service=service,
                 )
                 break
-            tried_ids.add(upstream.id)
+            tried.ids.add(upstream.id)
             is_last_attempt = (
                 attempts + 1 >= route.max_attempts or not route.is_retryable
             )
@@ -121,19 +149,74 @@
             attempts += 1
         if last_response is not None:
             return last_response
+        match problem:
+            case LimitsReached():
+                return not_run_response(
+                    str(problem), self._retry_after_limits(proxied_request)
+                )
         return not_run_response(
             f"no upstream of {service} can take it", _RETRY_AFTER_SECONDS
         )
 
-    def _choose_upstream(self, service, tried_ids):
+    def _retry_after_limits(self, proxied_request):
+        """Return a random delay, so that the refused callers do not return together."""
+        remaining = max(proxied_request.deadline - time.monotonic(), 0.0)
+        return remaining * self._random.uniform(
+            _MIN_RETRY_AFTER_FRACTION, _MAX_RETRY_AFTER_FRACTION
+        )
+
+    def _wait_for_upstream(self, proxied_request, route, service, tried):
+        """Return an upstream, with which the request is counted.
+
+        Raises `NoPath` if there is none, or `LimitsReached`.
+        """
+        turn = Turn(
+            service,
+            proxied_request.request.read_at,
+            proxied_request.priority,
+            min(
+                time.monotonic() + route.goal * _WAIT_FRACTION,
+                proxied_request.deadline,
+            ),
+            tried,
+            (LimitsReached,),
+        )
+        try:
+            return self._turns.wait(
+                turn, lambda: self._choose_within_limits(service, tried)
+            )
+        except LimitsReached as error:
+            request_id = proxied_request.metadata.request_id
+            self._turns.log_limits_reached(request_id, service, error)
+            raise
+
+    def _choose_within_limits(self, service, tried):
+        reached: list[PoolUpstream] = []
+        while True:
+            upstream = self._choose_upstream(service, tried.ids, reached)
+            if upstream is None:
+                if reached:
+                    raise LimitsReached(self._limits.summarize(reached))
+                raise NoPath(f"no upstream of {service!r} is left")
+            reached_now = self._limits.acquire([upstream], tried)
+            if not reached_now:
+                return upstream
+            reached += reached_now
+
+    def _choose_upstream(self, service, tried_ids, reached):
+        excluded = tried_ids | {upstream.id for upstream in reached}
         candidates = [
             upstream
             for upstream in self._fleet.available(service)
-            if upstream.id not in tried_ids
+            if upstream.id not in excluded
         ]
         if not candidates and not tried_ids:
             # All failed recently; only a request shows which one has recovered.
-            candidates = [u for u in self._fleet.registered(service) if u.is_serving]
+            candidates = [
+                upstream
+                for upstream in self._fleet.registered(service)
+                if upstream.is_serving and upstream not in reached
+            ]
         if not candidates:
             return None
 
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -92,6 +92,7 @@
     CRASHING_PARTS_CLEARED = 8216
     UPSTREAM_LIMIT_CHANGED = 8217
     UPSTREAM_LIMIT_UNREADABLE = 8218
+    UPSTREAM_LIMITS_REACHED = 8219
 
 
 _bounded_outputs: list[LogOutput] = []
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -8,9 +8,16 @@
 
 import random
 import time
+from collections import Counter
 from typing import NamedTuple
 
-from bulrushdrum._internal.pipelines.errors import InsufficientMemory, NoPath
+from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
+from bulrushdrum._internal.pipelines.errors import (
+    InsufficientMemory,
+    LimitsReached,
+    NoPath,
+    PipelineError,
+)
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import Hop, MemoryReservations
 from bulrushdrum._internal.pipelines.path_policies import (
@@ -71,17 +78,19 @@
         self._balance = _LINK_BURST_SECONDS
         self._refilled_at = clock()
 
-    def try_spend(self, seconds: float, router_count: int) -> bool:
+    def refill(self, router_count: int):
         now = self._clock()
         refill = (
             (now - self._refilled_at) * _MAX_LINK_UTILIZATION / max(router_count, 1)
         )
         self._balance = min(self._balance + refill, _LINK_BURST_SECONDS)
         self._refilled_at = now
-        if seconds > self._balance:
-            return False
+
+    def has(self, seconds: float) -> bool:
+        return seconds <= self._balance
+
+    def spend(self, seconds: float):
         self._balance -= seconds
-        return True
 
 
 class PathChooser:
@@ -96,6 +105,7 @@
         self,
         fleet: Fleet,
         reservations: MemoryReservations,
+        limits: UpstreamLimits,
         data_centre: str,
         count_routers=lambda: 1,
         seed=None,
@@ -105,6 +115,7 @@
         self._policy = policy
         self._fleet = fleet
         self._reservations = reservations
+        self._limits = limits
         self._data_centre = data_centre
         self._count_routers = count_routers
         self._slowdowns: dict[str, float] = {}
@@ -123,14 +134,40 @@
         demand: Demand,
         excluded=frozenset(),
         discouraged=frozenset(),
+        requester: object = None,
     ) -> tuple[Hop, ...]:
-        """Return the cheapest path with enough free memory.
+        """Return the cheapest path with enough free memory, and count its request.
 
         The path has none of the upstreams `excluded`, and as few as possible of those
-        `discouraged`.
+        `discouraged`. Its upstreams have not reached the limits that they name;
+        `requester` identifies the request for these.
 
-        Raises `NoPath` if some layers are not available, or `InsufficientMemory`.
+        Raises `NoPath` if some layers are not available, `InsufficientMemory`, or
+        `LimitsReached`.
         """
+        reached: list[PoolUpstream] = []
+        while True:
+            reached_ids = {upstream.id for upstream in reached}
+            try:
+                path = self._find_path(
+                    service, model, demand, excluded | reached_ids, discouraged
+                )
+            except PipelineError as error:
+                if not reached:
+                    raise
+                raise LimitsReached(
+                    self._limits.summarize(reached),
+                    frees_memory=isinstance(error, InsufficientMemory),
+                ) from error
+            reached_on_path = self._limits.acquire(
+                [hop.upstream for hop in path], requester
+            )
+            if not reached_on_path:
+                self._spend_link_time(model, path, demand)
+                return path
+            reached += reached_on_path
+
+    def _find_path(self, service, model, demand, excluded, discouraged):
         engines = [
             engine
             for engine in self._fleet.available(service)
@@ -153,7 +190,7 @@
         if local_path is not None:
             return local_path
         path = self._cheapest_path(model, costs)
-        if path is not None and self._reserve_link_time(model, path, demand):
+        if path is not None and self._has_link_time(model, path, demand):
             return path
         raise InsufficientMemory(
             f"no path of {service!r} has free memory for {demand.tokens:.0f} tokens"
@@ -188,15 +225,24 @@
         capacity = model.capacity(model.kinds[engine.kind], layer_count)
         return self._reservations.usage(engine.id).token_layers / max(capacity, 1.0)
 
-    def _reserve_link_time(self, model, path, demand):
+    def _has_link_time(self, model, path, demand):
+        uses = self._link_uses(model, path, demand)
+        return all(budget.has(seconds) for budget, seconds in uses)
+
+    def _spend_link_time(self, model, path, demand):
+        for budget, seconds in self._link_uses(model, path, demand):
+            budget.spend(seconds)
+
+    def _link_uses(self, model, path, demand):
+        """Return the refilled budget of each link of a path, and the time it needs."""
         seconds = model.transfer_seconds(demand.tokens)
         router_count = self._count_routers()
-        return all(
-            self._link_budgets.setdefault(link, _LinkBudget(self._clock)).try_spend(
-                seconds, router_count
-            )
-            for link in _crossed_links(path)
-        )
+        uses = []
+        for link, crossings in Counter(_crossed_links(path)).items():
+            budget = self._link_budgets.setdefault(link, _LinkBudget(self._clock))
+            budget.refill(router_count)
+            uses.append((budget, seconds * crossings))
+        return uses
 
     def _cheapest_within_data_centre(self, model, costs, demand):
         groups: dict[str, list[_EngineCosts]] = {}
--- a/src/bulrushdrum/_internal/platform/engine_calls.py
+++ b/src/bulrushdrum/_internal/platform/engine_calls.py
@@ -1,6 +1,7 @@
 """HTTP client for the layer orders and reports of model engines."""
 
 import json
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -9,7 +10,9 @@
 from urllib3.exceptions import HTTPError
 
 from bulrushdrum._internal.bounded_http import BoundedConnectionPool, read_body
+from bulrushdrum._internal.platform.headers import parse_statements
 from bulrushdrum._internal.platform.router_config import decode_layers
+from bulrushdrum._internal.world.statements import UpstreamStatements
 from bulrushdrum._internal.world.upstreams import LayerRange
 
 # A report lists at most some hundred stalled requests.
@@ -19,6 +22,7 @@
 class _EngineResponse(NamedTuple):
     status: int
     data: bytes
+    headers: list[tuple[bytes, bytes]]
 
 
 class OrderOutcome(StrEnum):
@@ -50,10 +54,19 @@
 
 
 class EngineCalls:
-    """Client for the engines; `timeout` bounds each call, in seconds."""
+    """Client for the engines; `timeout` bounds each call, in seconds.
 
-    def __init__(self, timeout: float):
+    `on_statements(address, statements)` is called with what the head of each response
+    says of the state of its engine.
+    """
+
+    def __init__(
+        self,
+        timeout: float,
+        on_statements: Callable[[str, UpstreamStatements], None] = lambda *_: None,
+    ):
         self._timeout = timeout
+        self._on_statements = on_statements
         # Calls are rare, and an idle connection would occupy one that requests need.
         self._pool_manager = urllib3.PoolManager(num_pools=4, maxsize=1, retries=False)
         self._pool_manager.pool_classes_by_scheme = {"http": BoundedConnectionPool}
@@ -118,13 +131,17 @@
         timer = gevent.Timeout(self._timeout)
         try:
             with timer:
-                return self._exchange(method, f"http://{address}{path}", body, headers)
+                response = self._exchange(
+                    method, f"http://{address}{path}", body, headers
+                )
         except gevent.Timeout as error:
             if error is not timer:
                 raise
             return None
         except (HTTPError, OSError):
             return None
+        self._on_statements(address, parse_statements(response.headers))
+        return response
 
     def _exchange(self, method, url, body, headers):
         response = self._pool_manager.request(
@@ -135,9 +152,12 @@
             preload_content=False,
         )
         try:
-            return _EngineResponse(
-                response.status, read_body(response, _MAX_RESPONSE_BYTES)
-            )
+            data = read_body(response, _MAX_RESPONSE_BYTES)
+            response_headers = [
+                (name.lower().encode("latin-1"), value.encode("latin-1"))
+                for name, value in response.headers.items()
+            ]
+            return _EngineResponse(response.status, data, response_headers)
         finally:
             # Each call has a connection of its own.
             response.close()
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -30,11 +30,13 @@
 )
 from bulrushdrum._internal.gateway.generations import GenerationProxy
 from bulrushdrum._internal.gateway.messages import Response
+from bulrushdrum._internal.gateway.path_waiting import PathWaiter
 from bulrushdrum._internal.gateway.plain_calls import PlainCallProxy
 from bulrushdrum._internal.gateway.request_handler import (
     MAX_TRACEBACK_CHARACTERS,
     RequestHandler,
 )
+from bulrushdrum._internal.gateway.turns import TurnWaiter
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
 from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
@@ -78,6 +80,7 @@
     RouterSettings,
 )
 from bulrushdrum._internal.world.routes import CallerLimits, RouterConfiguration
+from bulrushdrum._internal.world.statements import UpstreamStatements
 
 _ENGINE_CALL_TIMEOUT_SECONDS = 0.5
 _DRAIN_POLL_SECONDS = 0.05
@@ -103,7 +106,12 @@
         )
         self._fleet = Fleet()
         self._reservations = MemoryReservations()
-        self._upstream_limits = UpstreamLimits()
+        self._upstream_limits = UpstreamLimits(
+            lambda upstream_id: self._fleet.get(upstream_id) is not None,
+            lambda: self._announcements.silent_router_count(),
+            on_change=lambda: self._announcements.announce_soon(),
+            seed=self._incarnation,
+        )
         self._quarantine = CrashQuarantine(self._fleet.has_terminated)
         self._part_quarantine = PartQuarantine(
             self._fleet.has_terminated,
@@ -119,12 +127,14 @@
             lambda: self._registration_follower.is_available,
             self._quarantine,
             self._part_quarantine,
+            self._upstream_limits,
         )
-        calls = EngineCalls(_ENGINE_CALL_TIMEOUT_SECONDS)
+        calls = EngineCalls(_ENGINE_CALL_TIMEOUT_SECONDS, self._on_statements)
         self._reported_loads = ReportedLoads(self._fleet, calls.report, self._services)
         self._path_chooser = PathChooser(
             self._fleet,
             self._reservations,
+            self._upstream_limits,
             settings.data_centre,
             self._router_count,
             policy=make_policy(
@@ -142,6 +152,7 @@
         retry_window = RetryWindow(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_seconds
         )
+        turns = TurnWaiter(self._upstream_limits)
         plain_call_proxy = PlainCallProxy(
             self._fleet,
             self._connection_pool,
@@ -150,6 +161,7 @@
             self._router_count,
             self._quarantine,
             self._upstream_limits,
+            turns,
         )
         stall_detector = StallDetector(
             self._fleet, calls.report, self._path_chooser.set_slowdown
@@ -157,7 +169,7 @@
         generation_proxy = GenerationProxy(
             self._fleet,
             self._reservations,
-            self._path_chooser,
+            PathWaiter(self._path_chooser, turns),
             self._connection_pool,
             retry_window,
             self._router_count,
@@ -327,6 +339,14 @@
         for upstream in upstreams:
             self._fleet.put(upstream)
 
+    def _on_statements(self, address: str, statements: UpstreamStatements):
+        """Record what an engine says of itself when it is asked for a report."""
+        upstream = self._fleet.find_by_address(address)
+        if upstream is not None:
+            self._upstream_limits.record_statement(
+                upstream, statements.limit, has_run=False
+            )
+
     def _is_ready(self):
         return (
             not self._caller_server.is_draining
@@ -360,6 +380,7 @@
             "upstreams_avoided": len(self._fleet.avoided_ids()),
             "upstream_limits": self._upstream_limits.count,
             "upstream_limit_changes": self._upstream_limits.changes,
+            "upstream_limit_diversions": self._upstream_limits.diversions,
             "routers": self._router_count(),
             "ready": int(self._is_ready()),
         }
--- a/tests/unit/pool_fakes.py
+++ b/tests/unit/pool_fakes.py
@@ -1,5 +1,8 @@
 """Model and engine fixtures for tests of placement and paths."""
 
+import time
+
+from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.world.engines import (
     AcceleratorKind,
     EngineModel,
@@ -49,3 +52,10 @@
         born=1,
     )
     return engine._replace(**changes)
+
+
+def make_limits(clock=time.monotonic):
+    """Return the limits of a router without peers."""
+    return UpstreamLimits(
+        lambda upstream_id: True, lambda: 0, lambda: None, clock, seed=1
+    )
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -6,7 +6,7 @@
 import gevent
 import pytest
 from gevent.event import Event
-from tests.unit.pool_fakes import make_engine, make_model
+from tests.unit.pool_fakes import make_engine, make_limits, make_model
 
 from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
 from bulrushdrum._internal.coordination.placement_controller import PlacementController
@@ -197,6 +197,7 @@
                 reaches_store,
                 CrashQuarantine(fleet.has_terminated),
                 PartQuarantine(fleet.has_terminated, fleet.software_versions),
+                make_limits(),
             )
         )
     rows = [
