--- a/bench/standins/row_store.py
+++ b/bench/standins/row_store.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform's metadata store: rows, transactions and a feed.
 
 It implements the published calls `rows-get`, `rows-feed` and `rows-tx` over HTTP. It
-can simulate an outage (`is_down`) and the loss of its history (`forget_history`).
+can simulate an outage (`is_down`), the loss of its history (`forget_history`), and its
+restoration from a copy (`copy` and `restore`).
 """
 
 import base64
@@ -20,6 +21,7 @@
         self._version = 0
         self._rows: dict[tuple[str, str], dict] = {}
         self._oldest = 0
+        self._era = 1
         self._changed = Event()
         self._server = WSGIServer(("127.0.0.1", 0), self._handle, log=None)
         self._server.start()
@@ -47,6 +49,18 @@
         """Make feeds fail that start before the current version."""
         self._oldest = self._version
 
+    def copy(self):
+        """Return a copy for `restore`."""
+        return self._version, dict(self._rows)
+
+    def restore(self, copy):
+        """Go back to a copy, as after the loss of the store; a new era begins."""
+        self._version, rows = copy
+        self._rows, self._oldest = dict(rows), 0
+        self._era += 1
+        self._changed.set()
+        self._changed.clear()
+
     def stop(self):
         self._server.stop(timeout=0.1)
 
@@ -72,11 +86,13 @@
 
     def _feed(self, start_response, query):
         after, table = int(query["after"]), query["table"]
-        if after < self._oldest:
+        if not self._oldest <= after <= self._version:
             return self._send(start_response, "410 Gone", {})
         rows = self._changes(table, after)
         if not rows:
             self._changed.wait(float(query["wait-ms"]) / 1000.0)
+            if after > self._version:
+                return self._send(start_response, "410 Gone", {})
             rows = self._changes(table, after)
         return self._send_rows(start_response, rows)
 
@@ -111,6 +127,7 @@
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(data))),
+            ("Store-Era", str(self._era)),
         ]
         start_response(status, headers)
         return [data]
--- a/src/bulrushdrum/_internal/coordination/table_follower.py
+++ b/src/bulrushdrum/_internal/coordination/table_follower.py
@@ -46,11 +46,19 @@
         self._available = False
         self._failed_at: float | None = None
         self._recovered_at = float("-inf")
+        self._era: int | None = None
+        # Counted for the metrics.
+        self.restorations = 0
 
     @property
     def has_snapshot(self) -> bool:
         return self._version is not None
 
+    @property
+    def era(self) -> int | None:
+        """How often the store was restored from a copy, as it says itself."""
+        return self._era
+
     @property
     def is_available(self) -> bool:
         """Whether the last call to the store succeeded."""
@@ -89,12 +97,28 @@
         else:
             state = self._store.read_changes(self._table, self._version, spaced)
         self._record_success()
+        self._record_era(state)
         if is_snapshot or state.rows:
             self._on_rows(state.rows, is_snapshot)
         if self._version is None or state.version > self._version:
             self._version = state.version
         return bool(state.rows)
 
+    def _record_era(self, state):
+        if state.era is None or state.era == self._era:
+            return
+        if self._era is not None:
+            self.restorations += 1
+            log_event(
+                Event.STORE_RESTORED,
+                table=self._table,
+                era=state.era,
+                previous=self._era,
+                version=state.version,
+                version_before=self._version,
+            )
+        self._era = state.era
+
     def _record_failure(self, error):
         if self._available or self._failed_at is None:
             self._failed_at = self._clock()
--- a/src/bulrushdrum/_internal/platform/rows.py
+++ b/src/bulrushdrum/_internal/platform/rows.py
@@ -24,6 +24,7 @@
 CONFIGURATION_KEY = "config"
 REGISTRATIONS_TABLE = "servers"
 
+_ERA_HEADER = "Store-Era"
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _ROWS_PER_PAGE = 500
 
@@ -37,10 +38,15 @@
 
 
 class TableState(NamedTuple):
-    """Rows of a table and the version of the store at which they were read."""
+    """Rows of a table and the version of the store at which they were read.
+
+    `era` counts how often the store was restored from a copy; versions of different
+    eras cannot be compared. It is None if the store does not tell.
+    """
 
     rows: list[StoredRow]
     version: int
+    era: int | None = None
 
 
 def _decode_row(raw):
@@ -73,17 +79,17 @@
         The version is that of the first page, so that the changes after it include
         all rows that were written while later pages were read.
         """
-        rows, first_version, start = [], None, ""
+        rows, first, start = [], None, ""
         while True:
             query = {"table": table, "part": part, "limit": _ROWS_PER_PAGE}
             if start:
                 query["from"] = start
             page, raw = self._read_rows(self._service, "/rows-get", query)
-            if first_version is None:
-                first_version = page.version
+            if first is None:
+                first = page
             rows += page.rows
             if not raw.get("has-more") or not page.rows:
-                return TableState(rows, first_version)
+                return first._replace(rows=rows)
             start = page.rows[-1].key + "\x00"
 
     def read_changes(
@@ -132,6 +138,7 @@
         raw = service.decode_json(response, StoreUnavailable)
         try:
             rows = [_decode_row(row) for row in raw["rows"]]
-            return TableState(rows, int(raw["schema-version"])), raw
+            version, era = int(raw["schema-version"]), response.headers.get(_ERA_HEADER)
+            return TableState(rows, version, None if era is None else int(era)), raw
         except (KeyError, TypeError, ValueError) as error:
             raise StoreUnavailable(f"store: malformed rows: {error!r}") from error
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -382,6 +382,8 @@
             "upstream_limit_changes": self._upstream_limits.changes,
             "upstream_limit_diversions": self._upstream_limits.diversions,
             "routers": self._router_count(),
+            "store_era": self._registration_follower.era or 0,
+            "store_restorations": self._registration_follower.restorations,
             "ready": int(self._is_ready()),
         }
 
