Read tables whole when the store was restored, whatever its versions

A router that was away while the store was restored, and for so long that the versions had passed its own again, got no 410 and missed what was written below its version: a withdrawn key and a server that had left stayed in use. Cause: versions of different eras were compared. The follower takes the rows of a state only if its era is that of the state before, and reads the table whole otherwise; pages of different eras are not mixed.

--- a/src/bulrushdrum/_internal/coordination/table_follower.py
+++ b/src/bulrushdrum/_internal/coordination/table_follower.py
@@ -1,7 +1,11 @@
 """Follows one table of the platform's store.
 
 Reads a snapshot of the table and then its changes, and a new snapshot when the store
-has dropped the history. During an outage the state that was read last stays in force.
+has dropped the history or was restored from a copy. During an outage the state that was
+read last stays in force.
+
+A restored store gives versions out again, so the versions that were read before say
+nothing about it: it may have passed them long ago with other changes.
 
 Every router follows every change, so calls grow with routers times changes. Changes
 come in bursts: the first one is read at once, and those that follow it within the
@@ -46,7 +50,9 @@
         self._available = False
         self._failed_at: float | None = None
         self._recovered_at = float("-inf")
+        # The era of the rows that were read last, and the last one that was logged.
         self._era: int | None = None
+        self._seen_era: int | None = None
         # Counted for the metrics.
         self.restorations = 0
 
@@ -97,27 +103,36 @@
         else:
             state = self._store.read_changes(self._table, self._version, spaced)
         self._record_success()
-        self._record_era(state)
+        if self._is_restored(state):
+            self._record_restoration(state)
+            if not is_snapshot:
+                self._version = None
+                return False
+        if state.era is not None:
+            self._era = state.era
         if is_snapshot or state.rows:
             self._on_rows(state.rows, is_snapshot)
         if self._version is None or state.version > self._version:
             self._version = state.version
         return bool(state.rows)
 
-    def _record_era(self, state):
-        if state.era is None or state.era == self._era:
+    def _is_restored(self, state):
+        """Whether the store was restored between this state and the one before."""
+        return self._era is not None and state.era not in (None, self._era)
+
+    def _record_restoration(self, state):
+        if self._seen_era == state.era:
             return
-        if self._era is not None:
-            self.restorations += 1
-            log_event(
-                Event.STORE_RESTORED,
-                table=self._table,
-                era=state.era,
-                previous=self._era,
-                version=state.version,
-                version_before=self._version,
-            )
-        self._era = state.era
+        self._seen_era = state.era
+        self.restorations += 1
+        log_event(
+            Event.STORE_RESTORED,
+            table=self._table,
+            era=state.era,
+            previous=self._era,
+            version=state.version,
+            version_before=self._version,
+        )
 
     def _record_failure(self, error):
         if self._available or self._failed_at is None:
--- a/src/bulrushdrum/_internal/platform/rows.py
+++ b/src/bulrushdrum/_internal/platform/rows.py
@@ -74,7 +74,7 @@
         self._timeout = timeout
 
     def read_table(self, table: str, part: str = "") -> TableState:
-        """Return all rows of one part; raises `StoreUnavailable`.
+        """Return all rows of one part; raises `StoreUnavailable` or `HistoryLost`.
 
         The version is that of the first page, so that the changes after it include
         all rows that were written while later pages were read.
@@ -87,6 +87,8 @@
             page, raw = self._read_rows(self._service, "/rows-get", query)
             if first is None:
                 first = page
+            if page.era != first.era:
+                raise HistoryLost(f"the store was restored while {table!r} was read")
             rows += page.rows
             if not raw.get("has-more") or not page.rows:
                 return first._replace(rows=rows)
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -83,6 +83,27 @@
     assert received[-1] == (["c"], True)
 
 
+def test_follower_reads_new_snapshot_in_another_era():
+    # Guards against going on from a version that a restored store has passed again.
+    _, store, received = run_follower(
+        TableState([row("a")], 5, era=1),
+        TableState([row("b")], 9, era=2),
+        TableState([row("b"), row("c")], 9, era=2),
+        TableState([row("d")], 10, era=2),
+    )
+    assert store.calls == ["snapshot", 5, "snapshot", 9, 10]
+    assert received == [(["a"], True), (["b", "c"], True), (["d"], False)]
+
+
+def test_follower_is_not_confused_by_a_store_that_tells_no_era():
+    _, store, received = run_follower(
+        TableState([row("a")], 5, era=1),
+        TableState([row("b")], 6),
+        TableState([row("c")], 7, era=1),
+    )
+    assert store.calls == ["snapshot", 5, 6, 7]
+
+
 def test_follower_resumes_at_same_version_after_outage():
     follower, store, received = run_follower(
         TableState([row("a")], 5), StoreUnavailable("down"), TableState([row("b")], 6)
