Stay ready while a table is to be read whole again

A router whose place in the store's history was lost counted as having read nothing, and was not ready until the table was read whole; if the store went away again in between, for all of that outage. What was read stays in force, so it counts.

--- a/src/bulrushdrum/_internal/coordination/table_follower.py
+++ b/src/bulrushdrum/_internal/coordination/table_follower.py
@@ -47,6 +47,7 @@
         self._spacing = spacing
         self._clock = clock
         self._version: int | None = None
+        self._has_snapshot = False
         self._available = False
         self._failed_at: float | None = None
         self._recovered_at = float("-inf")
@@ -58,7 +59,8 @@
 
     @property
     def has_snapshot(self) -> bool:
-        return self._version is not None
+        """Whether the table was ever read; what was read stays in force since."""
+        return self._has_snapshot
 
     @property
     def era(self) -> int | None:
@@ -112,6 +114,7 @@
             self._era = state.era
         if is_snapshot or state.rows:
             self._on_rows(state.rows, is_snapshot)
+        self._has_snapshot = True
         if self._version is None or state.version > self._version:
             self._version = state.version
         return bool(state.rows)
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -95,6 +95,15 @@
     assert received == [(["a"], True), (["b", "c"], True), (["d"], False)]
 
 
+def test_a_follower_that_lost_its_place_still_has_what_it_read():
+    # Guards against a router that is not ready, because the store went away again
+    # before the table could be read whole.
+    follower, _, _ = run_follower(
+        TableState([row("a")], 5), HistoryLost("gone"), StoreUnavailable("down")
+    )
+    assert follower.has_snapshot
+
+
 def test_follower_is_not_confused_by_a_store_that_tells_no_era():
     _, store, received = run_follower(
         TableState([row("a")], 5, era=1),
