Let the copy of a restored store not undo newer registrations

After a restoration routers sent requests to servers that had left or were leaving, because the copy named them as ready, and would have used layers that engines held some seconds before. Cause: a row of the first read after a restoration was believed whatever was known. Its heartbeat count tells which of two registrations of an incarnation is newer; one that had left is used only if its registration is still there after 6 s, as those without heartbeats expire before.

--- a/src/bulrushdrum/_internal/coordination/table_follower.py
+++ b/src/bulrushdrum/_internal/coordination/table_follower.py
@@ -18,7 +18,7 @@
 
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.platform.errors import HistoryLost, StoreUnavailable
-from bulrushdrum._internal.platform.rows import RowStore
+from bulrushdrum._internal.platform.rows import RowStore, StoredRow
 
 _MIN_RETRY_SECONDS = 0.15
 _MAX_RETRY_SECONDS = 0.6
@@ -54,6 +54,8 @@
         # The era of the rows that were read last, and the last one that was logged.
         self._era: int | None = None
         self._seen_era: int | None = None
+        # The version at which the table was first read after a restoration.
+        self._restored_version: int | None = None
         # Counted for the metrics.
         self.restorations = 0
 
@@ -72,6 +74,14 @@
         """Whether the last call to the store succeeded."""
         return self._available
 
+    def is_from_copy(self, row: StoredRow) -> bool:
+        """Whether a row may come from the copy from which the store was restored.
+
+        It was there when the table was first read after that.
+        """
+        restored = self._restored_version
+        return restored is not None and row.version <= restored
+
     def seconds_since_outage(self) -> float:
         """Return the time since the store recovered; 0 while it is unavailable."""
         if not self._available:
@@ -110,6 +120,7 @@
             if not is_snapshot:
                 self._version = None
                 return False
+            self._restored_version = state.version
         if state.era is not None:
             self._era = state.era
         if is_snapshot or state.rows:
@@ -128,6 +139,7 @@
             return
         self._seen_era = state.era
         self.restorations += 1
+        self._recovered_at = self._clock()
         log_event(
             Event.STORE_RESTORED,
             table=self._table,
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -2,14 +2,18 @@
 
 Registrations come from the platform's store. While the store is unavailable, or has
 just recovered, registrations that disappeared may only have lapsed, so they are kept
-for a grace period. Health follows from the outcome of requests: an upstream that failed
-one is avoided for a backoff time that doubles with each further failure.
+for a grace period. A store that was restored from a copy names upstreams as they were
+then; what is known to be newer stays in force.
+
+Health follows from the outcome of requests: an upstream that failed one is avoided for
+a backoff time that doubles with each further failure.
 """
 
 import time
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.world.engines import PoolUpstream
 from bulrushdrum._internal.world.upstreams import LayerRange
 
@@ -29,6 +33,13 @@
 _FAILING_THRESHOLD = 3
 
 
+# A registration in a copy whose upstream was known to have left is used after this time
+# if it is still there: registrations without heartbeats have expired by then.
+_COPY_CONFIRMATION_SECONDS = 6.0
+# How long upstreams that have left are remembered. Copies are some seconds old.
+_DEPARTURE_SECONDS = 120.0
+
+
 class _Backoff(NamedTuple):
     until: float
     failures: int
@@ -39,6 +50,25 @@
     until: float
 
 
+class _Departure(NamedTuple):
+    """An upstream as it was last registered, and when it left."""
+
+    upstream: PoolUpstream
+    left_at: float
+
+
+class _Unconfirmed(NamedTuple):
+    """A registration from a copy, and when it is used if it is still there."""
+
+    upstream: PoolUpstream
+    used_at: float
+
+
+def _is_newer(upstream: PoolUpstream, other: PoolUpstream) -> bool:
+    """Whether a registration was written after another one of the same upstream."""
+    return (upstream.born, upstream.heartbeats) > (other.born, other.heartbeats)
+
+
 class Fleet:
     """Known upstreams by id, with their health and the layers that they hold."""
 
@@ -51,27 +81,64 @@
         self._layer_overrides: dict[str, _LayerOverride] = {}
         # Incarnations that no longer run although they are still registered.
         self._terminated: dict[str, int] = {}
+        self._departures: dict[str, _Departure] = {}
+        self._unconfirmed: dict[str, _Unconfirmed] = {}
         self._version = 0
         self._ids_by_address: dict[str, str] = {}
 
     @property
     def version(self) -> int:
         """Increases with every change of membership, state or health."""
-        self._expire_lapsed()
+        self._apply_due_changes()
         return self._version
 
-    def replace_all(self, upstreams: Iterable[PoolUpstream], may_have_lapsed=False):
-        """Replace all upstreams; keep missing ones that may only have lapsed."""
-        listed = {upstream.id: upstream for upstream in upstreams}
-        for upstream_id in set(self._upstreams) - set(listed):
+    def replace_all(
+        self,
+        upstreams: Iterable[PoolUpstream],
+        may_have_lapsed=False,
+        from_copy: Iterable[PoolUpstream] = (),
+    ):
+        """Replace all upstreams; keep missing ones that may only have lapsed.
+
+        Those `from_copy` may be older than what is known.
+        """
+        upstreams, from_copy = list(upstreams), list(from_copy)
+        listed = {upstream.id for upstream in [*upstreams, *from_copy]}
+        for upstream_id in {*self._upstreams, *self._unconfirmed} - listed:
             self.remove(upstream_id, may_have_lapsed)
-        for upstream in listed.values():
+        for upstream in upstreams:
             self.put(upstream)
+        for upstream in from_copy:
+            self._put_from_copy(upstream)
+
+    def _put_from_copy(self, upstream):
+        known = self._upstreams.get(upstream.id)
+        departure = self._departures.get(upstream.id)
+        if known is not None:
+            self._lapsed.pop(upstream.id, None)
+            is_revoked = not known.is_serving and not _is_newer(upstream, known)
+            if not _is_newer(known, upstream) and not is_revoked:
+                self.put(upstream)
+        elif departure is None or _is_newer(upstream, departure.upstream):
+            self.put(upstream)
+        elif upstream.id not in self._unconfirmed:
+            used_at = self._clock() + _COPY_CONFIRMATION_SECONDS
+            self._unconfirmed[upstream.id] = _Unconfirmed(upstream, used_at)
+            log_event(
+                Event.COPIED_REGISTRATION_HELD,
+                upstream=upstream.id,
+                address=upstream.address,
+            )
 
     def put(self, upstream: PoolUpstream):
         known = self._upstreams.get(upstream.id)
         self._lapsed.pop(upstream.id, None)
-        if known == upstream:
+        self._departures.pop(upstream.id, None)
+        self._unconfirmed.pop(upstream.id, None)
+        if known is not None and known._replace(heartbeats=upstream.heartbeats) == (
+            upstream
+        ):
+            self._upstreams[upstream.id] = upstream
             return
         if known is not None and known.born != upstream.born:
             self._backoffs.pop(upstream.id, None)
@@ -106,12 +173,14 @@
         return upstream._replace(layers=override.layers)
 
     def remove(self, upstream_id: str, may_have_lapsed=False):
+        self._unconfirmed.pop(upstream_id, None)
         if upstream_id not in self._upstreams:
             return
         if may_have_lapsed:
             self._lapsed.setdefault(upstream_id, self._clock() + LAPSED_GRACE_SECONDS)
             return
         upstream = self._upstreams.pop(upstream_id)
+        self._departures[upstream_id] = _Departure(upstream, self._clock())
         self._lapsed.pop(upstream_id, None)
         self._backoffs.pop(upstream_id, None)
         self._unresponsive.pop(upstream_id, None)
@@ -154,7 +223,7 @@
 
     def registered(self, service: str) -> list[PoolUpstream]:
         """Return all registered upstreams of a service, whatever their health."""
-        self._expire_lapsed()
+        self._apply_due_changes()
         return [
             self._with_layer_override(upstream)
             for upstream in self._upstreams.values()
@@ -240,12 +309,19 @@
             },
             "avoided": self.avoided_ids(),
             "lapsed": sorted(self._lapsed),
+            "unconfirmed": sorted(self._unconfirmed),
         }
 
-    def _expire_lapsed(self):
-        if not self._lapsed:
-            return
+    def _apply_due_changes(self):
         now = self._clock()
         for upstream_id, until in list(self._lapsed.items()):
             if until <= now:
                 self.remove(upstream_id)
+        for unconfirmed in list(self._unconfirmed.values()):
+            if unconfirmed.used_at <= now:
+                self.put(unconfirmed.upstream)
+        while self._departures:
+            upstream_id, departure = next(iter(self._departures.items()))
+            if departure.left_at > now - _DEPARTURE_SECONDS:
+                break
+            del self._departures[upstream_id]
--- a/src/bulrushdrum/_internal/platform/router_config.py
+++ b/src/bulrushdrum/_internal/platform/router_config.py
@@ -168,6 +168,7 @@
             layers=decode_layers(raw.get("layers")),
             born=int(raw.get("born", 0)),
             software_version=str(raw.get("version", "")),
+            heartbeats=int(raw.get("seq-no", 0)),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise MalformedRow(f"upstream {upstream_id!r}: {error!r}") from error
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -324,17 +324,20 @@
         may_have_lapsed = (
             self._registration_follower.seconds_since_outage() < LAPSED_GRACE_SECONDS
         )
-        upstreams = []
+        upstreams, from_copy = [], []
         for row in rows:
             if row.value is None:
                 self._fleet.remove(row.key, may_have_lapsed)
                 continue
             try:
-                upstreams.append(decode_upstream(row.key, row.value))
+                upstream = decode_upstream(row.key, row.value)
             except MalformedRow as error:
                 log_event(Event.VM_ROW_INVALID, row=row.key, reason=str(error)[:300])
+                continue
+            is_from_copy = self._registration_follower.is_from_copy(row)
+            (from_copy if is_from_copy else upstreams).append(upstream)
         if is_snapshot:
-            self._fleet.replace_all(upstreams, may_have_lapsed)
+            self._fleet.replace_all(upstreams, may_have_lapsed, from_copy)
             return
         for upstream in upstreams:
             self._fleet.put(upstream)
--- a/src/bulrushdrum/_internal/world/engines.py
+++ b/src/bulrushdrum/_internal/world/engines.py
@@ -81,7 +81,8 @@
     """One registered upstream.
 
     `kind` is the name of its accelerator kind, empty for plain services. `layers` is
-    None if the upstream holds no layers. `born` is its start time in Unix milliseconds.
+    None if the upstream holds no layers. `born` is its start time in Unix milliseconds,
+    and `heartbeats` how many it had sent when it registered this.
     """
 
     id: str
@@ -94,6 +95,7 @@
     layers: LayerRange | None = None
     born: int = 0
     software_version: str = ""
+    heartbeats: int = 0
 
     @property
     def is_serving(self) -> bool:
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -96,3 +96,73 @@
     fleet.put(make_engine("y", address=address))
     fleet.remove("x")
     assert fleet.find_by_address(address).id == "y"
+
+
+def names(fleet):
+    return [upstream.id for upstream in fleet.available("llm")]
+
+
+def test_a_copy_does_not_undo_what_is_newer():
+    # Guards against layers and states of a restored store that are older than known.
+    fleet, _ = make_fleet()
+    held = make_engine("x", layers=(0, 10), heartbeats=5)
+    fleet.put(held)
+    fleet.put(make_engine("y", state=UpstreamState.DRAINING))
+    fleet.replace_all(
+        [], from_copy=[make_engine("x", heartbeats=2), make_engine("y", heartbeats=0)]
+    )
+    assert fleet.available("llm") == [held]
+
+
+def test_a_newer_registration_that_may_be_from_a_copy_is_used():
+    # Guards against a router that was away and keeps what it knew before.
+    fleet, _ = make_fleet("x")
+    newer = make_engine("x", layers=(0, 10), heartbeats=2)
+    fleet.replace_all([], from_copy=[newer])
+    assert fleet.available("llm") == [newer]
+
+
+def test_an_upstream_that_left_is_used_again_only_if_its_copy_stays():
+    fleet, now = make_fleet("x", "y")
+    fleet.remove("x")
+    fleet.remove("y")
+    fleet.replace_all([], from_copy=[make_engine("x"), make_engine("y")])
+    now[0] += 4.0
+    fleet.remove("y")
+    assert names(fleet) == []
+    now[0] += 2.1
+    assert names(fleet) == ["x"]
+
+
+def test_reading_the_copy_again_does_not_hold_an_upstream_for_longer():
+    fleet, now = make_fleet("x")
+    fleet.remove("x")
+    for _ in range(3):
+        fleet.replace_all([], from_copy=[make_engine("x")])
+        now[0] += 3.0
+    assert names(fleet) == ["x"]
+
+
+def test_a_write_after_the_restoration_confirms_an_upstream():
+    fleet, _ = make_fleet("x")
+    fleet.remove("x")
+    fleet.replace_all([], from_copy=[make_engine("x")])
+    fleet.put(make_engine("x"))
+    assert names(fleet) == ["x"]
+
+
+def test_an_incarnation_that_was_replaced_does_not_come_back_with_a_copy():
+    # Guards against sending requests to an address that belongs to another server.
+    fleet, now = make_fleet()
+    fleet.put(make_engine("x", born=2))
+    fleet.replace_all([], from_copy=[make_engine("x", born=1, heartbeats=90)])
+    assert [upstream.born for upstream in fleet.available("llm")] == [2]
+
+
+def test_a_lapsed_upstream_that_is_in_the_copy_stays():
+    # Guards against serving less: it need not write its registration again.
+    fleet, now = make_fleet("x")
+    fleet.remove("x", may_have_lapsed=True)
+    fleet.replace_all([], from_copy=[make_engine("x")])
+    now[0] += LAPSED_GRACE_SECONDS + 0.1
+    assert names(fleet) == ["x"]
