Register a router again when its row is lost

After a restoration from a copy that is older than a router, its row was gone for good: routers that started later did not know its address, and their shares of common limits were too large. A row of the copy could also bring back a router that had left, or an address of an earlier life. Cause: the row was written once, at the start.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -49,6 +49,7 @@
 # How long an upstream is remembered as reported unresponsive by a peer.
 _PEER_REPORT_SECONDS = 4.0
 _REGISTER_RETRY_SECONDS = 0.5
+_REGISTRATION_CHECK_SECONDS = 1.0
 # A registered router that has been silent for this long is taken as gone, unless this
 # router may be the one that is partitioned.
 _SILENT_ROUTER_SECONDS = 15.0
@@ -116,6 +117,10 @@
         self._registered: dict[str, tuple[str, int]] = {}
         # When each registered router was last heard, or first seen in the table.
         self._last_known_at: dict[str, float] = {}
+        # Names of routers whose rows were removed.
+        self._unregistered: set[str] = set()
+        self._registration_lost = Signal()
+        self._is_unregistered = False
         self._is_serving = False
         self._accepts_work = True
         self._ready_in = 0.0
@@ -151,29 +156,62 @@
         self._accepts_work = accepts_work
         self._ready_in = ready_in
 
-    def on_rows(self, rows: list[StoredRow], is_snapshot: bool):
-        """Apply a snapshot or changes of the routers' table."""
+    def on_rows(
+        self,
+        rows: list[StoredRow],
+        is_snapshot: bool,
+        from_copy: frozenset[str] = frozenset(),
+    ):
+        """Apply a snapshot or changes of the routers' table.
+
+        Rows with the keys `from_copy` may be older than what is known, because the
+        store was restored. This router registers again if its row is lost.
+        """
         if is_snapshot:
             self._registered.clear()
         for row in rows:
             if row.value is None:
                 self._registered.pop(row.key, None)
+                self._unregistered.add(row.key)
                 continue
+            if row.key in from_copy and row.key in self._unregistered:
+                continue
+            self._unregistered.discard(row.key)
             try:
                 raw = json.loads(row.value)
                 self._registered[row.key] = (str(raw["ip"]), int(raw["port"]))
                 self._last_known_at.setdefault(row.key, time.monotonic())
             except (KeyError, TypeError, ValueError) as error:
                 log_event(Event.VM_ROW_INVALID, row=row.key, reason=repr(error))
-
-    def register(self):
+        own_address = self._registered.get(self._settings.node)
+        is_outdated = self._settings.node in from_copy and own_address != (
+            self._settings.ip,
+            self._settings.peer_port,
+        )
+        if is_outdated:
+            self._registered.pop(self._settings.node, None)
+        if own_address is None or is_outdated:
+            self._registration_lost.set()
+
+    def register_forever(self):
+        """Write this router's row, and again whenever it is lost, until it stops."""
+        self._register()
+        while not self._is_unregistered:
+            self._registration_lost.wait()
+            # The row that was just written may not have been read yet.
+            gevent.sleep(_REGISTRATION_CHECK_SECONDS)
+            self._registration_lost.clear()
+            if self._settings.node not in self._registered:
+                self._register()
+
+    def _register(self):
         """Write this router's row, retrying until the store accepts it."""
         value = {
             "ip": self._settings.ip,
             "port": self._settings.peer_port,
             "incarnation": self._incarnation,
         }
-        while True:
+        while not self._is_unregistered:
             try:
                 self._store.write(
                     ROUTERS_TABLE, self._settings.node, json.dumps(value).encode()
@@ -186,6 +224,7 @@
 
     def unregister(self):
         """Remove this router's row; logs the failure if the store is unavailable."""
+        self._is_unregistered = True
         try:
             self._store.write(ROUTERS_TABLE, self._settings.node, None)
         except PlatformError as error:
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -195,7 +195,7 @@
         self._router_follower = TableFollower(
             routers_store,
             ROUTERS_TABLE,
-            self._announcements.on_rows,
+            self._on_routers,
             settings.feed_spacing,
         )
         self._readiness_server = CallerServer(
@@ -239,7 +239,7 @@
             self._configuration_follower.run,
             self._registration_follower.run,
             self._router_follower.run,
-            self._announcements.register,
+            self._announcements.register_forever,
             self._announcements.announce_forever,
             self._announcements.listen_forever,
             self._placement.run,
@@ -320,6 +320,12 @@
             self._configuration = configuration
             log_event(Event.CONFIGURATION_APPLIED, revision=configuration.version)
 
+    def _on_routers(self, rows, is_snapshot):
+        from_copy = frozenset(
+            row.key for row in rows if self._router_follower.is_from_copy(row)
+        )
+        self._announcements.on_rows(rows, is_snapshot, from_copy)
+
     def _on_registrations(self, rows, is_snapshot):
         may_have_lapsed = (
             self._registration_follower.seconds_since_outage() < LAPSED_GRACE_SECONDS
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -426,3 +426,18 @@
     engines = FakeEngines(fleet)
     run_placement(1.5, fleet, engines, is_leader=lambda: False)
     assert engines.orders == []
+
+
+def test_a_router_in_the_copy_that_has_left_is_not_counted():
+    # Guards against equal shares of a limit for routers that are gone.
+    (announcements,) = make_routers("r1")
+    value = json.dumps({"ip": "127.0.0.1", "port": 9}).encode()
+    announcements.on_rows([StoredRow("r2", value, 5)], False)
+    announcements.on_rows([StoredRow("r2", None, 7)], False)
+    own = StoredRow("r1", value, 3)
+    announcements.on_rows(
+        [own, StoredRow("r2", value, 5)], True, from_copy=frozenset(("r1", "r2"))
+    )
+    assert announcements.router_count() == 1
+    announcements.on_rows([StoredRow("r2", value, 9)], False)
+    assert announcements.router_count() == 2
