Apply configurations that the operator writes on top of a restored copy

If the operator goes on from the copy, its versions are below the one in force, and were dropped for good: a confirmed change was not in force until the operator had passed the old version. Cause: versions of the operator before and after a restoration were compared as if none had been lost. A lower version that was written after the restoration is now applied when the store has been back for 2.2 s and still holds it; one of the copy is not. Which one was found is logged (8009).

A lower version that is written before a router has first read the table again cannot be told from the copy, and is not applied.

--- /dev/null
+++ b/src/bulrushdrum/_internal/coordination/configuration_in_force.py
@@ -0,0 +1,73 @@
+"""The configuration that a router applies, and which rows of the store may replace it.
+
+A newer version replaces an older one at once. The copy of a restored store does not: a
+change that was confirmed stays in force. If the operator goes on from the copy, it
+writes versions below the one in force after the restoration. They are applied when the
+operator has had time to write again what was lost.
+"""
+
+from bulrushdrum._internal.coordination.table_follower import TableFollower
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.fleet import LAPSED_GRACE_SECONDS
+from bulrushdrum._internal.platform.errors import MalformedRow
+from bulrushdrum._internal.platform.router_config import decode_configuration
+from bulrushdrum._internal.platform.rows import CONFIGURATION_KEY, StoredRow
+from bulrushdrum._internal.world.routes import RouterConfiguration
+
+
+class ConfigurationInForce:
+    """The configuration of one router."""
+
+    def __init__(self):
+        self._latest: RouterConfiguration | None = None
+        # A configuration with a lower version that was written after a restoration.
+        self._lower: RouterConfiguration | None = None
+
+    @property
+    def value(self) -> RouterConfiguration | None:
+        """The configuration in force; None if none is known."""
+        return self._latest
+
+    @property
+    def version(self) -> int:
+        """The version in force, or 0."""
+        return 0 if self._latest is None else self._latest.version
+
+    def apply_rows(self, rows: list[StoredRow], follower: TableFollower):
+        """Apply the rows that `follower` has read."""
+        for row in rows:
+            if row.key != CONFIGURATION_KEY or row.value is None:
+                continue
+            try:
+                configuration = decode_configuration(row.value)
+            except MalformedRow as error:
+                log_event(Event.CONFIGURATION_INVALID, reason=str(error))
+                continue
+            self._lower = None
+            if self._latest is None or configuration.version > self._latest.version:
+                self._apply(configuration)
+            elif configuration.version < self._latest.version:
+                is_from_copy = follower.is_from_copy(row)
+                log_event(
+                    Event.CONFIGURATION_OLDER,
+                    revision=configuration.version,
+                    in_force=self._latest.version,
+                    from_copy=is_from_copy,
+                    restorations=follower.restorations,
+                )
+                if follower.restorations and not is_from_copy:
+                    self._lower = configuration
+        self.apply_due(follower)
+
+    def apply_due(self, follower: TableFollower):
+        """Apply a lower version if the store still holds it after a while."""
+        if (
+            self._lower is not None
+            and follower.seconds_since_outage() >= LAPSED_GRACE_SECONDS
+        ):
+            self._apply(self._lower)
+            self._lower = None
+
+    def _apply(self, configuration):
+        self._latest = configuration
+        log_event(Event.CONFIGURATION_APPLIED, revision=configuration.version)
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -19,6 +19,9 @@
     ROUTERS_TABLE,
     RouterAnnouncements,
 )
+from bulrushdrum._internal.coordination.configuration_in_force import (
+    ConfigurationInForce,
+)
 from bulrushdrum._internal.coordination.placement_controller import PlacementController
 from bulrushdrum._internal.coordination.table_follower import TableFollower
 from bulrushdrum._internal.gateway.callers import CallerServer
@@ -59,16 +62,12 @@
 from bulrushdrum._internal.pipelines.stall_detection import StallDetector
 from bulrushdrum._internal.platform.engine_calls import EngineCalls
 from bulrushdrum._internal.platform.errors import MalformedRow
-from bulrushdrum._internal.platform.router_config import (
-    decode_configuration,
-    decode_upstream,
-)
+from bulrushdrum._internal.platform.router_config import decode_upstream
 from bulrushdrum._internal.platform.router_settings import (
     SETTINGS_PATH_VARIABLE,
     read_router_settings,
 )
 from bulrushdrum._internal.platform.rows import (
-    CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
     REGISTRATIONS_TABLE,
     RowStore,
@@ -79,7 +78,7 @@
     ResponseLimits,
     RouterSettings,
 )
-from bulrushdrum._internal.world.routes import CallerLimits, RouterConfiguration
+from bulrushdrum._internal.world.routes import CallerLimits
 from bulrushdrum._internal.world.statements import UpstreamStatements
 
 _ENGINE_CALL_TIMEOUT_SECONDS = 0.5
@@ -100,7 +99,7 @@
         self._settings = settings
         self._incarnation = secrets.token_hex(6)
         self._stop_requested = Signal()
-        self._configuration: RouterConfiguration | None = None
+        self._configuration = ConfigurationInForce()
         store = RowStore(
             settings.store_address, settings.store_timeout, settings.feed_wait
         )
@@ -215,7 +214,7 @@
             self._quarantine,
             self._part_quarantine,
             self._metrics,
-            lambda: self._configuration,
+            lambda: self._configuration.value,
             lambda: self._configuration_follower.is_available,
             self._announcements.all_peers_accept_work,
             self._announcements.peers_ready_in,
@@ -291,34 +290,21 @@
             if omitted:
                 log_event(Event.LINES_OMITTED, counts=omitted)
             self._announcements.set_serving(self._is_ready())
+            self._configuration.apply_due(self._configuration_follower)
 
     def _router_count(self):
         return self._announcements.router_count()
 
     def _services(self):
-        if self._configuration is None:
-            return []
-        return list(self._configuration.services.values())
+        configuration = self._configuration.value
+        return [] if configuration is None else list(configuration.services.values())
 
     def _limits(self):
-        if self._configuration is None:
-            return CallerLimits()
-        return self._configuration.limits
+        configuration = self._configuration.value
+        return CallerLimits() if configuration is None else configuration.limits
 
     def _on_configuration(self, rows, _is_snapshot):
-        for row in rows:
-            if row.key != CONFIGURATION_KEY or row.value is None:
-                continue
-            try:
-                configuration = decode_configuration(row.value)
-            except MalformedRow as error:
-                log_event(Event.CONFIGURATION_INVALID, reason=str(error))
-                continue
-            current = self._configuration
-            if current is not None and configuration.version <= current.version:
-                continue
-            self._configuration = configuration
-            log_event(Event.CONFIGURATION_APPLIED, revision=configuration.version)
+        self._configuration.apply_rows(rows, self._configuration_follower)
 
     def _on_routers(self, rows, is_snapshot):
         from_copy = frozenset(
@@ -359,7 +345,7 @@
     def _is_ready(self):
         return (
             not self._caller_server.is_draining
-            and self._configuration is not None
+            and self._configuration.value is not None
             and self._registration_follower.has_snapshot
         )
 
@@ -379,9 +365,8 @@
         connection.send(Response(200, headers, body.encode()))
 
     def _gauges(self):
-        configuration = self._configuration
         return {
-            "configuration_version": configuration.version if configuration else 0,
+            "configuration_version": self._configuration.version,
             "requests_in_progress": self._caller_server.requests_in_progress,
             "caller_connections": self._caller_server.connections,
             "upstream_connections_opened": self._connection_pool.opened,
--- a/tests/integration/test_restored_store.py
+++ b/tests/integration/test_restored_store.py
@@ -56,7 +56,8 @@
 
 
 def wait_for_restoration(router):
-    router.wait_for(lambda: 8007 in router.events())
+    """Wait until the router has read all its tables after a restoration."""
+    router.wait_for(lambda: router.events().count(8007) == 3)
 
 
 def test_changes_below_the_version_of_a_cut_off_router_are_read(router, store, servers):
