Serve no configuration at the start that is older than that of the peers

A router that started just after a restoration took the copy's configuration, so that a withdrawn key was accepted again. Cause: it trusted the first row that it read, although its peers announce that they know better. Routers now announce the version that they apply. A starting router answers 503, and is not ready, until its version is not below that of its peers; it waits up to 0.6 s to hear them.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -63,6 +63,7 @@
     is_leader: bool
     accepts_work: bool
     ready_at: float
+    configuration_version: int
 
 
 class _LayerUpdate(NamedTuple):
@@ -103,6 +104,7 @@
         quarantine: CrashQuarantine,
         part_quarantine: PartQuarantine,
         limits: UpstreamLimits,
+        configuration_version: Callable[[], int],
     ):
         self._settings = settings
         self._incarnation = incarnation
@@ -113,6 +115,7 @@
         self._quarantine = quarantine
         self._part_quarantine = part_quarantine
         self._limits = limits
+        self._configuration_version = configuration_version
         self._peers: dict[str, _Peer] = {}
         self._registered: dict[str, tuple[str, int]] = {}
         # When each registered router was last heard, or first seen in the table.
@@ -247,6 +250,17 @@
         ready_at = [peer.ready_at for peer in self._live_peers().values()]
         return max([0.0, *(at - time.monotonic() for at in ready_at)])
 
+    def newest_peer_version(self) -> int:
+        """Return the newest version of the configuration at a live peer, or 0."""
+        versions = [p.configuration_version for p in self._live_peers().values()]
+        return max(versions, default=0)
+
+    def hears_all_routers(self) -> bool:
+        """Whether the table of routers was read and all in it announce themselves."""
+        return bool(self._registered) and not (
+            set(self._registered) - set(self._peers) - {self._settings.node}
+        )
+
     def router_count(self) -> int:
         """Return the number of routers that share a common limit.
 
@@ -322,6 +336,7 @@
                 "failures": self._quarantine.announcement(),
                 "prompt_parts": self._part_quarantine.announcement(),
                 "limits": self._limits.announcement(),
+                "configuration": self._configuration_version(),
                 "silent": self._own_unresponsive,
                 "layers": [list(update) for update in self._layer_updates],
                 "uses": {
@@ -363,6 +378,7 @@
                 # Releases without this field accept work whenever they serve.
                 accepts_work = bool(raw.get("takes_work", serving))
                 ready_in = max(float(raw.get("ready_in", 0.0)), 0.0)
+                configuration_version = int(raw.get("configuration", 0))
                 unresponsive = [str(upstream_id) for upstream_id in raw["silent"]]
                 updates = [_decode_layer_update(entry) for entry in raw["layers"]]
                 incarnation = str(raw["incarnation"])
@@ -395,6 +411,7 @@
                 is_leader,
                 accepts_work,
                 now + ready_in,
+                configuration_version,
             )
             self._reservations.set_peer_usage(name, usages)
             self._apply_layer_updates(name, incarnation, updates)
--- a/src/bulrushdrum/_internal/coordination/configuration_in_force.py
+++ b/src/bulrushdrum/_internal/coordination/configuration_in_force.py
@@ -4,8 +4,14 @@
 change that was confirmed stays in force. If the operator goes on from the copy, it
 writes versions below the one in force after the restoration. They are applied when the
 operator has had time to write again what was lost.
+
+A router that has just started knows no earlier version. It applies none that is older
+than what its peers apply, which have seen more of the store.
 """
 
+import time
+from collections.abc import Callable
+
 from bulrushdrum._internal.coordination.table_follower import TableFollower
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.fleet import LAPSED_GRACE_SECONDS
@@ -14,24 +20,50 @@
 from bulrushdrum._internal.platform.rows import CONFIGURATION_KEY, StoredRow
 from bulrushdrum._internal.world.routes import RouterConfiguration
 
+# A router that has just started waits this long for the announcements of its peers.
+_MAX_PEER_WAIT_SECONDS = 0.6
+
 
 class ConfigurationInForce:
-    """The configuration of one router."""
+    """The configuration of one router.
 
-    def __init__(self):
+    `newest_peer_version()` returns the newest version that a live peer applies, and
+    `hears_all_peers()` whether all registered routers have been heard.
+    """
+
+    def __init__(
+        self,
+        newest_peer_version: Callable[[], int],
+        hears_all_peers: Callable[[], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._newest_peer_version = newest_peer_version
+        self._hears_all_peers = hears_all_peers
+        self._clock = clock
+        self._started_at = clock()
         self._latest: RouterConfiguration | None = None
         # A configuration with a lower version that was written after a restoration.
         self._lower: RouterConfiguration | None = None
+        self._is_confirmed = False
 
     @property
     def value(self) -> RouterConfiguration | None:
-        """The configuration in force; None if none is known."""
-        return self._latest
+        """The configuration in force; None if none is known that is new enough."""
+        return self._latest if self._confirm() else None
 
     @property
     def version(self) -> int:
         """The version in force, or 0."""
-        return 0 if self._latest is None else self._latest.version
+        return self._latest.version if self._confirm() else 0
+
+    def _confirm(self):
+        if self._is_confirmed or self._latest is None:
+            return self._is_confirmed
+        waited = self._clock() - self._started_at
+        if not self._hears_all_peers() and waited < _MAX_PEER_WAIT_SECONDS:
+            return False
+        self._is_confirmed = self._latest.version >= self._newest_peer_version()
+        return self._is_confirmed
 
     def apply_rows(self, rows: list[StoredRow], follower: TableFollower):
         """Apply the rows that `follower` has read."""
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -99,7 +99,10 @@
         self._settings = settings
         self._incarnation = secrets.token_hex(6)
         self._stop_requested = Signal()
-        self._configuration = ConfigurationInForce()
+        self._configuration = ConfigurationInForce(
+            lambda: self._announcements.newest_peer_version(),
+            lambda: self._announcements.hears_all_routers(),
+        )
         store = RowStore(
             settings.store_address, settings.store_timeout, settings.feed_wait
         )
@@ -127,6 +130,7 @@
             self._quarantine,
             self._part_quarantine,
             self._upstream_limits,
+            lambda: self._configuration.version,
         )
         calls = EngineCalls(_ENGINE_CALL_TIMEOUT_SECONDS, self._on_statements)
         self._reported_loads = ReportedLoads(self._fleet, calls.report, self._services)
--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -308,6 +308,7 @@
         router.quarantine,
         router.part_quarantine,
         make_limits(),
+        lambda: 0,
     )
     router.announcements.set_serving(True)
     # Past the time that a router waits before it becomes leader.
@@ -375,6 +376,7 @@
         "ready_in": 0.0,
         "prompt_parts": {"crashes": [], "written": {}},
         "limits": [],
+        "configuration": 0,
     }
     expected = {**SAMPLES["announcement"], **added}
     assert json.loads(peer_socket.recv(65000)) == expected
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -228,6 +228,7 @@
                 CrashQuarantine(fleet.has_terminated),
                 PartQuarantine(fleet.has_terminated, fleet.software_versions),
                 make_limits(),
+                lambda: 0,
             )
         )
     rows = [
