Send no new request to an upstream that says it is leaving

Upstreams that leave say so in all their responses too; routers read only the registration, and went on sending while the store was silent or they were cut off from it. Cause: the header was not read. It holds for the incarnation, is announced to the other routers, logged (8220) and counted.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -338,6 +338,7 @@
                 "limits": self._limits.announcement(),
                 "configuration": self._configuration_version(),
                 "silent": self._own_unresponsive,
+                "leaving": list(self._fleet.leaving().items()),
                 "layers": [list(update) for update in self._layer_updates],
                 "uses": {
                     name: [
@@ -380,6 +381,7 @@
                 ready_in = max(float(raw.get("ready_in", 0.0)), 0.0)
                 configuration_version = int(raw.get("configuration", 0))
                 unresponsive = [str(upstream_id) for upstream_id in raw["silent"]]
+                leaving = [(str(i), int(born)) for i, born in raw.get("leaving", [])]
                 updates = [_decode_layer_update(entry) for entry in raw["layers"]]
                 incarnation = str(raw["incarnation"])
                 self._quarantine.apply_announcement(
@@ -415,6 +417,8 @@
             )
             self._reservations.set_peer_usage(name, usages)
             self._apply_layer_updates(name, incarnation, updates)
+            for upstream_id, born in leaving:
+                self._fleet.mark_leaving(upstream_id, born)
             for upstream_id in unresponsive:
                 if not self._fleet.is_unresponsive(upstream_id):
                     self._fleet.mark_unresponsive(upstream_id)
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -40,10 +40,10 @@
     end_to_end,
 )
 from bulrushdrum._internal.gateway.path_waiting import PathWaiter, describe_refusal
+from bulrushdrum._internal.gateway.statement_recorder import StatementRecorder
 from bulrushdrum._internal.gateway.stream_watch import StreamWatch
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
-from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.errors import PipelineError
 from bulrushdrum._internal.pipelines.fleet import Fleet
@@ -85,7 +85,7 @@
         count_routers: Callable[[], int],
         detect_stall,
         crash_evidence: CrashEvidence,
-        limits: UpstreamLimits,
+        statements: StatementRecorder,
         seed=None,
     ):
         self._fleet = fleet
@@ -96,7 +96,7 @@
         self._count_routers = count_routers
         self._detect_stall = detect_stall
         self._crash_evidence = crash_evidence
-        self._limits = limits
+        self._statements = statements
         self._random = random.Random(seed)
 
     def run(
@@ -198,9 +198,9 @@
             response_metadata = validate_response_head(
                 pending, proxied_request.metadata.request_id
             )
-            self._limits.record_statement(
+            self._statements.record(
                 path[0].upstream,
-                response_metadata.statements.limit,
+                response_metadata.statements,
                 has_run=200 <= reader.status < 300,
             )
             if not 200 <= reader.status < 300:
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -28,6 +28,7 @@
     end_to_end,
 )
 from bulrushdrum._internal.gateway.request_trace import RequestTrace
+from bulrushdrum._internal.gateway.statement_recorder import StatementRecorder
 from bulrushdrum._internal.gateway.turns import Turn, TurnWaiter
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
@@ -78,6 +79,7 @@
         count_routers,
         quarantine: CrashQuarantine,
         limits: UpstreamLimits,
+        statements: StatementRecorder,
         turns: TurnWaiter,
         seed=None,
     ):
@@ -88,6 +90,7 @@
         self._count_routers = count_routers
         self._quarantine = quarantine
         self._limits = limits
+        self._statements = statements
         self._turns = turns
         self._in_progress: dict[str, int] = {}
         self._random = random.Random(seed)
@@ -256,9 +259,9 @@
         try:
             receive_head(pending, attempt_deadline)
             response_metadata = validate_response_head(pending, request_id)
-            self._limits.record_statement(
+            self._statements.record(
                 upstream,
-                response_metadata.statements.limit,
+                response_metadata.statements,
                 has_run=not response_metadata.has_not_run and reader.status < 300,
             )
             receive_body(pending, attempt_deadline)
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -96,6 +96,7 @@
     UPSTREAM_LIMIT_CHANGED = 8217
     UPSTREAM_LIMIT_UNREADABLE = 8218
     UPSTREAM_LIMITS_REACHED = 8219
+    UPSTREAM_LEAVING = 8220
 
 
 _bounded_outputs: list[LogOutput] = []
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -15,7 +15,7 @@
 
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.world.engines import PoolUpstream
-from bulrushdrum._internal.world.upstreams import LayerRange
+from bulrushdrum._internal.world.upstreams import LayerRange, UpstreamState
 
 # How long an upstream is avoided after its first failure, and at most: about one
 # heartbeat, and about the duration of a restart.
@@ -83,6 +83,8 @@
         self._terminated: dict[str, int] = {}
         self._departures: dict[str, _Departure] = {}
         self._unconfirmed: dict[str, _Unconfirmed] = {}
+        # Incarnations that said that they are leaving, ahead of their registration.
+        self._leaving: dict[str, int] = {}
         self._version = 0
         self._ids_by_address: dict[str, str] = {}
 
@@ -144,6 +146,7 @@
             self._backoffs.pop(upstream.id, None)
             self._unresponsive.pop(upstream.id, None)
             self._terminated.pop(upstream.id, None)
+            self._leaving.pop(upstream.id, None)
         self._layer_overrides.pop(upstream.id, None)
         self._upstreams[upstream.id] = upstream
         self._ids_by_address[upstream.address] = upstream.id
@@ -163,6 +166,31 @@
             self._layer_overrides[upstream_id] = _LayerOverride(layers, until)
             self._version += 1
 
+    def mark_leaving(self, upstream_id: str, born: int):
+        """Record that an incarnation is leaving; its registration may say so later."""
+        known = self._upstreams.get(upstream_id)
+        if (
+            known is None
+            or known.born != born
+            or self._leaving.get(upstream_id) == born
+        ):
+            return
+        self._leaving[upstream_id] = born
+        self._version += 1
+        log_event(
+            Event.UPSTREAM_LEAVING, upstream=upstream_id, registered=known.state.value
+        )
+
+    def leaving(self) -> dict[str, int]:
+        """Return the start times of the incarnations that said they are leaving."""
+        return dict(self._leaving)
+
+    def _with_own_statements(self, upstream):
+        """Return a registration with what its upstream has said since."""
+        if self._leaving.get(upstream.id) == upstream.born:
+            upstream = upstream._replace(state=UpstreamState.DRAINING)
+        return self._with_layer_override(upstream)
+
     def _with_layer_override(self, upstream):
         override = self._layer_overrides.get(upstream.id)
         if override is None:
@@ -186,13 +214,14 @@
         self._unresponsive.pop(upstream_id, None)
         self._layer_overrides.pop(upstream_id, None)
         self._terminated.pop(upstream_id, None)
+        self._leaving.pop(upstream_id, None)
         if self._ids_by_address.get(upstream.address) == upstream_id:
             del self._ids_by_address[upstream.address]
         self._version += 1
 
     def get(self, upstream_id: str) -> PoolUpstream | None:
         upstream = self._upstreams.get(upstream_id)
-        return None if upstream is None else self._with_layer_override(upstream)
+        return None if upstream is None else self._with_own_statements(upstream)
 
     def has_terminated(self, upstream_id: str, born: int) -> bool:
         """Whether an incarnation is known to have ended.
@@ -225,7 +254,7 @@
         """Return all registered upstreams of a service, whatever their health."""
         self._apply_due_changes()
         return [
-            self._with_layer_override(upstream)
+            self._with_own_statements(upstream)
             for upstream in self._upstreams.values()
             if upstream.service == service
         ]
@@ -309,6 +338,7 @@
             },
             "avoided": self.avoided_ids(),
             "lapsed": sorted(self._lapsed),
+            "leaving": sorted(self._leaving),
             "unconfirmed": sorted(self._unconfirmed),
         }
 
--- a/src/bulrushdrum/_internal/platform/headers.py
+++ b/src/bulrushdrum/_internal/platform/headers.py
@@ -44,6 +44,7 @@
 _FAULTY_UPSTREAM = b"at-server"
 # The requests a second that the upstream accepts from all routers together.
 _REQUEST_LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
 
 # No request has more tokens; estimates are made from numbers that callers state.
 _MAX_TOKENS = 1e8
@@ -148,7 +149,10 @@
 def parse_statements(headers) -> UpstreamStatements:
     """Decode what an upstream says of its own state in the head of a response."""
     values = dict(headers)
-    return UpstreamStatements(limit=_parse_limit(values.get(_REQUEST_LIMIT)))
+    return UpstreamStatements(
+        limit=_parse_limit(values.get(_REQUEST_LIMIT)),
+        is_leaving=values.get(_LEAVING, b"").strip() == b"1",
+    )
 
 
 def _parse_limit(text: bytes | None) -> LimitStatement:
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -39,6 +39,7 @@
     MAX_TRACEBACK_CHARACTERS,
     RequestHandler,
 )
+from bulrushdrum._internal.gateway.statement_recorder import StatementRecorder
 from bulrushdrum._internal.gateway.turns import TurnWaiter
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
@@ -132,6 +133,7 @@
             self._upstream_limits,
             lambda: self._configuration.version,
         )
+        self._statements = StatementRecorder(self._fleet, self._upstream_limits)
         calls = EngineCalls(_ENGINE_CALL_TIMEOUT_SECONDS, self._on_statements)
         self._reported_loads = ReportedLoads(self._fleet, calls.report, self._services)
         self._path_chooser = PathChooser(
@@ -164,6 +166,7 @@
             self._router_count,
             self._quarantine,
             self._upstream_limits,
+            self._statements,
             turns,
         )
         stall_detector = StallDetector(
@@ -178,7 +181,7 @@
             self._router_count,
             stall_detector.check_path,
             CrashEvidence(self._fleet, self._quarantine, self._part_quarantine),
-            self._upstream_limits,
+            self._statements,
         )
         self._configuration_follower = TableFollower(
             store,
@@ -342,9 +345,7 @@
         """Record what an engine says of itself when it is asked for a report."""
         upstream = self._fleet.find_by_address(address)
         if upstream is not None:
-            self._upstream_limits.record_statement(
-                upstream, statements.limit, has_run=False
-            )
+            self._statements.record(upstream, statements, has_run=False)
 
     def _is_ready(self):
         return (
@@ -376,6 +377,7 @@
             "upstream_connections_opened": self._connection_pool.opened,
             "upstream_responses_too_large": self._connection_pool.oversized_responses,
             "upstreams_avoided": len(self._fleet.avoided_ids()),
+            "upstreams_leaving": len(self._fleet.leaving()),
             "upstream_limits": self._upstream_limits.count,
             "upstream_limit_changes": self._upstream_limits.changes,
             "upstream_limit_diversions": self._upstream_limits.diversions,
--- a/src/bulrushdrum/_internal/world/statements.py
+++ b/src/bulrushdrum/_internal/world/statements.py
@@ -29,6 +29,7 @@
 
 
 class UpstreamStatements(NamedTuple):
-    """The statements of one response."""
+    """The statements of one response; an upstream that `is_leaving` wants no more."""
 
     limit: LimitStatement = _NO_LIMIT
+    is_leaving: bool = False
--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -376,6 +376,7 @@
         "ready_in": 0.0,
         "prompt_parts": {"crashes": [], "written": {}},
         "limits": [],
+        "leaving": [],
         "configuration": 0,
     }
     expected = {**SAMPLES["announcement"], **added}
--- a/tests/unit/gateway_fakes.py
+++ b/tests/unit/gateway_fakes.py
@@ -12,6 +12,7 @@
 from bulrushdrum._internal.gateway.generations import GenerationProxy
 from bulrushdrum._internal.gateway.path_waiting import PathWaiter
 from bulrushdrum._internal.gateway.plain_calls import PlainCallProxy
+from bulrushdrum._internal.gateway.statement_recorder import StatementRecorder
 from bulrushdrum._internal.gateway.turns import TurnWaiter
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
@@ -66,6 +67,7 @@
         self._budget = RetryWindow(0.2, extra, 10.0)
         chooser = PathChooser(self.fleet, self.reservations, self.limits, "a", seed=3)
         turns = TurnWaiter(self.limits)
+        statements = StatementRecorder(self.fleet, self.limits)
         calls = EngineCalls(0.3)
         stall_detector = StallDetector(self.fleet, calls.report, chooser.set_slowdown)
         self._generation_proxy = GenerationProxy(
@@ -77,7 +79,7 @@
             lambda: 1,
             stall_detector.check_path,
             CrashEvidence(self.fleet, self.quarantine, self.part_quarantine),
-            self.limits,
+            statements,
         )
         self._plain_call_proxy = PlainCallProxy(
             self.fleet,
@@ -87,6 +89,7 @@
             lambda: 1,
             self.quarantine,
             self.limits,
+            statements,
             turns,
             seed=3,
         )
