Send nothing to an upstream for as long as its Retry-After asks

An upstream that refuses with 503 may add Retry-After: it wants nothing from that router for so long. Routers avoided it for a second, or 0.15 s for the same request, and not at all as a last resort. Cause: the header was not read. The pause holds for the incarnation and this router, a minute at most; a success of an earlier request does not end it. Callers that find all upstreams of a plain service paused are told when the first pause ends.

Evidence: tests/unit/test_upstream_statements.py; three of its tests fail without the change.

--- a/src/bulrushdrum/_internal/gateway/exchange.py
+++ b/src/bulrushdrum/_internal/gateway/exchange.py
@@ -119,7 +119,7 @@
     response without a request id may be a late copy of an earlier one.
     """
     connection, reader = pending
-    metadata = parse_response_metadata(reader.headers)
+    metadata = parse_response_metadata(reader.status, reader.headers)
     if metadata.request_id is not None and metadata.request_id != request_id:
         raise UpstreamFailed("the answer belongs to another request", True)
     if metadata.request_id is None and not connection.is_new:
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -158,9 +158,16 @@
                     str(problem), self._retry_after_limits(proxied_request)
                 )
         return not_run_response(
-            f"no upstream of {service} can take it", _RETRY_AFTER_SECONDS
+            f"no upstream of {service} can take it", self._retry_after(service)
         )
 
+    def _retry_after(self, service):
+        """Return the time until an upstream may be used, spread if all are paused."""
+        paused = self._fleet.seconds_until_pause_ends(service)
+        if paused:
+            paused += _RETRY_AFTER_SECONDS * self._random.random()
+        return max(paused, _RETRY_AFTER_SECONDS)
+
     def _retry_after_limits(self, proxied_request):
         """Return a random delay, so that the refused callers do not return together."""
         remaining = max(proxied_request.deadline - time.monotonic(), 0.0)
@@ -218,7 +225,9 @@
             candidates = [
                 upstream
                 for upstream in self._fleet.registered(service)
-                if upstream.is_serving and upstream not in reached
+                if upstream.is_serving
+                and upstream not in reached
+                and not self._fleet.is_paused(upstream)
             ]
         if not candidates:
             return None
--- a/src/bulrushdrum/_internal/gateway/statement_recorder.py
+++ b/src/bulrushdrum/_internal/gateway/statement_recorder.py
@@ -23,3 +23,5 @@
         self._limits.record_statement(upstream, statements.limit, has_run)
         if statements.is_leaving:
             self._fleet.mark_leaving(upstream.id, upstream.born)
+        if statements.pause_seconds is not None:
+            self._fleet.pause(upstream.id, upstream.born, statements.pause_seconds)
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -97,6 +97,7 @@
     UPSTREAM_LIMIT_UNREADABLE = 8218
     UPSTREAM_LIMITS_REACHED = 8219
     UPSTREAM_LEAVING = 8220
+    UPSTREAM_PAUSED = 8221
 
 
 _bounded_outputs: list[LogOutput] = []
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -36,6 +36,8 @@
 # A registration in a copy whose upstream was known to have left is used after this time
 # if it is still there: registrations without heartbeats have expired by then.
 _COPY_CONFIRMATION_SECONDS = 6.0
+# An upstream that asks for a longer pause is tried again after this time.
+_MAX_PAUSE_SECONDS = 60.0
 # How long upstreams that have left are remembered. Copies are some seconds old.
 _DEPARTURE_SECONDS = 120.0
 
@@ -45,6 +47,13 @@
     failures: int
 
 
+class _Pause(NamedTuple):
+    """Until when an incarnation wants no request from this router."""
+
+    born: int
+    until: float
+
+
 class _LayerOverride(NamedTuple):
     layers: LayerRange | None
     until: float
@@ -85,6 +94,9 @@
         self._unconfirmed: dict[str, _Unconfirmed] = {}
         # Incarnations that said that they are leaving, ahead of their registration.
         self._leaving: dict[str, int] = {}
+        self._pauses: dict[str, _Pause] = {}
+        # Counted for the metrics.
+        self.pauses = 0
         self._version = 0
         self._ids_by_address: dict[str, str] = {}
 
@@ -147,6 +159,7 @@
             self._unresponsive.pop(upstream.id, None)
             self._terminated.pop(upstream.id, None)
             self._leaving.pop(upstream.id, None)
+            self._pauses.pop(upstream.id, None)
         self._layer_overrides.pop(upstream.id, None)
         self._upstreams[upstream.id] = upstream
         self._ids_by_address[upstream.address] = upstream.id
@@ -215,6 +228,7 @@
         self._layer_overrides.pop(upstream_id, None)
         self._terminated.pop(upstream_id, None)
         self._leaving.pop(upstream_id, None)
+        self._pauses.pop(upstream_id, None)
         if self._ids_by_address.get(upstream.address) == upstream_id:
             del self._ids_by_address[upstream.address]
         self._version += 1
@@ -264,9 +278,46 @@
         return [
             upstream
             for upstream in self.registered(service)
-            if upstream.is_serving and not self.is_avoided(upstream.id)
+            if upstream.is_serving
+            and not self.is_avoided(upstream.id)
+            and not self.is_paused(upstream)
         ]
 
+    def pause(self, upstream_id: str, born: int, seconds: float):
+        """Use an incarnation no more for some seconds, because it asked for that.
+
+        Unlike a backoff, a pause does not end with a request that succeeds.
+        """
+        until = self._clock() + min(seconds, _MAX_PAUSE_SECONDS)
+        known = self._upstreams.get(upstream_id)
+        if known is None or known.born != born or seconds <= 0.0:
+            return
+        self._pauses[upstream_id] = _Pause(born, until)
+        self._version += 1
+        self.pauses += 1
+        log_event(Event.UPSTREAM_PAUSED, upstream=upstream_id, seconds=seconds)
+
+    def is_paused(self, upstream: PoolUpstream) -> bool:
+        pause = self._pauses.get(upstream.id)
+        return pause is not None and (
+            pause.born == upstream.born and pause.until > self._clock()
+        )
+
+    def seconds_until_pause_ends(self, service: str) -> float:
+        """Return the time until some upstream that is paused may be used again.
+
+        It is 0 if an upstream of the service is available, or if none is paused.
+        """
+        if self.available(service):
+            return 0.0
+        now = self._clock()
+        ends = [
+            self._pauses[upstream.id].until - now
+            for upstream in self.registered(service)
+            if upstream.is_serving and self.is_paused(upstream)
+        ]
+        return min(ends, default=0.0)
+
     def record_failure(self, upstream_id: str, seconds: float | None = None):
         """Avoid an upstream for a backoff time that doubles with each failure.
 
@@ -339,6 +390,11 @@
             "avoided": self.avoided_ids(),
             "lapsed": sorted(self._lapsed),
             "leaving": sorted(self._leaving),
+            "paused": sorted(
+                upstream.id
+                for upstream in self._upstreams.values()
+                if self.is_paused(upstream)
+            ),
             "unconfirmed": sorted(self._unconfirmed),
         }
 
--- a/src/bulrushdrum/_internal/platform/engine_calls.py
+++ b/src/bulrushdrum/_internal/platform/engine_calls.py
@@ -140,7 +140,9 @@
             return None
         except (HTTPError, OSError):
             return None
-        self._on_statements(address, parse_statements(response.headers))
+        self._on_statements(
+            address, parse_statements(response.status, response.headers)
+        )
         return response
 
     def _exchange(self, method, url, body, headers):
--- a/src/bulrushdrum/_internal/platform/headers.py
+++ b/src/bulrushdrum/_internal/platform/headers.py
@@ -45,13 +45,14 @@
 # The requests a second that the upstream accepts from all routers together.
 _REQUEST_LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 
 # No request has more tokens; estimates are made from numbers that callers state.
 _MAX_TOKENS = 1e8
 # Longer lists are cut, so that a caller cannot make a request expensive to examine.
 _MAX_PROMPT_PARTS = 32
-# Longer numbers are no rates that an upstream could mean.
-_RATE_RE = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+# Longer numbers are no rates or times that an upstream could mean.
+_DECIMAL_RE = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _MAX_QUOTED_BYTES = 60
 _PART_ID_RE = re.compile(rb"[0-9A-Fa-f]{1,32}")
 
@@ -132,7 +133,7 @@
     return headers
 
 
-def parse_response_metadata(headers) -> ResponseMetadata:
+def parse_response_metadata(status: int, headers) -> ResponseMetadata:
     """Decode the headers of an upstream's response."""
     values = dict(headers)
     at_fault = values.get(_FAULTY_UPSTREAM)
@@ -142,23 +143,30 @@
         has_not_run=_NOT_EXECUTED in values,
         upstream_id=values.get(_UPSTREAM_ID, b"").decode("latin-1"),
         at_fault=None if at_fault is None else at_fault.decode("latin-1"),
-        statements=parse_statements(headers),
+        statements=parse_statements(status, headers),
     )
 
 
-def parse_statements(headers) -> UpstreamStatements:
+def parse_statements(status: int, headers) -> UpstreamStatements:
     """Decode what an upstream says of its own state in the head of a response."""
     values = dict(headers)
     return UpstreamStatements(
         limit=_parse_limit(values.get(_REQUEST_LIMIT)),
         is_leaving=values.get(_LEAVING, b"").strip() == b"1",
+        pause_seconds=_parse_pause(values) if status == 503 else None,
     )
 
 
+def _parse_pause(values) -> float | None:
+    """Return the seconds of `Retry-After`; None if it is a date or no number."""
+    text = values.get(_RETRY_AFTER, b"").strip()
+    return float(text) if _DECIMAL_RE.fullmatch(text) else None
+
+
 def _parse_limit(text: bytes | None) -> LimitStatement:
     if text is None:
         return NoLimit()
-    if not _RATE_RE.fullmatch(text.strip()):
+    if not _DECIMAL_RE.fullmatch(text.strip()):
         return UnreadableLimit(text[:_MAX_QUOTED_BYTES].decode("latin-1"))
     return RequestLimit(float(text))
 
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -378,6 +378,7 @@
             "upstream_responses_too_large": self._connection_pool.oversized_responses,
             "upstreams_avoided": len(self._fleet.avoided_ids()),
             "upstreams_leaving": len(self._fleet.leaving()),
+            "upstream_pauses": self._fleet.pauses,
             "upstream_limits": self._upstream_limits.count,
             "upstream_limit_changes": self._upstream_limits.changes,
             "upstream_limit_diversions": self._upstream_limits.diversions,
--- a/src/bulrushdrum/_internal/world/statements.py
+++ b/src/bulrushdrum/_internal/world/statements.py
@@ -29,7 +29,12 @@
 
 
 class UpstreamStatements(NamedTuple):
-    """The statements of one response; an upstream that `is_leaving` wants no more."""
+    """The statements of one response.
+
+    An upstream that `is_leaving` wants no more requests, and one that names
+    `pause_seconds` none from the router that it refuses, for so long.
+    """
 
     limit: LimitStatement = _NO_LIMIT
     is_leaving: bool = False
+    pause_seconds: float | None = None
--- a/tests/integration/test_upstream_limits.py
+++ b/tests/integration/test_upstream_limits.py
@@ -186,7 +186,7 @@
 def test_a_limit_that_is_no_number_changes_nothing(limit):
     # Guards against a garbled header that closes an upstream, or that ends its limit.
     headers = [(b"server-limit", limit.encode())]
-    assert isinstance(parse_statements(headers).limit, UnreadableLimit)
+    assert isinstance(parse_statements(200, headers).limit, UnreadableLimit)
 
 
 def test_a_limit_is_read_from_a_refusal(routers, store):
--- a/tests/unit/test_router_wire.py
+++ b/tests/unit/test_router_wire.py
@@ -212,7 +212,7 @@
 
 def test_refusal_names_faulty_upstream():
     metadata = parse_response_metadata(
-        [(b"bulrushdrum-not-executed", b"1"), (b"at-server", b"10.0.0.2:80")]
+        200, [(b"bulrushdrum-not-executed", b"1"), (b"at-server", b"10.0.0.2:80")]
     )
     assert metadata.has_not_run
     assert metadata.at_fault == "10.0.0.2:80"
--- a/tests/unit/test_upstream_statements.py
+++ b/tests/unit/test_upstream_statements.py
@@ -1,11 +1,15 @@
 """What upstreams say of themselves in responses, and what routers do about it."""
 
+import time
+
+import gevent
 import pytest
 from bench.standins.path_server import complete_response, event, head, resumed, stream
 from tests.unit.gateway_fakes import Gateway, make_route
 from tests.unit.pool_fakes import make_engine
 
 from bulrushdrum._internal.pipelines.fleet import Fleet
+from bulrushdrum._internal.platform.headers import parse_statements
 from bulrushdrum._internal.world.routes import RequestKind
 
 
@@ -38,6 +42,20 @@
     return [head(request, 503, *extra, signed=False, length=0)]
 
 
+def asks_for_pause(seconds, requests=1):
+    """Return a script that refuses the first requests and asks for a pause."""
+    refused = []
+
+    def script(request):
+        if len(refused) >= requests:
+            return stream(request) if request["target"] == "/a/x" else []
+        refused.append(request)
+        extra = ["Bulrushdrum-Not-Executed: 1", f"Retry-After: {seconds}"]
+        return [head(request, 503, *extra, signed=False, length=0)]
+
+    return script
+
+
 @pytest.mark.parametrize("script", [leaving(complete_response), not_run])
 def test_a_server_that_says_it_leaves_gets_no_more_calls(calls, script):
     # Guards against requests to a server that leaves before its registration says so.
@@ -100,3 +118,69 @@
     fleet.mark_leaving("x", 0)
     fleet.put(make_engine("x", born=2))
     assert [upstream.id for upstream in fleet.available("llm")] == ["x"]
+
+
+def test_a_server_that_asks_for_a_pause_gets_no_calls_meanwhile(calls):
+    # Guards against requests that come back sooner than their server wants them.
+    one = calls.add_server("one", asks_for_pause(1.0), slots=1000)
+    calls.add_server("two", complete_response, data_centre="b")
+    ends_at = time.monotonic() + 0.9
+    while time.monotonic() < ends_at:
+        assert calls.call().status == 200
+    assert len(one.requests) == 1
+
+
+def test_a_pause_is_kept_if_no_other_server_is_left(calls):
+    # Guards against a last resort that ignores the pause, and against callers that come
+    # back before its end.
+    one = calls.add_server("one", asks_for_pause(1.5))
+    for _ in range(5):
+        response = calls.call()
+        assert response.status == 503
+        assert float(response.headers["retry-after"]) > 1.0
+    assert len(one.requests) == 1
+
+
+def test_an_engine_is_used_again_after_its_pause(streams):
+    # Guards against a pause that ends with a success elsewhere, or never.
+    one = streams.add_server("one", asks_for_pause(0.8), layers=(0, 40))
+    streams.add_server("two", stream, layers=(0, 40), data_centre="b")
+    ends_at = time.monotonic() + 0.7
+    while time.monotonic() < ends_at:
+        assert streams.call().status == 200
+        # The success of a request that was sent earlier.
+        streams.fleet.record_success("one")
+    assert len(one.requests) == 1
+    gevent.sleep(0.4)
+    assert streams.call().status == 200
+    assert len(one.requests) == 2
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "pause"),
+    [
+        (503, b"2", 2.0),
+        (503, b"0.5", 0.5),
+        (503, b"-1", None),
+        (503, b"nan", None),
+        (503, b"1e9", None),
+        (503, b"Fri, 31 Dec 1999 23:59:59 GMT", None),
+        (429, b"2", None),
+        (200, b"2", None),
+    ],
+)
+def test_a_pause_is_read_from_refusals_only(status, value, pause):
+    # Guards against a pause that was meant for callers, or is no number of seconds.
+    statements = parse_statements(status, [(b"retry-after", value)])
+    assert statements.pause_seconds == pause
+
+
+def test_an_absurd_pause_ends_after_a_minute():
+    now = [100.0]
+    fleet = Fleet(clock=lambda: now[0])
+    fleet.put(make_engine("x"))
+    fleet.pause("x", 1, 999_999_999.0)
+    now[0] += 59.0
+    assert fleet.available("llm") == []
+    now[0] += 1.1
+    assert len(fleet.available("llm")) == 1
