Send a refused request again on another connection only

A faulty server that writes an earlier refusal once more on a kept connection: if the same request was sent there again, the copy was taken for the answer of the second sending. Callers got 503, not run, for a request that was running, or it ran at a second server too. Cause: a response was matched with its request by the request's id, which is the same in both sendings. Connections remember the requests that were refused on them.

Where else: calls never go to the same upstream twice; the steps of the product's own sidecars name positions, and its plain calls use new connections.

--- a/bench/standins/path_server.py
+++ b/bench/standins/path_server.py
@@ -5,6 +5,7 @@
 bytes. All requests are recorded.
 """
 
+import itertools
 import json
 import struct
 
@@ -22,8 +23,9 @@
 
     A script returns a list of steps: bytes are sent, numbers are seconds to wait,
     `None` closes the connection, and `RESET` resets it. Requests are dictionaries with
-    `method`, `target`, `headers` (lower-case names) and `body`. `closed_early` counts
-    the connections that the client closed during a response.
+    `method`, `target`, `headers` (lower-case names), `body`, and the number of their
+    `connection`. `closed_early` counts the connections that the client closed during a
+    response.
     """
 
     def __init__(self, upstream_id: str, script, port: int = 0):
@@ -31,6 +33,7 @@
         self.script = script
         self.requests: list[dict] = []
         self.closed_early = 0
+        self._connections = itertools.count()
         self._server = StreamServer(("127.0.0.1", port), self._serve)
         self._server.start()
 
@@ -42,9 +45,10 @@
         self._server.stop(timeout=0.1)
 
     def _serve(self, sock, _address):
-        stream = sock.makefile("rb")
+        stream, number = sock.makefile("rb"), next(self._connections)
         try:
             while (request := _read_request(stream)) is not None:
+                request["connection"] = number
                 self.requests.append(request)
                 for step in self.script(request):
                     if step is RESET:
--- a/src/bulrushdrum/_internal/gateway/exchange.py
+++ b/src/bulrushdrum/_internal/gateway/exchange.py
@@ -69,7 +69,8 @@
     force_new=False,
 ) -> PendingResponse:
     """Send a request; raises `UpstreamFailed`."""
-    connection = pool.acquire(address, force_new)
+    request_id = proxied_request.metadata.request_id
+    connection = pool.acquire(address, request_id, force_new)
     remaining = proxied_request.deadline - time.monotonic()
     if remaining <= 0:
         connection.close()
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -243,6 +243,7 @@
         deadline = min(proxied_request.deadline, time.monotonic() + _ERROR_BODY_SECONDS)
         receive_body(pending, deadline)
         if response_metadata.has_not_run or reader.status == 421:
+            pending.connection.refused_ids.append(proxied_request.metadata.request_id)
             return _PathRefusal(reader.status, response_metadata.at_fault)
         if connection.response_started or reader.status >= 500:
             raise UpstreamFailed(f"the upstream returned status {reader.status}", True)
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -279,6 +279,8 @@
             connection.close()
             raise
         trace.upstream_status = reader.status
+        if response_metadata.has_not_run or reader.status == 421:
+            connection.refused_ids.append(request_id)
         self._pool.release(connection, reader.headers)
         return self._interpret_response(
             proxied_request, upstream, reader, response_metadata
--- a/src/bulrushdrum/_internal/gateway/upstream_connections.py
+++ b/src/bulrushdrum/_internal/gateway/upstream_connections.py
@@ -21,6 +21,8 @@
 # An idle connection is not reused within this time before the upstream's keep-alive
 # timeout, because the upstream may close it while the request is sent.
 _IDLE_MARGIN_SECONDS = 0.6
+# How many refused requests are remembered for each connection.
+_MAX_REFUSED_IDS = 64
 # Used for upstreams that send no keep-alive timeout.
 _DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 
@@ -33,6 +35,8 @@
         self.address = address
         self.is_new = True
         self.limits = limits
+        # Requests that were refused on this connection.
+        self.refused_ids: deque[bytes] = deque(maxlen=_MAX_REFUSED_IDS)
         self._bytes_since_yield = 0
         self.expires_at = 0.0
         self._reader: ResponseReader | None = None
@@ -151,15 +155,24 @@
         # Responses that were aborted because they exceeded a limit.
         self.oversized_responses = 0
 
-    def acquire(self, address: str, force_new: bool = False) -> UpstreamConnection:
-        """Return an idle connection or a new one; raises `UpstreamFailed`."""
-        idle = self._idle.get(address)
+    def acquire(
+        self, address: str, request_id: bytes = b"", force_new: bool = False
+    ) -> UpstreamConnection:
+        """Return an idle connection or a new one; raises `UpstreamFailed`.
+
+        A connection on which the request was refused before is not used for it: a late
+        copy of the refusal could not be told from the new response.
+        """
+        idle = self._idle.get(address, ())
         now = time.monotonic()
-        while idle and not force_new:
-            connection = idle.pop()
+        for connection in [] if force_new else reversed(list(idle)):
             if connection.expires_at > now and not connection.has_pending_input():
+                if request_id in connection.refused_ids:
+                    continue
+                idle.remove(connection)
                 connection.is_new = False
                 return connection
+            idle.remove(connection)
             connection.close()
         self.opened += 1
         return UpstreamConnection(address, self._limits)
