End a stream whose continuation is not a stream of events as cut

A stream had begun and broke off, and the server that was to resume it answered 200 with a page or an object, 204, or another status: callers found the text in the middle of their stream, or the stream ended as if it were complete. Cause: only error statuses were kept out of a stream that has begun. A continuation must have the status of the first response, and its media type where both name one; otherwise the attempt has failed.

--- a/src/bulrushdrum/_internal/gateway/generation_progress.py
+++ b/src/bulrushdrum/_internal/gateway/generation_progress.py
@@ -29,6 +29,8 @@
         # Whether an attempt was cut inside an event that no later one has delivered.
         self.has_begun_event = False
         self.started = False
+        # Status and media type of the response that has started.
+        self.form: tuple[int, bytes] | None = None
         self.attempts = 0
         self.refusals = 0
         self.failed_upstreams: set[str] = set()
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -208,6 +208,7 @@
                     connection, pending, proxied_request, response_metadata
                 )
             else:
+                _validate_continuation(reader, progress)
                 self._forward_stream(
                     connection,
                     pending,
@@ -296,10 +297,13 @@
         self._check_restarts(path)
 
     def _end_stream(self, connection, reader, progress):
+        self._start_stream(connection, reader, progress)
+        connection.end_stream()
+
+    def _start_stream(self, connection, reader, progress):
         if not progress.started:
             connection.start_stream(reader.status, end_to_end(reader.headers))
-            progress.started = True
-        connection.end_stream()
+            progress.started, progress.form = True, _response_form(reader)
 
     def _forward_events(self, connection, reader, events, progress, proxied_request):
         """Send events to the caller in one chunk; tell whether any of them has data.
@@ -319,9 +323,7 @@
                     connection.trace.record_event()
         finally:
             if accepted:
-                if not progress.started:
-                    connection.start_stream(reader.status, end_to_end(reader.headers))
-                    progress.started = True
+                self._start_stream(connection, reader, progress)
                 connection.send_chunk(b"".join(accepted))
         return has_data
 
@@ -439,5 +441,26 @@
         )
 
 
+def _response_form(reader):
+    """Return the status and the media type of a response."""
+    media_type = dict(reader.headers).get(b"content-type", b"").partition(b";")[0]
+    return reader.status, media_type.strip().lower()
+
+
+def _validate_continuation(reader, progress):
+    """Raise `UpstreamFailed` if a response cannot go on with a stream that has begun.
+
+    A page or an object would otherwise be forwarded in the middle of the stream, and a
+    response without a body would end it.
+    """
+    if not progress.started:
+        return
+    status, media_type = _response_form(reader)
+    begun_status, begun_media_type = progress.form
+    names_other_type = media_type and begun_media_type not in (b"", media_type)
+    if status != begun_status or names_other_type:
+        raise UpstreamFailed("the answer does not go on with the stream", True)
+
+
 def _describe_path(path):
     return [f"{hop.upstream.id}={hop.layers.first}-{hop.layers.end}" for hop in path]
