Choose ports of test routers below those of outgoing connections

Cause: its port came from the range of outgoing connections, and one of them took it between the kill and the restart. A script that opens such a connection there shows the same error. The fixtures of the router tests are shared; checks are unchanged.

--- a/tests/integration/router_system.py
+++ b/tests/integration/router_system.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import subprocess
 import sys
 import time
@@ -17,10 +18,19 @@
 AUTHORIZATION = b"Authorization: Token k1\r\n"
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+# Below the ports that the system gives to outgoing connections: one of these could take
+# the port of a router while the router restarts.
+_PORTS = range(20_000, 32_000)
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    while True:
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", random.choice(_PORTS)))
+            except OSError:
+                continue
+            return sock.getsockname()[1]
 
 
 class FakeEngine:
--- a/tests/integration/test_restored_store.py
+++ b/tests/integration/test_restored_store.py
@@ -3,7 +3,6 @@
 import gevent
 import pytest
 from bench.standins.path_server import PathServer, complete_response
-from bench.standins.row_store import RowStore
 from tests.integration.router_system import Router, make_configuration
 
 pytestmark = pytest.mark.slow
@@ -25,20 +24,6 @@
     store.put("servers", upstream_id, {**registration, **changes})
 
 
-@pytest.fixture
-def store():
-    store = RowStore()
-    yield store
-    store.stop()
-
-
-@pytest.fixture
-def router(tmp_path, store):
-    router = Router(tmp_path, store)
-    yield router
-    router.stop()
-
-
 @pytest.fixture
 def servers():
     servers = [
@@ -55,6 +40,15 @@
     router.wait_for(lambda: router.send_request(PATH, headers=headers).status == 200)
 
 
+def start_serving(router, store, servers):
+    """Serve with two servers, and return a copy of the store."""
+    store.put("op", "config", make_configuration())
+    register(store, "p1", servers[0])
+    register(store, "p2", servers[1])
+    wait_until_served(router)
+    return store.copy()
+
+
 def wait_for_restoration(router):
     """Wait until the router has read all its tables after a restoration."""
     router.wait_for(lambda: router.events().count(8007) == 3)
@@ -63,11 +57,7 @@
 def test_changes_below_the_version_of_a_cut_off_router_are_read(router, store, servers):
     # Guards against going on from a version of the era before, whose number was given
     # out again: a withdrawn key and a server that has left stay in use.
-    store.put("op", "config", make_configuration())
-    register(store, "p1", servers[0])
-    register(store, "p2", servers[1])
-    wait_until_served(router)
-    copy = store.copy()
+    copy = start_serving(router, store, servers)
     for number in range(4):
         store.put("other", "lost", number)
     gevent.sleep(2.0)
@@ -92,11 +82,7 @@
 
 def test_a_server_that_has_left_is_not_used_because_of_the_copy(router, store, servers):
     # Guards against rows of a copy that name servers which have left since.
-    store.put("op", "config", make_configuration())
-    register(store, "p1", servers[0])
-    register(store, "p2", servers[1])
-    wait_until_served(router)
-    copy = store.copy()
+    copy = start_serving(router, store, servers)
     register(store, "p1", servers[0], 2, state="draining")
     gevent.sleep(0.8)
     store.put("servers", "p1", None)
@@ -114,11 +100,7 @@
     router, store, servers
 ):
     # Guards against rows of a copy that are older than what the router knows.
-    store.put("op", "config", make_configuration())
-    register(store, "p1", servers[0])
-    register(store, "p2", servers[1])
-    wait_until_served(router)
-    copy = store.copy()
+    copy = start_serving(router, store, servers)
     register(store, "p1", servers[0], 2, state="draining")
     gevent.sleep(0.8)
     count = len(servers[0].requests)
--- a/tests/integration/test_router_process.py
+++ b/tests/integration/test_router_process.py
@@ -19,13 +19,11 @@
     resumed,
     stream,
 )
-from bench.standins.row_store import RowStore
 from gevent import socket
 from tests.integration.router_system import (
     AUTHORIZATION,
     ROOT,
     FakeEngine,
-    Router,
     make_configuration,
 )
 from tests.unit.gateway_fakes import read_response
@@ -35,20 +33,6 @@
 pytestmark = pytest.mark.slow
 
 
-@pytest.fixture
-def store():
-    store = RowStore()
-    yield store
-    store.stop()
-
-
-@pytest.fixture
-def router(tmp_path, store):
-    router = Router(tmp_path, store)
-    yield router
-    router.stop()
-
-
 def serve_generations(router, store, script=resumed):
     engine = FakeEngine("e1", store, script)
     store.put("op", "config", make_configuration())
--- a/tests/integration/test_upstream_limits.py
+++ b/tests/integration/test_upstream_limits.py
@@ -12,7 +12,6 @@
     report,
     stream,
 )
-from bench.standins.row_store import RowStore
 from tests.integration.router_system import FakeEngine, Router, make_configuration
 
 from bulrushdrum._internal.platform.engine_calls import EngineCalls
@@ -87,16 +86,9 @@
         return sum(response.status == status for response, _ in self.responses)
 
 
-@pytest.fixture
-def store():
-    store = RowStore()
-    store.put("op", "config", make_configuration())
-    yield store
-    store.stop()
-
-
 @pytest.fixture
 def routers(tmp_path, store):
+    store.put("op", "config", make_configuration())
     bounds = {"retry-budget-extra": 100}
     routers = [Router(tmp_path, store, f"r{n}", **bounds) for n in (1, 2, 3)]
     yield routers
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -23,6 +23,7 @@
 )
 from bench.standins.row_store import RowStore
 from gevent import socket
+from tests.integration.router_system import free_port
 
 ROOT = Path(__file__).resolve().parents[2]
 LAYERS = 12
@@ -30,12 +31,6 @@
 _EVENT_SECONDS = 0.03
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 # What a server in trouble does to the steps of an answer; `draw` is a random source.
 def _cut(steps, draw):
     data = b"".join(step for step in steps if isinstance(step, bytes))
