Count a retry only if an earlier sending reached an upstream

Callers were refused, with room elsewhere, when two or three engines in a row refused the connection. Cause: each refused connection counted as a refusal of the request, of which three are allowed, and the next sending as a retry, which the bound on repeats did not allow. Nothing had reached an upstream.

A refused connection is neither now, for streams and calls. 8205 names the requests that the bound refuses, for streams too, which it did not.

--- a/src/bulrushdrum/_internal/gateway/generation_progress.py
+++ b/src/bulrushdrum/_internal/gateway/generation_progress.py
@@ -9,6 +9,7 @@
 from bulrushdrum._internal.gateway.errors import UpstreamFailed
 from bulrushdrum._internal.gateway.events_stream import StreamEvent
 from bulrushdrum._internal.gateway.exchange import ProxiedRequest
+from bulrushdrum._internal.limits.retry_window import RetryCosts
 from bulrushdrum._internal.pipelines.paths import Demand
 from bulrushdrum._internal.world.engines import EngineModel
 
@@ -33,6 +34,7 @@
         self.form: tuple[int, bytes] | None = None
         self.attempts = 0
         self.refusals = 0
+        self.retry_costs = RetryCosts()
         self.failed_upstreams: set[str] = set()
         # Upstreams of paths that stalled for an unknown reason.
         self.suspects: set[str] = set()
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -115,7 +115,8 @@
         progress = GenerationProgress(proxied_request.metadata.resume_after)
         demand = estimate_demand(proxied_request, model)
         while True:
-            if progress.attempts + progress.refusals > 0 and not self._may_retry(
+            is_retry = progress.attempts + progress.refusals > 0
+            if is_retry and not self._may_retry(
                 proxied_request, route, service, progress
             ):
                 self._fail_generation(
@@ -149,6 +150,9 @@
                         connection, proxied_request, progress, str(error), status=504
                     )
                     return
+                if isinstance(error, ConnectionRefused):
+                    continue
+                progress.retry_costs.sent += 1
                 if error.may_have_run:
                     progress.attempts += 1
                 else:
@@ -159,6 +163,7 @@
                 self._path_waiter.notify()
             if outcome is None:
                 return
+            progress.retry_costs.sent += 1
             progress.refusals += 1
             self._record_refusal(proxied_request, path, outcome, progress)
 
@@ -173,7 +178,14 @@
             return False
         if progress.refusals > _MAX_REFUSALS:
             return False
-        return self._budget.try_spend(service, self._count_routers())
+        if self._budget.try_count(progress.retry_costs, service, self._count_routers()):
+            return True
+        log_event(
+            Event.RETRY_NOT_ALLOWED,
+            request=proxied_request.metadata.request_id.decode("latin-1"),
+            service=service,
+        )
+        return False
 
     def _attempt(self, connection, proxied_request, route, path, progress):
         """Forward the stream of `path`; return None at its end, or a `_PathRefusal`."""
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -13,7 +13,11 @@
     failure_response,
     not_run_response,
 )
-from bulrushdrum._internal.gateway.errors import ResponseTooLarge, UpstreamFailed
+from bulrushdrum._internal.gateway.errors import (
+    ConnectionRefused,
+    ResponseTooLarge,
+    UpstreamFailed,
+)
 from bulrushdrum._internal.gateway.exchange import (
     ProxiedRequest,
     receive_body,
@@ -31,7 +35,7 @@
 from bulrushdrum._internal.gateway.statement_recorder import StatementRecorder
 from bulrushdrum._internal.gateway.turns import Turn, TurnWaiter
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
-from bulrushdrum._internal.limits.retry_window import RetryWindow
+from bulrushdrum._internal.limits.retry_window import RetryCosts, RetryWindow
 from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
@@ -65,6 +69,7 @@
     """The upstreams to which one request was sent."""
 
     ids: set[str] = field(default_factory=set)
+    retry_costs: RetryCosts = field(default_factory=RetryCosts)
 
 
 class PlainCallProxy:
@@ -115,7 +120,9 @@
             except PipelineError as error:
                 problem = error
                 break
-            if tried.ids and not self._budget.try_spend(service, self._count_routers()):
+            if not self._budget.try_count(
+                tried.retry_costs, service, self._count_routers()
+            ):
                 log_event(
                     Event.RETRY_NOT_ALLOWED,
                     request=proxied_request.metadata.request_id.decode("latin-1"),
@@ -133,6 +140,9 @@
                 )
             except UpstreamFailed as error:
                 self._record_attempt_failure(proxied_request, upstream, error)
+                if isinstance(error, ConnectionRefused):
+                    continue
+                tried.retry_costs.sent += 1
                 if error.may_have_run:
                     attempts += 1
                     last_response = failure_response(
@@ -143,6 +153,7 @@
                 else:
                     refusals += 1
                 continue
+            tried.retry_costs.sent += 1
             if isinstance(last_response, _UpstreamRefusal):
                 refusals += 1
                 last_response = None
--- a/src/bulrushdrum/_internal/limits/retry_window.py
+++ b/src/bulrushdrum/_internal/limits/retry_window.py
@@ -14,12 +14,29 @@
 
 import time
 from collections import deque
+from dataclasses import dataclass
 
 # Fraction of `extra` that is used, because routers may discover each other late, and a
 # restarted router does not know how many retries it has sent.
 _USABLE_EXTRA_FRACTION = 0.6
 
 
+@dataclass
+class RetryCosts:
+    """The sendings of one request that reached an upstream, and the retries counted.
+
+    The first one is no retry, and neither is one after a refused connection.
+    """
+
+    sent: int = 0
+    counted: int = 0
+
+    @property
+    def is_retry_due(self) -> bool:
+        """Whether the next sending is a retry that was not counted yet."""
+        return self.sent > self.counted
+
+
 class RetryWindow:
     """Counts the requests and retries of each service in the last `seconds`."""
 
@@ -44,6 +61,17 @@
         retries.append(self._clock())
         return True
 
+    def try_count(self, costs: RetryCosts, service: str, routers: int) -> bool:
+        """Count the next sending of a request if it is a retry and the limit allows it.
+
+        Returns whether the request may be sent.
+        """
+        if costs.is_retry_due:
+            if not self.try_spend(service, routers):
+                return False
+            costs.counted += 1
+        return True
+
     def _recent(self, times, service):
         recent = times.setdefault(service, deque())
         oldest = self._clock() - self._seconds
--- a/tests/integration/test_router_process.py
+++ b/tests/integration/test_router_process.py
@@ -157,6 +157,17 @@
         assert (response.status, response.is_complete) == (200, True)
 
 
+def test_sound_requests_are_served_when_crashed_engines_are_tried_again(router, store):
+    # Guards against refusing a request because several engines refuse connections: it
+    # has reached none of them, so that the next one is no retry.
+    engines = CrashingEngines(router, store)
+    for number in range(5):
+        # Longer than the first backoff of an engine.
+        gevent.sleep(1.1)
+        response = engines.send(b"a5:9,f00d:5,7%d:4,0%d:1" % (number, number))
+        assert (response.status, response.is_complete) == (200, True)
+
+
 def restart(router):
     router.process.kill()
     router.process.wait(timeout=10)
--- a/tests/unit/test_retry_window.py
+++ b/tests/unit/test_retry_window.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bulrushdrum._internal.limits.retry_window import RetryWindow
+from bulrushdrum._internal.limits.retry_window import RetryCosts, RetryWindow
 
 
 @given(
@@ -37,3 +37,18 @@
     while window.try_spend("a", 1):
         pass
     assert window.try_spend("b", 1)
+
+
+def test_only_sendings_that_follow_an_arrival_are_counted():
+    # Guards against retries that are refused although nothing has reached an upstream.
+    window = RetryWindow(ratio=0.0, extra=2, seconds=10.0, clock=lambda: 0.0)
+    costs = RetryCosts()
+    for _ in range(5):
+        # Each of these connections is refused.
+        assert window.try_count(costs, "s", routers=1)
+    costs.sent += 1
+    assert window.try_count(costs, "s", routers=1)
+    # The connection of the retry was refused, so it is still counted.
+    assert window.try_count(costs, "s", routers=1)
+    costs.sent += 1
+    assert not window.try_count(costs, "s", routers=1)
