Restore the store of the soak from copies

The operator and the servers write again what was lost, in that order; registrations of servers that have left expire later. 8 fresh seeds of 6 s (first 900) passed.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
 import sys  # noqa: E402
 import tempfile  # noqa: E402
 import time  # noqa: E402
+from collections import deque  # noqa: E402
 from pathlib import Path  # noqa: E402
 
 import gevent  # noqa: E402
@@ -32,6 +33,9 @@
 RECOVER_SECONDS = 12.0
 # Added to a bound to allow for the duration of a request.
 SLACK_SECONDS = 1.0
+# The store may be restored from one of the last copies.
+_COPIES = 5
+_COPY_INTERVAL_SECONDS = 0.7
 COMPLETE_BODY = b"".join(
     b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, LAST_EVENT + 1)
 )
@@ -55,6 +59,7 @@
         self._started_at: dict[str, float] = {}
         self._key, self._old_key, self._changed_at = "k1", None, 0.0
         self.faults: list[str] = []
+        self._copies: deque = deque(maxlen=_COPIES)
 
     def run(self, seconds: float) -> list[str]:
         """Inject faults, clear them, and return the violated guarantees."""
@@ -63,9 +68,11 @@
             self._end = time.monotonic() + seconds
             response_seed = self._random.random()
             callers = [gevent.spawn(self._send_requests, n) for n in range(CALLERS)]
+            copier = gevent.spawn(self._copy_store)
             injectors = [gevent.spawn(self._inject_faults) for _ in range(2)]
             injectors.append(gevent.spawn(self._inject_lost_responses, response_seed))
             gevent.joinall([*callers, *injectors])
+            copier.kill()
             self._clear_faults()
             if not self._await_service(RECOVER_SECONDS):
                 self._add_violation(
@@ -160,6 +167,7 @@
                     self._pause,
                     self._store_down,
                     self._drop_store_history,
+                    self._restore_store,
                     self._store_link,
                     self._server_link,
                     self._server_link,
@@ -226,6 +234,26 @@
     def _drop_store_history(self):
         self.environment.store.forget_history()
 
+    def _restore_store(self):
+        """Bring the store back from a copy; who wrote since then writes again."""
+        store, copy = self.environment.store, self._random.choice(self._copies)
+        store.is_down = True
+        gevent.sleep(self._random.uniform(0.0, 1.0))
+        store.restore(copy)
+        self.environment.configure_again()
+        store.is_down = False
+        self._mark_all_disturbed()
+        gevent.sleep(self._random.uniform(0.0, 1.5))
+        self.environment.register_again()
+        gevent.sleep(self._random.uniform(0.0, 1.5))
+        self.environment.expire_registrations()
+        self._mark_all_disturbed()
+
+    def _copy_store(self):
+        while True:
+            self._copies.append(self.environment.store.copy())
+            gevent.sleep(_COPY_INTERVAL_SECONDS)
+
     def _link_faults(self, link):
         link.set_faults(
             self._random.choice(
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -81,6 +81,8 @@
         self.name, self.environment, self.kind = name, environment, kind
         self.runs: list[str] = []
         self.incarnation = 0
+        self.heartbeats = 0
+        self.is_registered = False
         self.draining = False
         self.layers = None
         self.orders = 0
@@ -100,10 +102,13 @@
     def start(self):
         """Start a new incarnation without layers."""
         self.incarnation += 1
+        self.heartbeats = 0
         self.layers, self.orders, self.draining = None, 0, False
         self.register()
 
     def register(self):
+        self.heartbeats += 1
+        self.is_registered = True
         held_layers = None
         if self.layers is not None:
             held_layers = {
@@ -118,6 +123,7 @@
             "slots": 16,
             "state": "draining" if self.draining else "ready",
             "born": self.incarnation,
+            "seq-no": self.heartbeats,
             "layers": held_layers,
         }
         if self.kind:
@@ -125,6 +131,7 @@
         self.environment.store.put("servers", self.identity, row)
 
     def leave(self):
+        self.is_registered = False
         self.environment.store.put("servers", self.identity, None)
 
     def _answer(self, request):
@@ -184,7 +191,25 @@
     def configure(self, *keys):
         """Write a new version of the configuration with these API keys."""
         self.version += 1
-        self.store.put("op", "config", _configuration(self.version, keys))
+        self._configuration = _configuration(self.version, keys)
+        self.configure_again()
+
+    def configure_again(self):
+        """Write the newest configuration once more, as after its loss."""
+        self.store.put("op", "config", self._configuration)
+
+    def register_again(self):
+        """Write the registrations of all servers that have not left."""
+        for server in [*self.engines, *self.plain_servers]:
+            if server.is_registered:
+                server.register()
+
+    def expire_registrations(self):
+        """Remove the registrations of incarnations that have ended or left."""
+        servers = [*self.engines, *self.plain_servers]
+        registered = {s.identity for s in servers if s.is_registered}
+        for identity in set(self.store.keys("servers")) - registered:
+            self.store.put("servers", identity, None)
 
     def check_path(self, path):
         """Return the first address that lacks its layers; record a path with gaps."""
