Wait for the first announcement only before serving at the start

It now waits for one peer, 0.1 s at most; a router that hears a new one announces itself at once.

The tests of a restored store pass.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -124,6 +124,7 @@
         self._unregistered: set[str] = set()
         self._registration_lost = Signal()
         self._is_unregistered = False
+        self._has_read_table = False
         self._is_serving = False
         self._accepts_work = True
         self._ready_in = 0.0
@@ -171,6 +172,10 @@
         store was restored. This router registers again if its row is lost.
         """
         if is_snapshot:
+            if not self._has_read_table:
+                # Peers answer the first announcement, which can be sent from now on.
+                self.announce_soon()
+            self._has_read_table = True
             self._registered.clear()
         for row in rows:
             if row.value is None:
@@ -255,11 +260,10 @@
         versions = [p.configuration_version for p in self._live_peers().values()]
         return max(versions, default=0)
 
-    def hears_all_routers(self) -> bool:
-        """Whether the table of routers was read and all in it announce themselves."""
-        return bool(self._registered) and not (
-            set(self._registered) - set(self._peers) - {self._settings.node}
-        )
+    def hears_routers(self) -> bool:
+        """Whether another router was heard, or the table names no other one."""
+        others = set(self._registered) - {self._settings.node}
+        return bool(self._peers) or (self._has_read_table and not others)
 
     def router_count(self) -> int:
         """Return the number of routers that share a common limit.
@@ -402,7 +406,11 @@
             ) as error:
                 log_event(Event.PEER_REFUSED, peer=str(address), reason=repr(error))
                 continue
-            if name not in self._peers:
+            known = self._peers.get(name)
+            if known is None or known.incarnation != incarnation:
+                # A router that has just started waits for what its peers know.
+                self.announce_soon()
+            if known is None:
                 log_event(Event.PEER_CONNECTED, peer=name, serving=serving)
             now = self._last_known_at[name] = time.monotonic()
             self._peers[name] = _Peer(
--- a/src/bulrushdrum/_internal/coordination/configuration_in_force.py
+++ b/src/bulrushdrum/_internal/coordination/configuration_in_force.py
@@ -20,25 +20,26 @@
 from bulrushdrum._internal.platform.rows import CONFIGURATION_KEY, StoredRow
 from bulrushdrum._internal.world.routes import RouterConfiguration
 
-# A router that has just started waits this long for the announcements of its peers.
-_MAX_PEER_WAIT_SECONDS = 0.6
+# A router that has just started waits this long for the first announcement of a peer.
+# Peers answer at once, so that only routers that are gone are waited for.
+_MAX_PEER_WAIT_SECONDS = 0.1
 
 
 class ConfigurationInForce:
     """The configuration of one router.
 
     `newest_peer_version()` returns the newest version that a live peer applies, and
-    `hears_all_peers()` whether all registered routers have been heard.
+    `hears_peers()` whether another router has been heard, or none is registered.
     """
 
     def __init__(
         self,
         newest_peer_version: Callable[[], int],
-        hears_all_peers: Callable[[], bool],
+        hears_peers: Callable[[], bool],
         clock: Callable[[], float] = time.monotonic,
     ):
         self._newest_peer_version = newest_peer_version
-        self._hears_all_peers = hears_all_peers
+        self._hears_peers = hears_peers
         self._clock = clock
         self._started_at = clock()
         self._latest: RouterConfiguration | None = None
@@ -60,7 +61,7 @@
         if self._is_confirmed or self._latest is None:
             return self._is_confirmed
         waited = self._clock() - self._started_at
-        if not self._hears_all_peers() and waited < _MAX_PEER_WAIT_SECONDS:
+        if not self._hears_peers() and waited < _MAX_PEER_WAIT_SECONDS:
             return False
         self._is_confirmed = self._latest.version >= self._newest_peer_version()
         return self._is_confirmed
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -102,7 +102,7 @@
         self._stop_requested = Signal()
         self._configuration = ConfigurationInForce(
             lambda: self._announcements.newest_peer_version(),
-            lambda: self._announcements.hears_all_routers(),
+            lambda: self._announcements.hears_routers(),
         )
         store = RowStore(
             settings.store_address, settings.store_timeout, settings.feed_wait
