Report a call as failed, not as refused, if an earlier attempt may have run

Cause: the refusal of the second upstream replaced the failure of the first one, and a call without a response was reported as not run. The failure stays the response now.

--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -135,7 +135,7 @@
             )
             trace.record_attempt([], upstream.id)
             try:
-                last_response = self._attempt(
+                outcome = self._attempt(
                     proxied_request, route, upstream, is_last_attempt, trace
                 )
             except UpstreamFailed as error:
@@ -154,10 +154,11 @@
                     refusals += 1
                 continue
             tried.retry_costs.sent += 1
-            if isinstance(last_response, _UpstreamRefusal):
+            if isinstance(outcome, _UpstreamRefusal):
+                # An earlier attempt may have run, so its failure is the response.
                 refusals += 1
-                last_response = None
                 continue
+            last_response = outcome
             if last_response.status not in _SERVER_ERRORS or not route.is_retryable:
                 return last_response
             attempts += 1
--- a/tests/unit/test_plain_calls.py
+++ b/tests/unit/test_plain_calls.py
@@ -129,3 +129,16 @@
     for number in range(3):
         request = REQUEST.replace(b"r1", b"r%d" % number)
         assert non_idempotent_gateway.call(request).body == b"done"
+
+
+@pytest.mark.parametrize(
+    "failed", [lambda r: [None], lambda r: complete_response(r, status=500)]
+)
+def test_a_refusal_after_an_attempt_that_ran_is_not_reported_as_not_run(
+    idempotent_gateway, failed
+):
+    # Guards against "not run" for a call that another upstream had run before.
+    one, two = add_pair(idempotent_gateway, failed, not_executed)
+    response = idempotent_gateway.call()
+    assert (len(one.requests), len(two.requests)) == (1, 1)
+    assert response.status in (500, 502)
