--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -217,9 +217,10 @@
         while True:
             upstream = self._choose_upstream(service, tried.ids, reached)
             if upstream is None:
+                problem = f"no upstream of {service!r} is left"
                 if reached:
-                    raise LimitsReached(self._limits.summarize(reached))
-                raise NoPath(f"no upstream of {service!r} is left")
+                    raise LimitsReached(self._limits.summarize(reached), problem)
+                raise NoPath(problem)
             reached_now = self._limits.acquire([upstream], tried)
             if not reached_now:
                 return upstream
--- a/src/bulrushdrum/_internal/gateway/turns.py
+++ b/src/bulrushdrum/_internal/gateway/turns.py
@@ -71,6 +71,7 @@
             request=request_id.decode("latin-1"),
             service=service,
             limits=error.reached.limits,
+            others=error.others,
             own_rate=round(error.reached.rate, 3),
             waiting=len(self._queue),
         )
--- a/src/bulrushdrum/_internal/pipelines/errors.py
+++ b/src/bulrushdrum/_internal/pipelines/errors.py
@@ -18,10 +18,14 @@
 class LimitsReached(PipelineError):
     """All paths with free memory have an upstream that has reached its limit.
 
-    With `frees_memory`, there are other paths, which lack memory.
+    `others` explains why no path without these upstreams was found. With
+    `frees_memory`, there are other paths, which lack memory.
     """
 
-    def __init__(self, reached: ReachedLimits, frees_memory: bool = False):
+    def __init__(
+        self, reached: ReachedLimits, others: str, frees_memory: bool = False
+    ):
         super().__init__("the upstreams have reached the limits that they name")
         self.reached = reached
+        self.others = others
         self.frees_memory = frees_memory
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -157,6 +157,7 @@
                     raise
                 raise LimitsReached(
                     self._limits.summarize(reached),
+                    others=str(error),
                     frees_memory=isinstance(error, InsufficientMemory),
                 ) from error
             reached_on_path = self._limits.acquire(
