Wait in the tests of limits until the routers know all upstreams

Cause: of the test, not of the limits. All refused streams came in the first 0.45 s, and the new field of 8219 says that 'no available engine holds some layers': both engines register at almost the same time, the first row is read at once and the second one after the spacing of reads (0.5 s with these bounds). The test began once one stream was served, when the routers knew only the engine that was about to name a limit. A refusal was right then.

The tests of this file now wait until each router has read the rows of all upstreams of the test. No check is changed; one on the new field is added.

--- a/tests/integration/test_upstream_limits.py
+++ b/tests/integration/test_upstream_limits.py
@@ -1,5 +1,6 @@
 """Several router processes keep the limit on requests that an upstream names."""
 
+import json
 import random
 import time
 
@@ -110,9 +111,26 @@
     return server
 
 
-def wait_until_served(routers, path):
+def wait_until_served(routers, path, *upstreams):
+    """Wait until all routers serve `path` and have read the rows of `upstreams`.
+
+    The first change of a table is read at once and the next ones some time later, so
+    a router that serves requests may know only one of several new upstreams.
+    """
     for router in routers:
         router.wait_for(lambda r=router: r.send_request(path).status == 200)
+        router.wait_for(lambda r=router: usable_ids(r) >= set(upstreams))
+
+
+def usable_ids(router):
+    """Return the upstreams that hold layers, or that need none."""
+    state = router.send_request(b"/state", b"GET", router.metrics_port)
+    upstreams = json.loads(state.body)["fleet"]["upstreams"]
+    return {
+        upstream_id
+        for upstream_id, upstream in upstreams.items()
+        if upstream["layers"] is not None or not upstream["kind"]
+    }
 
 
 def test_calls_beyond_an_upstreams_limit_go_to_other_upstreams(routers, store):
@@ -120,7 +138,7 @@
     limited = LimitedServer(None)
     add_service(store, "p1", limited)
     add_service(store, "p2", complete_response)
-    wait_until_served(routers, b"/a/b/x")
+    wait_until_served(routers, b"/a/b/x", "p1", "p2")
     limited.limit, limited.arrivals = "3.5", []
     callers = Callers(routers, b"/a/b/x", rate=40.0)
     callers.run(seconds=9.0)
@@ -133,7 +151,7 @@
     limited = LimitedServer(None, stream)
     engines = [FakeEngine("e1", store, limited), FakeEngine("e2", store, stream)]
     routers[0].wait_for(lambda: all(engine.orders for engine in engines))
-    wait_until_served(routers, b"/a/x")
+    wait_until_served(routers, b"/a/x", "e1", "e2")
     limited.limit, limited.arrivals = "3.5", []
     callers = Callers(routers, b"/a/x", rate=30.0)
     callers.run(seconds=9.0)
@@ -146,7 +164,7 @@
     # callers that wait for what is known not to come.
     limited = LimitedServer(None)
     add_service(store, "p1", limited)
-    wait_until_served(routers, b"/a/b/x")
+    wait_until_served(routers, b"/a/b/x", "p1")
     limited.limit, limited.arrivals = "6", []
     callers = Callers(routers, b"/a/b/x", rate=30.0)
     callers.run(seconds=9.0)
@@ -157,13 +175,16 @@
     refused = [(r, s) for r, s in callers.responses if r.status == 503]
     assert all(float(r.headers["retry-after"]) > 0 for r, _ in refused)
     assert sorted(seconds for _, seconds in refused)[len(refused) // 2] < 0.4
+    lines = [json.loads(line) for line in routers[0].log.read_text().splitlines()]
+    reasons = {line["others"] for line in lines if line["event"] == 8219}
+    assert reasons == {"no upstream of 's2' is left"}
 
 
 def test_a_limit_ends_with_the_first_answer_that_does_not_name_it(routers, store):
     # Guards against a limit that outlives the need of its upstream.
     limited = LimitedServer(None)
     add_service(store, "p1", limited)
-    wait_until_served(routers, b"/a/b/x")
+    wait_until_served(routers, b"/a/b/x", "p1")
     limited.limit = "0"
     Callers(routers, b"/a/b/x", rate=30.0).run(seconds=3.0)
     limited.limit = None
@@ -190,7 +211,7 @@
     limited = LimitedServer(None, refuse)
     add_service(store, "p1", limited)
     add_service(store, "p2", complete_response)
-    wait_until_served(routers, b"/a/b/x")
+    wait_until_served(routers, b"/a/b/x", "p1", "p2")
     limited.limit, limited.arrivals = "2", []
     callers = Callers(routers, b"/a/b/x", rate=40.0)
     callers.run(seconds=8.0)
