Forward what has arrived before looking for a stalled upstream

Cause: after each wait the path is checked, and only then is what the wait received forwarded. A router that was paused (or waited for a processor) for more than a part of the goal counted the pause as silence of the upstream, asked it for a report, and gave it up if the report did not come or named it, with the next event already read. A stream then went to another upstream, or broke off if no attempt was left.

Change: events are forwarded first, which ends the silence; the path is checked after that. Comments and parts of a head still end no silence.

--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -205,7 +205,9 @@
         watch = StreamWatch(route, proxied_request.deadline)
         try:
             while not reader.has_head:
-                self._receive(connection, pending, path, watch, can_retry)
+                received = self._receive(connection, pending, watch)
+                if not reader.has_head and watch.is_check_due(received):
+                    self._check_path(path, watch, can_retry)
             connection.trace.upstream_status = reader.status
             response_metadata = validate_response_head(
                 pending, proxied_request.metadata.request_id
@@ -241,13 +243,12 @@
         """Whether a stalled attempt may be followed by another one."""
         return route.is_retryable and progress.attempts + 1 < route.max_attempts
 
-    def _receive(self, connection, pending, path, watch, can_retry):
-        """Wait for data; raise `UpstreamFailed` if the path failed or stalled."""
+    def _receive(self, connection, pending, watch):
+        """Wait for data until the next check; tell whether any was received."""
         received = pending.connection.receive(watch.wait_seconds())
         if received:
             connection.trace.record_data()
-        if watch.is_check_due(received):
-            self._check_path(path, watch, can_retry)
+        return received
 
     def _read_error_response(
         self, connection, pending, proxied_request, response_metadata
@@ -271,7 +272,7 @@
     def _forward_stream(
         self, connection, pending, path, progress, watch, can_retry, proxied_request
     ):
-        reader = pending.reader
+        reader, received = pending.reader, True
         splitter = EventSplitter(pending.connection.limits.event_bytes)
         try:
             while True:
@@ -283,7 +284,11 @@
                         watch.record_event()
                 if reader.is_complete:
                     break
-                self._receive(connection, pending, path, watch, can_retry)
+                # What was received comes first: it may have an event that ends the
+                # silence of the upstream.
+                if watch.is_check_due(received):
+                    self._check_path(path, watch, can_retry)
+                received = self._receive(connection, pending, watch)
         finally:
             progress.has_begun_event |= splitter.has_begun_event
         if splitter.has_partial_event:
--- a/src/bulrushdrum/_internal/pipelines/errors.py
+++ b/src/bulrushdrum/_internal/pipelines/errors.py
@@ -22,9 +22,7 @@
     `frees_memory`, there are other paths, which lack memory.
     """
 
-    def __init__(
-        self, reached: ReachedLimits, others: str, frees_memory: bool = False
-    ):
+    def __init__(self, reached: ReachedLimits, others: str, frees_memory: bool = False):
         super().__init__("the upstreams have reached the limits that they name")
         self.reached = reached
         self.others = others
--- a/tests/unit/test_generations.py
+++ b/tests/unit/test_generations.py
@@ -14,6 +14,7 @@
     resumed,
     stream,
 )
+from gevent.monkey import get_original
 from tests.unit.gateway_fakes import REQUEST, Gateway, make_route
 
 from bulrushdrum._internal.pipelines.memory_reservations import Hop
@@ -281,6 +282,29 @@
     return [r["headers"]["bulrushdrum-hop-count"] for r in generation_requests(server)]
 
 
+@pytest.mark.parametrize("paused_event", [1, 3])
+def test_a_paused_router_reads_what_has_arrived_before_it_looks_for_stalls(
+    gateway, paused_event
+):
+    # Guards against giving up a sound upstream because the router itself was paused,
+    # although the next event of the stream had arrived meanwhile.
+    pause_process = get_original("time", "sleep")
+
+    def send_and_pause(request):
+        steps = stream(request)
+        for number, step in enumerate(steps):
+            if number == paused_event:
+                # The router waits for data from here on.
+                let_others_run()
+                pause_process(0.5)
+            yield step
+
+    one, two = add_pair(gateway, send_and_pause, stream)
+    assert gateway.call().body == EVENTS
+    assert [request["target"] for request in one.requests] == ["/a/x"]
+    assert two.requests == []
+
+
 def test_a_retry_after_unexplained_silence_uses_other_upstreams(gateway):
     # The report names nobody. Guards against stalling on the same path once more while
     # other healthy upstreams are idle.
