Leave a part of the limit on retries to answers that have begun

Cause: all requests share one limit. A request that was refused and has delivered nothing loses little: its caller is told that it has not run. A stream that has begun is cut.

Change: requests that have delivered nothing use four fifths of the limit.

Both tests fail with the whole limit for all.

--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -178,7 +178,12 @@
             return False
         if progress.refusals > _MAX_REFUSALS:
             return False
-        if self._budget.try_count(progress.retry_costs, service, self._count_routers()):
+        if self._budget.try_count(
+            progress.retry_costs,
+            service,
+            self._count_routers(),
+            has_delivered=progress.started,
+        ):
             return True
         log_event(
             Event.RETRY_NOT_ALLOWED,
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -121,7 +121,7 @@
                 problem = error
                 break
             if not self._budget.try_count(
-                tried.retry_costs, service, self._count_routers()
+                tried.retry_costs, service, self._count_routers(), has_delivered=False
             ):
                 log_event(
                     Event.RETRY_NOT_ALLOWED,
--- a/src/bulrushdrum/_internal/limits/retry_window.py
+++ b/src/bulrushdrum/_internal/limits/retry_window.py
@@ -2,7 +2,8 @@
 
 Over any window, the retries of all routers together are at most `ratio` times the
 number of requests plus `extra`. Each router applies the ratio to its own requests and
-uses an equal share of `extra`.
+uses an equal share of `extra`. The last part of the limit is left to requests that have
+delivered a part of their answer, which would be lost.
 
 >>> window = RetryWindow(ratio=0.5, extra=3, seconds=10.0, clock=lambda: 0.0)
 >>> window.record_request("ledger")
@@ -19,6 +20,9 @@
 # Fraction of `extra` that is used, because routers may discover each other late, and a
 # restarted router does not know how many retries it has sent.
 _USABLE_EXTRA_FRACTION = 0.6
+# Fraction of the limit that requests may use whose failure loses nothing: what an
+# answer has delivered is lost if the request is not sent again.
+_UNDELIVERED_FRACTION = 0.8
 
 
 @dataclass
@@ -51,23 +55,28 @@
     def record_request(self, service: str):
         self._requests.setdefault(service, deque()).append(self._clock())
 
-    def try_spend(self, service: str, routers: int) -> bool:
+    def try_spend(self, service: str, routers: int, has_delivered: bool = True) -> bool:
         """Count one retry if the limit allows it; return whether it does."""
         requests = self._recent(self._requests, service)
         retries = self._recent(self._retries, service)
         extra_share = self._extra * _USABLE_EXTRA_FRACTION / max(routers, 1)
-        if len(retries) + 1 > self._ratio * len(requests) + extra_share:
+        limit = self._ratio * len(requests) + extra_share
+        if not has_delivered:
+            limit *= _UNDELIVERED_FRACTION
+        if len(retries) + 1 > limit:
             return False
         retries.append(self._clock())
         return True
 
-    def try_count(self, costs: RetryCosts, service: str, routers: int) -> bool:
+    def try_count(
+        self, costs: RetryCosts, service: str, routers: int, has_delivered: bool
+    ) -> bool:
         """Count the next sending of a request if it is a retry and the limit allows it.
 
         Returns whether the request may be sent.
         """
         if costs.is_retry_due:
-            if not self.try_spend(service, routers):
+            if not self.try_spend(service, routers, has_delivered):
                 return False
             costs.counted += 1
         return True
--- a/tests/unit/gateway_fakes.py
+++ b/tests/unit/gateway_fakes.py
@@ -64,7 +64,7 @@
         self.model = make_model(layer_bytes=1e9)
         self.servers: dict[str, PathServer] = {}
         self.seconds = None
-        self._budget = RetryWindow(0.2, extra, 10.0)
+        self.budget = RetryWindow(0.2, extra, 10.0)
         chooser = PathChooser(self.fleet, self.reservations, self.limits, "a", seed=3)
         turns = TurnWaiter(self.limits)
         statements = StatementRecorder(self.fleet, self.limits)
@@ -75,7 +75,7 @@
             self.reservations,
             PathWaiter(chooser, turns),
             self.pool,
-            self._budget,
+            self.budget,
             lambda: 1,
             stall_detector.check_path,
             CrashEvidence(self.fleet, self.quarantine, self.part_quarantine),
@@ -84,7 +84,7 @@
         self._plain_call_proxy = PlainCallProxy(
             self.fleet,
             self.pool,
-            self._budget,
+            self.budget,
             "a",
             lambda: 1,
             self.quarantine,
--- a/tests/unit/test_generations.py
+++ b/tests/unit/test_generations.py
@@ -305,6 +305,17 @@
     assert two.requests == []
 
 
+def test_a_stream_that_has_begun_is_resumed_when_others_used_up_the_retries(gateway):
+    # Guards against an answer that is broken off because requests that had delivered
+    # nothing used up the limit on retries.
+    two = add_pair(gateway, lambda r: [head(r), event(1), None], resumed)[1]
+    while gateway.budget.try_spend("llm", routers=1, has_delivered=False):
+        pass
+    response = gateway.call()
+    assert (response.body, response.is_complete) == (EVENTS, True)
+    assert two.requests[-1]["headers"]["last-event-id"] == "1"
+
+
 def test_a_retry_after_unexplained_silence_uses_other_upstreams(gateway):
     # The report names nobody. Guards against stalling on the same path once more while
     # other healthy upstreams are idle.
--- a/tests/unit/test_retry_window.py
+++ b/tests/unit/test_retry_window.py
@@ -45,10 +45,22 @@
     costs = RetryCosts()
     for _ in range(5):
         # Each of these connections is refused.
-        assert window.try_count(costs, "s", routers=1)
+        assert window.try_count(costs, "s", routers=1, has_delivered=True)
     costs.sent += 1
-    assert window.try_count(costs, "s", routers=1)
+    assert window.try_count(costs, "s", routers=1, has_delivered=True)
     # The connection of the retry was refused, so it is still counted.
-    assert window.try_count(costs, "s", routers=1)
+    assert window.try_count(costs, "s", routers=1, has_delivered=True)
     costs.sent += 1
-    assert not window.try_count(costs, "s", routers=1)
+    assert not window.try_count(costs, "s", routers=1, has_delivered=True)
+
+
+def test_a_part_of_the_limit_is_left_to_answers_that_have_begun():
+    # Guards against breaking off an answer because requests that had delivered nothing
+    # used up the limit.
+    window = RetryWindow(ratio=0.2, extra=20, seconds=10.0, clock=lambda: 0.0)
+    for _ in range(50):
+        window.record_request("s")
+    while window.try_spend("s", routers=1, has_delivered=False):
+        pass
+    assert window.try_spend("s", routers=1, has_delivered=True)
+    assert not window.try_spend("s", routers=1, has_delivered=False)
