Move the table of routers out of the announcements

RouterRegistry follows the rows of the routers and keeps this router's own one; RouterAnnouncements sends and receives datagrams.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -1,10 +1,9 @@
 """Exchanges liveness, reservations and layer updates between routers.
 
-Each router stores a row with its address and sends a datagram to all other routers a
-few times a second. A lost datagram is superseded by the next one, and correctness does
-not depend on delivery. One router, the leader, places layers: by default the first by
-name. If two routers consider themselves the leader, the engines' order counts decide
-which orders take effect.
+Each router sends a datagram to all registered routers a few times a second. A lost
+datagram is superseded by the next one, and correctness does not depend on delivery. One
+router, the leader, places layers: by default the first by name. If two routers consider
+themselves the leader, the engines' order counts decide which orders take effect.
 """
 
 import json
@@ -13,10 +12,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import gevent
 from gevent import socket
 from gevent.event import Event as Signal
 
+from bulrushdrum._internal.coordination.router_registry import RouterRegistry
 from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
@@ -26,16 +25,9 @@
     MemoryReservations,
 )
 from bulrushdrum._internal.pipelines.part_quarantine import PartQuarantine
-from bulrushdrum._internal.platform.errors import (
-    PlatformError,
-    StoreUnavailable,
-    WriteOutcomeUnknown,
-)
-from bulrushdrum._internal.platform.rows import RowStore, StoredRow
 from bulrushdrum._internal.settings.router import RouterSettings
 from bulrushdrum._internal.world.upstreams import LayerRange
 
-ROUTERS_TABLE = "routers"
 # The interval grows with the number of routers, so that the rate of announcements that
 # each of them receives stays about constant.
 _MIN_INTERVAL_SECONDS = 0.2
@@ -48,8 +40,6 @@
 _ELECTION_DELAY_SECONDS = 1.5
 # How long an upstream is remembered as reported unresponsive by a peer.
 _PEER_REPORT_SECONDS = 4.0
-_REGISTER_RETRY_SECONDS = 0.5
-_REGISTRATION_CHECK_SECONDS = 1.0
 # A registered router that has been silent for this long is taken as gone, unless this
 # router may be the one that is partitioned.
 _SILENT_ROUTER_SECONDS = 15.0
@@ -91,15 +81,15 @@
 
 
 class RouterAnnouncements:
-    """Registers this router, announces its state and receives that of its peers."""
+    """Announces the state of this router and receives that of its peers."""
 
     def __init__(
         self,
         settings: RouterSettings,
         incarnation: str,
+        registry: RouterRegistry,
         reservations: MemoryReservations,
         fleet: Fleet,
-        store: RowStore,
         reaches_store: Callable[[], bool],
         quarantine: CrashQuarantine,
         part_quarantine: PartQuarantine,
@@ -108,23 +98,15 @@
     ):
         self._settings = settings
         self._incarnation = incarnation
+        self._registry = registry
         self._reservations = reservations
         self._fleet = fleet
-        self._store = store
         self._reaches_store = reaches_store
         self._quarantine = quarantine
         self._part_quarantine = part_quarantine
         self._limits = limits
         self._configuration_version = configuration_version
         self._peers: dict[str, _Peer] = {}
-        self._registered: dict[str, tuple[str, int]] = {}
-        # When each registered router was last heard, or first seen in the table.
-        self._last_known_at: dict[str, float] = {}
-        # Names of routers whose rows were removed.
-        self._unregistered: set[str] = set()
-        self._registration_lost = Signal()
-        self._is_unregistered = False
-        self._has_read_table = False
         self._is_serving = False
         self._accepts_work = True
         self._ready_in = 0.0
@@ -143,7 +125,8 @@
     @property
     def interval(self) -> float:
         return max(
-            _MIN_INTERVAL_SECONDS, _INTERVAL_SECONDS_PER_ROUTER * len(self._registered)
+            _MIN_INTERVAL_SECONDS,
+            _INTERVAL_SECONDS_PER_ROUTER * len(self._registry.addresses),
         )
 
     def set_serving(self, serving: bool):
@@ -160,84 +143,6 @@
         self._accepts_work = accepts_work
         self._ready_in = ready_in
 
-    def on_rows(
-        self,
-        rows: list[StoredRow],
-        is_snapshot: bool,
-        from_copy: frozenset[str] = frozenset(),
-    ):
-        """Apply a snapshot or changes of the routers' table.
-
-        Rows with the keys `from_copy` may be older than what is known, because the
-        store was restored. This router registers again if its row is lost.
-        """
-        if is_snapshot:
-            if not self._has_read_table:
-                # Peers answer the first announcement, which can be sent from now on.
-                self.announce_soon()
-            self._has_read_table = True
-            self._registered.clear()
-        for row in rows:
-            if row.value is None:
-                self._registered.pop(row.key, None)
-                self._unregistered.add(row.key)
-                continue
-            if row.key in from_copy and row.key in self._unregistered:
-                continue
-            self._unregistered.discard(row.key)
-            try:
-                raw = json.loads(row.value)
-                self._registered[row.key] = (str(raw["ip"]), int(raw["port"]))
-                self._last_known_at.setdefault(row.key, time.monotonic())
-            except (KeyError, TypeError, ValueError) as error:
-                log_event(Event.VM_ROW_INVALID, row=row.key, reason=repr(error))
-        own_address = self._registered.get(self._settings.node)
-        is_outdated = self._settings.node in from_copy and own_address != (
-            self._settings.ip,
-            self._settings.peer_port,
-        )
-        if is_outdated:
-            self._registered.pop(self._settings.node, None)
-        if own_address is None or is_outdated:
-            self._registration_lost.set()
-
-    def register_forever(self):
-        """Write this router's row, and again whenever it is lost, until it stops."""
-        self._register()
-        while not self._is_unregistered:
-            self._registration_lost.wait()
-            # The row that was just written may not have been read yet.
-            gevent.sleep(_REGISTRATION_CHECK_SECONDS)
-            self._registration_lost.clear()
-            if self._settings.node not in self._registered:
-                self._register()
-
-    def _register(self):
-        """Write this router's row, retrying until the store accepts it."""
-        value = {
-            "ip": self._settings.ip,
-            "port": self._settings.peer_port,
-            "incarnation": self._incarnation,
-        }
-        while not self._is_unregistered:
-            try:
-                self._store.write(
-                    ROUTERS_TABLE, self._settings.node, json.dumps(value).encode()
-                )
-                return
-            except (StoreUnavailable, WriteOutcomeUnknown) as error:
-                # The write is idempotent, so it is safe to repeat.
-                log_event(Event.ROUTER_NOT_REGISTERED, reason=str(error))
-                gevent.sleep(_REGISTER_RETRY_SECONDS)
-
-    def unregister(self):
-        """Remove this router's row; logs the failure if the store is unavailable."""
-        self._is_unregistered = True
-        try:
-            self._store.write(ROUTERS_TABLE, self._settings.node, None)
-        except PlatformError as error:
-            log_event(Event.ROUTER_NOT_REGISTERED, reason=str(error))
-
     def serving_routers(self) -> list[str]:
         """Return the sorted names of the serving routers and of this one."""
         names = [name for name, peer in self._live_peers().items() if peer.is_serving]
@@ -262,8 +167,8 @@
 
     def hears_routers(self) -> bool:
         """Whether another router was heard, or the table names no other one."""
-        others = set(self._registered) - {self._settings.node}
-        return bool(self._peers) or (self._has_read_table and not others)
+        is_alone = self._registry.has_read_table and not self._registry.other_names()
+        return bool(self._peers) or is_alone
 
     def router_count(self) -> int:
         """Return the number of routers that share a common limit.
@@ -271,7 +176,7 @@
         Registered routers count even if they have timed out: they may be partitioned
         from this one and still use their share.
         """
-        return max(len({*self._registered, self._settings.node}), 1)
+        return len(self._registry.other_names()) + 1
 
     def silent_router_count(self) -> int:
         """Return how many other routers may be running without being heard.
@@ -281,8 +186,10 @@
         oldest = time.monotonic() - _SILENT_ROUTER_SECONDS
         if not self._reaches_store():
             oldest = float("-inf")
-        silent = set(self._registered) - set(self._peers) - {self._settings.node}
-        return sum(self._last_known_at[name] >= oldest for name in silent)
+        silent = (
+            set(self._registry.addresses) - set(self._peers) - {self._settings.node}
+        )
+        return sum(self._registry.last_known_at(name) >= oldest for name in silent)
 
     def is_leader(self) -> bool:
         """Whether this router is the leader, which sends orders to engines.
@@ -358,7 +265,7 @@
         # Includes live peers that are no longer registered: a draining router still
         # needs announcements.
         targets = {name: peer.address for name, peer in self._live_peers().items()}
-        targets.update(self._registered)
+        targets.update(self._registry.addresses)
         for name, address in targets.items():
             if name == self._settings.node:
                 continue
@@ -412,7 +319,8 @@
                 self.announce_soon()
             if known is None:
                 log_event(Event.PEER_CONNECTED, peer=name, serving=serving)
-            now = self._last_known_at[name] = time.monotonic()
+            self._registry.record_heard(name)
+            now = time.monotonic()
             self._peers[name] = _Peer(
                 address,
                 incarnation,
@@ -472,7 +380,7 @@
 
     def dump(self) -> dict:
         return {
-            "registered": sorted(self._registered),
+            "registered": sorted(self._registry.addresses),
             "heard": sorted(self._live_peers()),
             "is_leading": self._is_leader,
         }
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -15,14 +15,15 @@
 import gevent
 from gevent.event import Event as Signal
 
-from bulrushdrum._internal.coordination.announcements import (
-    ROUTERS_TABLE,
-    RouterAnnouncements,
-)
+from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
 from bulrushdrum._internal.coordination.configuration_in_force import (
     ConfigurationInForce,
 )
 from bulrushdrum._internal.coordination.placement_controller import PlacementController
+from bulrushdrum._internal.coordination.router_registry import (
+    ROUTERS_TABLE,
+    RouterRegistry,
+)
 from bulrushdrum._internal.coordination.table_follower import TableFollower
 from bulrushdrum._internal.gateway.callers import CallerServer
 from bulrushdrum._internal.gateway.crash_evidence import CrashEvidence
@@ -121,12 +122,19 @@
             self._fleet.software_versions,
             on_crash=lambda: self._announcements.announce_soon(),
         )
+        self._registry = RouterRegistry(
+            settings,
+            self._incarnation,
+            store,
+            # Peers answer the first announcement, which can be sent from then on.
+            on_first_read=lambda: self._announcements.announce_soon(),
+        )
         self._announcements = RouterAnnouncements(
             settings,
             self._incarnation,
+            self._registry,
             self._reservations,
             self._fleet,
-            store,
             lambda: self._registration_follower.is_available,
             self._quarantine,
             self._part_quarantine,
@@ -245,7 +253,7 @@
             self._configuration_follower.run,
             self._registration_follower.run,
             self._router_follower.run,
-            self._announcements.register_forever,
+            self._registry.register_forever,
             self._announcements.announce_forever,
             self._announcements.listen_forever,
             self._placement.run,
@@ -272,7 +280,7 @@
         self._drain_controller.begin()
         self._caller_server.is_draining = True
         self._announcements.set_serving(False)
-        gevent.spawn(self._announcements.unregister)
+        gevent.spawn(self._registry.unregister)
         while not self._drain_controller.is_complete(
             self._caller_server.requests_in_progress
         ):
@@ -317,7 +325,7 @@
         from_copy = frozenset(
             row.key for row in rows if self._router_follower.is_from_copy(row)
         )
-        self._announcements.on_rows(rows, is_snapshot, from_copy)
+        self._registry.on_rows(rows, is_snapshot, from_copy)
 
     def _on_registrations(self, rows, is_snapshot):
         may_have_lapsed = (
--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -31,6 +31,7 @@
 from bulrushdrum._internal.configuration.store import decode_value
 from bulrushdrum._internal.coordination import announcements
 from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
+from bulrushdrum._internal.coordination.router_registry import RouterRegistry
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.peering import messages
@@ -298,12 +299,14 @@
             lambda upstream_id, born: True, fleet.software_versions, clock
         ),
     )
+    settings = RouterSettings(node, "dc-a", "127.0.0.1", "", "", 0, 0, "")
+    router.registry = RouterRegistry(settings, incarnation, None, lambda: None)
     router.announcements = RouterAnnouncements(
-        RouterSettings(node, "dc-a", "127.0.0.1", "", "", 0, 0, ""),
+        settings,
         incarnation,
+        router.registry,
         router.reservations,
         fleet,
-        None,
         lambda: True,
         router.quarantine,
         router.part_quarantine,
@@ -353,7 +356,7 @@
     router = make_router("r1", "r1#5", clock)
     address = {"ip": "127.0.0.1", "port": peer_socket.getsockname()[1]}
     row = StoredRow("r2", json.dumps(address).encode(), 1)
-    router.announcements.on_rows([row], True)
+    router.registry.on_rows([row], True)
     assert router.announcements.is_leader()
     router.announcements.set_accepts_work(False)
 
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -10,6 +10,7 @@
 
 from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
 from bulrushdrum._internal.coordination.placement_controller import PlacementController
+from bulrushdrum._internal.coordination.router_registry import RouterRegistry
 from bulrushdrum._internal.coordination.table_follower import TableFollower
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.pipelines.fleet import Fleet
@@ -217,13 +218,14 @@
     for router_settings in settings:
         fleet, reservations = Fleet(), MemoryReservations()
         fleet.put(make_engine("e", layers=(0, 20)))
+        registry = RouterRegistry(router_settings, "i1", None, lambda: None)
         routers.append(
             RouterAnnouncements(
                 router_settings,
                 "i1",
+                registry,
                 reservations,
                 fleet,
-                None,
                 reaches_store,
                 CrashQuarantine(fleet.has_terminated),
                 PartQuarantine(fleet.has_terminated, fleet.software_versions),
@@ -242,7 +244,7 @@
         for name, router in zip(names, routers, strict=True)
     ]
     for router in routers:
-        router.on_rows(rows, True)
+        router._registry.on_rows(rows, True)
         router.set_serving(True)
         router._started_at -= 10.0
     return routers
@@ -432,13 +434,14 @@
 def test_a_router_in_the_copy_that_has_left_is_not_counted():
     # Guards against equal shares of a limit for routers that are gone.
     (announcements,) = make_routers("r1")
+    registry = announcements._registry
     value = json.dumps({"ip": "127.0.0.1", "port": 9}).encode()
-    announcements.on_rows([StoredRow("r2", value, 5)], False)
-    announcements.on_rows([StoredRow("r2", None, 7)], False)
+    registry.on_rows([StoredRow("r2", value, 5)], False)
+    registry.on_rows([StoredRow("r2", None, 7)], False)
     own = StoredRow("r1", value, 3)
-    announcements.on_rows(
+    registry.on_rows(
         [own, StoredRow("r2", value, 5)], True, from_copy=frozenset(("r1", "r2"))
     )
     assert announcements.router_count() == 1
-    announcements.on_rows([StoredRow("r2", value, 9)], False)
+    registry.on_rows([StoredRow("r2", value, 9)], False)
     assert announcements.router_count() == 2
