--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -8,8 +8,12 @@
 import random
 import time
 from collections.abc import Callable
-from typing import NamedTuple
 
+from bulrushdrum._internal.gateway.attempt_failures import (
+    AttemptFailures,
+    PathRefusal,
+    describe_path,
+)
 from bulrushdrum._internal.gateway.callers import CallerConnection
 from bulrushdrum._internal.gateway.crash_evidence import CrashEvidence
 from bulrushdrum._internal.gateway.error_responses import (
@@ -19,7 +23,6 @@
 from bulrushdrum._internal.gateway.errors import (
     ConnectionRefused,
     DeadlinePassed,
-    ResponseTooLarge,
     UpstreamFailed,
     UpstreamRestarted,
 )
@@ -57,21 +60,11 @@
 _ERROR_BODY_SECONDS = 1.0
 _MAX_REFUSALS = 3
 _QUARANTINE_REASON = "upstreams crash when they run this request"
-# A request does not retry an upstream within this time after a refusal, which is about
-# the time until another request of that upstream ends and frees memory.
-_REFUSAL_BACKOFF_SECONDS = 0.15
 # Bounds of the random `Retry-After`, as fractions of the time to the deadline.
 _MIN_RETRY_AFTER_FRACTION = 0.05
 _MAX_RETRY_AFTER_FRACTION = 0.25
 
 
-class _PathRefusal(NamedTuple):
-    """A path refused the request; `at_fault` is the address of the cause, if known."""
-
-    status: int
-    at_fault: str | None
-
-
 class GenerationProxy:
     """Runs generations; `detect_stall(hops)` marks the stalled upstreams of a path."""
 
@@ -96,6 +89,7 @@
         self._count_routers = count_routers
         self._detect_stall = detect_stall
         self._crash_evidence = crash_evidence
+        self._failures = AttemptFailures(fleet, pool, crash_evidence, detect_stall)
         self._statements = statements
         self._random = random.Random(seed)
 
@@ -143,7 +137,7 @@
                     connection, proxied_request, route, path, progress
                 )
             except UpstreamFailed as error:
-                self._record_attempt_failure(proxied_request, path, error, progress)
+                self._failures.record_failure(proxied_request, path, error, progress)
                 if isinstance(error, DeadlinePassed):
                     progress.attempts += 1
                     self._fail_generation(
@@ -165,7 +159,7 @@
                 return
             progress.retry_costs.sent += 1
             progress.refusals += 1
-            self._record_refusal(proxied_request, path, outcome, progress)
+            self._failures.record_refusal(proxied_request, path, outcome, progress)
 
     def _may_retry(self, proxied_request, route, service, progress):
         if time.monotonic() >= proxied_request.deadline:
@@ -193,7 +187,7 @@
         return False
 
     def _attempt(self, connection, proxied_request, route, path, progress):
-        """Forward the stream of `path`; return None at its end, or a `_PathRefusal`."""
+        """Forward the stream of `path`; return None at its end, or a `PathRefusal`."""
         forwarding = ForwardingMetadata(
             path[0].upstream.id,
             proxied_request.deadline - time.monotonic(),
@@ -204,7 +198,7 @@
         )
         progress.attempt_events, progress.sent_at = 0, time.monotonic()
         can_retry = self._can_retry_elsewhere(route, progress)
-        connection.trace.record_attempt(_describe_path(path), path[0].upstream.id)
+        connection.trace.record_attempt(describe_path(path), path[0].upstream.id)
         pending = send_request(self._pool, path[0].address, proxied_request, forwarding)
         upstream_connection, reader = pending
         watch = StreamWatch(route, proxied_request.deadline)
@@ -263,7 +257,7 @@
         receive_body(pending, deadline)
         if response_metadata.has_not_run or reader.status == 421:
             pending.connection.refused_ids.append(proxied_request.metadata.request_id)
-            return _PathRefusal(reader.status, response_metadata.at_fault)
+            return PathRefusal(reader.status, response_metadata.at_fault)
         if connection.response_started or reader.status >= 500:
             raise UpstreamFailed(f"the upstream returned status {reader.status}", True)
         headers = end_to_end(reader.headers)
@@ -380,59 +374,6 @@
                     f"{hop.upstream.id} restarted", True, unresponsive=True
                 )
 
-    def _record_attempt_failure(self, proxied_request, path, error, progress):
-        log_event(
-            Event.UPSTREAM_ATTEMPT_FAILED,
-            request=proxied_request.metadata.request_id.decode("latin-1"),
-            path=_describe_path(path),
-            reason=str(error),
-            may_have_run=error.may_have_run,
-            events_delivered=progress.events,
-            attempt_events=progress.attempt_events,
-            fingerprint=proxied_request.fingerprint,
-            parts=proxied_request.metadata.shared_parts,
-        )
-        if isinstance(error, ResponseTooLarge):
-            self._pool.oversized_responses += 1
-            self._fleet.record_failure(path[0].upstream.id)
-        if error.may_have_run:
-            self._crash_evidence.record_failure(proxied_request, path, error, progress)
-        else:
-            if isinstance(error, ConnectionRefused):
-                first = path[0].upstream
-                self._fleet.mark_terminated(first.id, first.born)
-            self._fleet.record_failure(path[0].upstream.id)
-            self._pool.drop_address(path[0].address)
-        if error.unresponsive:
-            self._detect_stall(path)
-        if not error.unresponsive:
-            # The connection failed, or the response was invalid.
-            progress.failed_upstreams.add(path[0].upstream.id)
-        ids = {hop.upstream.id for hop in path}
-        avoided = {name for name in ids if self._fleet.is_avoided(name)}
-        progress.failed_upstreams |= avoided
-        is_unexplained = not avoided and not isinstance(error, UpstreamRestarted)
-        if error.unresponsive and is_unexplained:
-            progress.suspects |= ids
-
-    def _record_refusal(self, proxied_request, path, refusal, progress):
-        # Look up the address in the path: another upstream may use it by now.
-        at_fault = refusal.at_fault or path[0].address
-        hops = [hop for hop in path if hop.address == at_fault]
-        upstream = hops[0].upstream if hops else None
-        log_event(
-            Event.UPSTREAM_REFUSED,
-            request=proxied_request.metadata.request_id.decode("latin-1"),
-            path=_describe_path(path),
-            status=refusal.status,
-            at_fault=refusal.at_fault,
-            upstream=None if upstream is None else upstream.id,
-        )
-        if upstream is not None:
-            self._fleet.record_failure(upstream.id)
-            until = time.monotonic() + _REFUSAL_BACKOFF_SECONDS
-            progress.refused_until[upstream.id] = until
-
     def _fail_generation(
         self, connection, proxied_request, progress, reason, status=502
     ):
@@ -482,7 +423,3 @@
     names_other_type = media_type and begun_media_type not in (b"", media_type)
     if status != begun_status or names_other_type:
         raise UpstreamFailed("the answer does not go on with the stream", True)
-
-
-def _describe_path(path):
-    return [f"{hop.upstream.id}={hop.layers.first}-{hop.layers.end}" for hop in path]
