Use the layers that an engine registers before it answers its order

Cause: the leader reads the registrations and the answer to its order independently. While an engine loads, the leader overrides its layers for 5 s with those that it retains. When it was slow or paused between the order and its answer, and the engine was quick, the registration with the new layers was read first, and the override hid it.

Change: the override is left out if the registration changed since the order was sent. The unit test fails before and passes after.

--- a/src/bulrushdrum/_internal/coordination/placement_controller.py
+++ b/src/bulrushdrum/_internal/coordination/placement_controller.py
@@ -183,6 +183,7 @@
             # Another router may have sent orders; an empty engine is treated as new.
             self._refresh_accepted_count(engine)
         orders_accepted = self._accepted_counts.get(incarnation, 0)
+        registered = self._fleet.registered_layers(engine.id)
         outcome = self._calls.order_layers(
             engine.address, engine.id, layers, orders_accepted, assignment.urgent
         )
@@ -201,10 +202,12 @@
         match outcome:
             case OrderOutcome.STARTED:
                 self._accepted_counts[incarnation] = orders_accepted + 1
-                retained = _retained_layers(engine.layers, layers)
-                self._fleet.override_layers(
-                    engine.id, engine.born, retained, _RETAINED_LAYERS_SECONDS
-                )
+                # A registration that was read meanwhile is newer than this answer.
+                if self._fleet.registered_layers(engine.id) == registered:
+                    retained = _retained_layers(engine.layers, layers)
+                    self._fleet.override_layers(
+                        engine.id, engine.born, retained, _RETAINED_LAYERS_SECONDS
+                    )
                 gevent.spawn(self._await_load, engine, layers)
             case OrderOutcome.ALREADY_HELD:
                 self._override_layers(engine, layers)
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -165,6 +165,11 @@
         self._ids_by_address[upstream.address] = upstream.id
         self._version += 1
 
+    def registered_layers(self, upstream_id: str) -> LayerRange | None:
+        """Return the layers that an engine registered last, without overrides."""
+        upstream = self._upstreams.get(upstream_id)
+        return None if upstream is None else upstream.layers
+
     def override_layers(
         self, upstream_id: str, born: int, layers: LayerRange | None, seconds: float
     ):
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -358,12 +358,14 @@
         self.accepted_counts: dict[str, int] = {}
         self.orders: list[tuple[str, LayerRange]] = []
         self.lose_responses = False
+        self.on_order = lambda layers: None
 
     def order_layers(self, address, upstream_id, layers, expected_orders, urgent=False):
         self.orders.append((upstream_id, layers))
         if self.accepted_counts.get(upstream_id, 0) != expected_orders:
             return OrderOutcome.REFUSED
         self.accepted_counts[upstream_id] = expected_orders + 1
+        self.on_order(layers)
         if self.lose_responses:
             return OrderOutcome.UNKNOWN
         return OrderOutcome.STARTED
@@ -402,6 +404,21 @@
     assert {update[0] for update in announced} == {f"e{index}" for index in range(8)}
 
 
+def test_layers_registered_before_the_answer_to_an_order_are_used():
+    # Guards against an engine that holds its layers and gets no requests, because the
+    # answer to the order was read after the registration.
+    fleet = Fleet()
+    engine = make_engine("e", address="10.0.0.1:1")
+    fleet.put(engine)
+    engines = FakeEngines(fleet)
+    engines.on_order = lambda layers: fleet.put(engine._replace(layers=layers))
+    # Nothing but the registration tells that the layers are loaded.
+    engines.report = lambda address: None
+    run_placement(1.9, fleet, engines)
+    assert [upstream_id for upstream_id, _ in engines.orders] == ["e"]
+    assert fleet.get("e").layers == engines.orders[0][1]
+
+
 def test_layers_ordered_by_another_router_are_kept():
     # Guards against two routers that repeatedly order one engine to different layers.
     fleet = Fleet()
