Take the bytes of a large message for a sign of life of its sender

Cause: peers close a connection after three intervals (1.5 s) without a heartbeat, but heartbeats follow the large message that is being sent on the same connection. An answer of 7 MB on a link of 7 MB/s takes 1 s, and more than 1.5 s on a busy machine: the entry closed the connection on which the answer was arriving. It is no fault of planned stops, and not of load: with 2 MB/s every such answer is lost.

Change: a connection counts as silent from the last bytes that arrived on it, at entries and at sidecars.

--- a/src/bulrushdrum/_internal/peering/connections.py
+++ b/src/bulrushdrum/_internal/peering/connections.py
@@ -6,6 +6,7 @@
 """
 
 import struct
+import time
 
 import gevent
 from gevent import socket
@@ -55,6 +56,12 @@
         self._max_frame_bytes = max_frame_bytes
         self._reader = sock.makefile("rb")
         self._authenticated = False
+        self._received_at = time.monotonic()
+
+    @property
+    def received_at(self) -> float:
+        """When bytes of the peer were last read, on the monotonic clock."""
+        return self._received_at
 
     def mark_authenticated(self):
         """Decode the following frames in the calling greenlet.
@@ -64,13 +71,17 @@
         self._authenticated = True
 
     def _read_exactly(self, size):
-        try:
-            data = self._reader.read(size)
-        except (OSError, ValueError) as error:
-            raise ConnectionLost(f"read failed: {error}") from error
-        if len(data) != size:
-            raise ConnectionLost("peer closed the connection")
-        return data
+        data = bytearray()
+        while len(data) < size:
+            try:
+                received = self._reader.read1(size - len(data))
+            except (OSError, ValueError) as error:
+                raise ConnectionLost(f"read failed: {error}") from error
+            if not received:
+                raise ConnectionLost("peer closed the connection")
+            self._received_at = time.monotonic()
+            data += received
+        return bytes(data)
 
     def read_message(self) -> Message:
         (size,) = _LENGTH_PREFIX.unpack(self._read_exactly(_LENGTH_PREFIX.size))
@@ -172,6 +183,15 @@
     def sent_bytes(self) -> int:
         return self._sent_bytes
 
+    @property
+    def received_at(self) -> float:
+        """When bytes of the peer were last read, on the monotonic clock.
+
+        A large message takes longer than the interval of heartbeats on a slow link, and
+        the heartbeats of its sender follow it.
+        """
+        return self._stream.received_at
+
     def send(self, message):
         if self._closed or self._finishing:
             raise ConnectionLost(f"connection to {self._peer.node!r} is closed")
--- a/src/bulrushdrum/_internal/routing/membership.py
+++ b/src/bulrushdrum/_internal/routing/membership.py
@@ -363,7 +363,7 @@
         )
         for connection in self._hub.connections():
             heard = self._last_heard.setdefault(connection.peer.incarnation, now)
-            if now - heard > MISSED_HEARTBEATS * interval:
+            if now - max(heard, connection.received_at) > MISSED_HEARTBEATS * interval:
                 connection.close()
                 continue
             try:
--- a/src/bulrushdrum/_internal/sidecar/heartbeats.py
+++ b/src/bulrushdrum/_internal/sidecar/heartbeats.py
@@ -1,9 +1,9 @@
 """Heartbeats with each connected peer, in both directions.
 
-A connection is closed after `missed_heartbeats` intervals without a heartbeat. Both
-sides check this. If a link fails in one direction only, the side that receives nothing
-closes the connection and the other side sees the close, so heartbeats don't need to
-echo sequence numbers.
+A connection is closed after `missed_heartbeats` intervals without a heartbeat or a part
+of another message. Both sides check this. If a link fails in one direction only, the
+side that receives nothing closes the connection and the other side sees the close, so
+heartbeats don't need to echo sequence numbers.
 
 A peer cannot tell a paused sidecar from a dead one, and starts its requests elsewhere.
 After a pause, the sidecar therefore runs nothing until it knows which of its peers have
@@ -123,7 +123,7 @@
             if connection.closed:
                 del self._last_heard_at[connection]
                 continue
-            silent_seconds = now - last_heard_at
+            silent_seconds = now - max(last_heard_at, connection.received_at)
             if silent_seconds > limit:
                 log_event(
                     Event.PEER_SILENT,
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -278,6 +278,18 @@
         assert cluster.process("ledger-0").wait(EXIT_SECONDS) == 0
 
 
+def test_an_answer_that_takes_longer_than_the_heartbeats_is_delivered():
+    # Guards against closing a connection as silent while a large answer arrives on it,
+    # which reports the call to its caller as possibly run.
+    with running(services=1, proxied=True) as cluster:
+        set_service_faults(cluster, answer_bytes=LARGE_ANSWER_BYTES)
+        cluster.set_link("entry0", "ledger-0", rate=2e6)
+        caller = RawConnection(cluster, "entry0")
+        caller.send("GET", f"/services/{SERVICE}/statement")
+        status, answer = caller.receive()
+        assert (status, len(answer)) == (200, LARGE_ANSWER_BYTES), answer[:200]
+
+
 def test_a_sidecar_that_stops_under_load_delivers_all_answers():
     # Guards against answers that wait in a connection's queue when the sidecar exits.
     with running(services=1) as cluster:
