--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -186,9 +186,7 @@
         oldest = time.monotonic() - _SILENT_ROUTER_SECONDS
         if not self._reaches_store():
             oldest = float("-inf")
-        silent = (
-            set(self._registry.addresses) - set(self._peers) - {self._settings.node}
-        )
+        silent = self._registry.other_names() - set(self._peers)
         return sum(self._registry.last_known_at(name) >= oldest for name in silent)
 
     def is_leader(self) -> bool:
