Skip a registration that cannot be read, in place of all of them

After one entry with an infinite number or with 20,000 nested brackets, servers that left in order got requests until they ended, and a router restarted beside it was never ready.

Cause: int() of an infinite number raises OverflowError, nested JSON raises RecursionError. decode_upstream caught neither, so the follower ended, was restarted and failed on the same rows (event 3006, twice a second).

Change: decoding.py names all that reading a foreign value can raise, and each decoder turns it into its own error. A registration needs whole numbers, an address that can be connected to and an id that a header can hold. The same cause was found in configurations, rows that are no base64, rows of routers (a port out of range ended each round of announcements), engine reports, announcements, and in the decoders of the product's own stack.

--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -17,6 +17,7 @@
     server_sent_events,
 )
 from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.addresses import parse_address
@@ -330,7 +331,7 @@
         try:
             body = json.loads(raw_body)
             service = body["service"]
-        except (ValueError, KeyError, TypeError) as error:
+        except DECODING_ERRORS as error:
             message = 'the body must be like {"service": "ledger"}'
             raise CallerError("invalid_request", message) from error
         return {"idempotency_key": self._frontend.issue_key(contract, service)}
--- a/src/bulrushdrum/_internal/configuration/replica.py
+++ b/src/bulrushdrum/_internal/configuration/replica.py
@@ -17,6 +17,7 @@
 from bulrushdrum._internal.configuration.log import load_store, read_head, read_log
 from bulrushdrum._internal.configuration.peers import ConfigPeers
 from bulrushdrum._internal.configuration.store import ConfigStore, decode_value
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.hub import PeerHub
 from bulrushdrum._internal.peering.messages import ConfigEntry
@@ -137,7 +138,7 @@
     def _decode(self, kind, key, text, decode):
         try:
             return decode(decode_value(text))
-        except (ValueError, InvalidContract, InvalidUpstreamState) as error:
+        except (*DECODING_ERRORS, InvalidContract, InvalidUpstreamState) as error:
             log_event(
                 Event.CONFIGURATION_INVALID, kind=kind, key=key, reason=str(error)
             )
--- a/src/bulrushdrum/_internal/configuration/store.py
+++ b/src/bulrushdrum/_internal/configuration/store.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.peering.messages import ConfigEntry
 
 _REVISION = struct.Struct("!Q")
@@ -137,7 +138,7 @@
             int(item[:_HASH_PREFIX_DIGITS], 16)
             for item in value.get("api_key_hashes", ())
         )
-    except (ValueError, AttributeError, TypeError):
+    except DECODING_ERRORS:
         return frozenset()  # logged when the contract is decoded
 
 
--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -16,6 +16,7 @@
 from gevent.event import Event as Signal
 
 from bulrushdrum._internal.coordination.router_registry import RouterRegistry
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
@@ -301,14 +302,7 @@
                 )
                 # Releases without this field know no limits of upstreams.
                 self._limits.apply_announcement(name, raw.get("limits", []))
-            except (
-                AttributeError,
-                KeyError,
-                TypeError,
-                ValueError,
-                IndexError,
-                OverflowError,
-            ) as error:
+            except DECODING_ERRORS as error:
                 log_event(Event.PEER_REFUSED, peer=str(address), reason=repr(error))
                 continue
             known = self._peers.get(name)
--- a/src/bulrushdrum/_internal/coordination/router_registry.py
+++ b/src/bulrushdrum/_internal/coordination/router_registry.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent.event import Event as Signal
 
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.platform.errors import (
     PlatformError,
@@ -18,6 +19,7 @@
 )
 from bulrushdrum._internal.platform.rows import RowStore, StoredRow
 from bulrushdrum._internal.settings.router import RouterSettings
+from bulrushdrum._internal.world.addresses import parse_address
 
 ROUTERS_TABLE = "routers"
 _REGISTER_RETRY_SECONDS = 0.5
@@ -106,9 +108,9 @@
         self._unregistered.discard(row.key)
         try:
             raw = json.loads(row.value)
-            self._addresses[row.key] = (str(raw["ip"]), int(raw["port"]))
+            self._addresses[row.key] = parse_address(f"{raw['ip']}:{raw['port']}")
             self._last_known_at.setdefault(row.key, time.monotonic())
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             log_event(Event.VM_ROW_INVALID, row=row.key, reason=repr(error))
 
     def register_forever(self):
--- a/src/bulrushdrum/_internal/operator/client.py
+++ b/src/bulrushdrum/_internal/operator/client.py
@@ -9,6 +9,7 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.operator.errors import CommandFailed
 from bulrushdrum._internal.world.addresses import parse_address
 
@@ -102,7 +103,7 @@
             return body
         details = dict(body["error"])
         code, message = details.pop("code"), details.pop("message")
-    except (ValueError, KeyError, TypeError) as error:
+    except DECODING_ERRORS as error:
         code = "outcome_unknown" if method == "PUT" else "unreachable"
         raise CommandFailed(
             code, f"status {response.status} with an unreadable answer"
--- a/src/bulrushdrum/_internal/operator/commands.py
+++ b/src/bulrushdrum/_internal/operator/commands.py
@@ -389,7 +389,7 @@
 def _read_json(path):
     try:
         value = json.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise CommandFailed("usage", f"{path}: {error}") from error
     if not isinstance(value, dict):
         raise CommandFailed("usage", f"{path}: not a JSON object")
--- a/src/bulrushdrum/_internal/platform/engine_calls.py
+++ b/src/bulrushdrum/_internal/platform/engine_calls.py
@@ -10,6 +10,7 @@
 from urllib3.exceptions import HTTPError
 
 from bulrushdrum._internal.bounded_http import BoundedConnectionPool, read_body
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.platform.headers import parse_statements
 from bulrushdrum._internal.platform.router_config import decode_layers
 from bulrushdrum._internal.world.statements import UpstreamStatements
@@ -119,7 +120,7 @@
                     str(entry["address"]) for entry in raw.get("stalled", ())
                 ),
             )
-        except (KeyError, TypeError, ValueError, AttributeError):
+        except DECODING_ERRORS:
             return None
 
     def _request(self, method, address, path, upstream_id="", body=None):
--- a/src/bulrushdrum/_internal/platform/router_config.py
+++ b/src/bulrushdrum/_internal/platform/router_config.py
@@ -7,8 +7,15 @@
 """
 
 import json
+import re
 
+from bulrushdrum._internal.decoding import (
+    DECODING_ERRORS,
+    require_integer,
+    require_string,
+)
 from bulrushdrum._internal.platform.errors import MalformedRow
+from bulrushdrum._internal.world.addresses import parse_address
 from bulrushdrum._internal.world.engines import (
     AcceleratorKind,
     EngineModel,
@@ -29,6 +36,8 @@
 _BYTES_PER_MB = 1_000_000
 _BYTES_PER_MBIT = 125_000
 _UPSTREAM_STATES = {"ready": UpstreamState.SERVING, "draining": UpstreamState.DRAINING}
+# The ids of upstreams are sent as the value of a header.
+_UPSTREAM_ID_RE = re.compile(r"[!-~]{1,200}")
 
 
 def _to_seconds(milliseconds):
@@ -135,18 +144,18 @@
                 for key in team["api-keys"]
             },
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise MalformedRow(f"configuration: {error!r}") from error
 
 
 def decode_layers(raw) -> LayerRange | None:
     """Decode the layers of a registration or report; None if the server holds none.
 
-    Raises `KeyError`, `TypeError` or `ValueError` if they are malformed.
+    Raises one of `DECODING_ERRORS` if they are malformed.
     """
-    if not isinstance(raw, dict):
+    if raw is None:
         return None
-    first, end = int(raw["from"]), int(raw["target"])
+    first, end = require_integer(raw, "from"), require_integer(raw, "target")
     return LayerRange(first, end) if end > first else None
 
 
@@ -154,28 +163,22 @@
     """Decode a registration from a row's value; raises `MalformedRow`."""
     try:
         raw = json.loads(value)
-        host, _, port = raw["address"].rpartition(":")
-        if not host or not 0 < int(port) < 65536:
-            raise ValueError(f"address {raw['address']!r} is not of the form host:port")
+        if not _UPSTREAM_ID_RE.fullmatch(upstream_id):
+            raise ValueError("the id is not printable ASCII")
+        address = require_string(raw, "address")
+        parse_address(address)
         return PoolUpstream(
             id=upstream_id,
-            service=_require_string(raw, "service"),
-            address=raw["address"],
-            data_centre=_require_string(raw, "zone"),
+            service=require_string(raw, "service"),
+            address=address,
+            data_centre=require_string(raw, "zone"),
             state=_UPSTREAM_STATES[raw["state"]],
-            slots=int(raw["slots"]),
+            slots=require_integer(raw, "slots"),
             kind=str(raw.get("route-kind", "")),
             layers=decode_layers(raw.get("layers")),
-            born=int(raw.get("born", 0)),
+            born=require_integer(raw, "born", default=0),
             software_version=str(raw.get("version", "")),
-            heartbeats=int(raw.get("seq-no", 0)),
+            heartbeats=require_integer(raw, "seq-no", default=0),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise MalformedRow(f"upstream {upstream_id!r}: {error!r}") from error
-
-
-def _require_string(raw, name):
-    value = raw[name]
-    if not isinstance(value, str):
-        raise ValueError(f"{name}: {value!r} is not a string")
-    return value
--- a/src/bulrushdrum/_internal/platform/router_settings.py
+++ b/src/bulrushdrum/_internal/platform/router_settings.py
@@ -3,6 +3,7 @@
 import json
 from pathlib import Path
 
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.settings.errors import SettingsError
 from bulrushdrum._internal.settings.router import RouterSettings
 
@@ -20,11 +21,11 @@
     """Read the settings from the file at `path`; raises `SettingsError`."""
     try:
         raw = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsError(path, [f"cannot be read: {error}"]) from error
     try:
         return _decode(raw)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise SettingsError(path, [f"missing or malformed field: {error!r}"]) from error
 
 
--- a/src/bulrushdrum/_internal/platform/rows.py
+++ b/src/bulrushdrum/_internal/platform/rows.py
@@ -6,11 +6,11 @@
 """
 
 import base64
-import binascii
 import json
 from typing import NamedTuple
 from urllib.parse import urlencode
 
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.platform.errors import (
     HistoryLost,
     StoreUnavailable,
@@ -54,7 +54,7 @@
     if not raw.get("deleted"):
         try:
             value = base64.b64decode(raw["value"], validate=True)
-        except (binascii.Error, TypeError):
+        except DECODING_ERRORS:
             # Another writer may have stored a value that is not valid base64. The row
             # is kept with an empty value, so that decoding the value reports the error.
             value = b""
@@ -142,5 +142,5 @@
             rows = [_decode_row(row) for row in raw["rows"]]
             version, era = int(raw["schema-version"]), response.headers.get(_ERA_HEADER)
             return TableState(rows, version, None if era is None else int(era)), raw
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             raise StoreUnavailable(f"store: malformed rows: {error!r}") from error
--- a/src/bulrushdrum/_internal/platform/table.py
+++ b/src/bulrushdrum/_internal/platform/table.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 from urllib.parse import quote, urlencode
 
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.platform.errors import (
     StoreUnavailable,
     WriteConflict,
@@ -60,8 +61,8 @@
         raw = self._service.decode_json(response, StoreUnavailable)
         try:
             return _decode_row(raw)
-        except KeyError as error:
-            raise StoreUnavailable(f"table: a row has no {error}") from error
+        except DECODING_ERRORS as error:
+            raise StoreUnavailable(f"table: malformed row: {error!r}") from error
 
     def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
         """Return up to `limit` rows in key order; raises `StoreUnavailable`.
@@ -73,7 +74,7 @@
         raw = self._service.decode_json(response, StoreUnavailable)
         try:
             return [_decode_row(row) for row in raw["rows"]]
-        except (KeyError, TypeError) as error:
+        except DECODING_ERRORS as error:
             raise StoreUnavailable(f"table: malformed rows: {error!r}") from error
 
     def transact(self, conditions: list[Condition], writes: list[Write]) -> list[int]:
@@ -97,7 +98,7 @@
             raw = self._service.decode_json(response, StoreUnavailable)
             try:
                 conflicts = [_decode_row(row) for row in raw["conflicts"]]
-            except (KeyError, TypeError) as error:
+            except DECODING_ERRORS as error:
                 raise StoreUnavailable(f"table: malformed: {error!r}") from error
             raise WriteConflict(conflicts)
         raw = self._service.decode_json(response, WriteOutcomeUnknown)
--- a/src/bulrushdrum/_internal/platform/vm_list.py
+++ b/src/bulrushdrum/_internal/platform/vm_list.py
@@ -1,5 +1,6 @@
 """Client for the platform's list of live and leaving VMs."""
 
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.platform.errors import StoreUnavailable
 from bulrushdrum._internal.platform.service import PlatformService
@@ -40,7 +41,7 @@
         for row in rows:
             try:
                 vms.append(_decode_vm(row))
-            except (KeyError, TypeError, ValueError) as error:
+            except DECODING_ERRORS as error:
                 log_event(Event.VM_ROW_INVALID, row=str(row)[:200], reason=repr(error))
         self._vms = tuple(vms)
         self._etag = response.headers.get("ETag", "")
--- a/src/bulrushdrum/_internal/records/record.py
+++ b/src/bulrushdrum/_internal/records/record.py
@@ -9,6 +9,7 @@
 import time
 from typing import NamedTuple
 
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.records.errors import RecordUnreadable
 from bulrushdrum._internal.world.requests import Outcome
 
@@ -85,7 +86,7 @@
     """
     try:
         values = json.loads(text)
-    except ValueError as error:
+    except DECODING_ERRORS as error:
         raise RecordUnreadable(f"{text!r} is not JSON: {error}") from error
     if not isinstance(values, dict) or not {"id", "customer"} <= values.keys():
         raise RecordUnreadable(f"{text!r} is not an object with id and customer")
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -101,6 +101,8 @@
         self._settings = settings
         self._incarnation = secrets.token_hex(6)
         self._stop_requested = Signal()
+        # Counted for the metrics.
+        self._malformed_registrations = 0
         self._configuration = ConfigurationInForce(
             lambda: self._announcements.newest_peer_version(),
             lambda: self._announcements.hears_routers(),
@@ -339,7 +341,7 @@
             try:
                 upstream = decode_upstream(row.key, row.value)
             except MalformedRow as error:
-                log_event(Event.VM_ROW_INVALID, row=row.key, reason=str(error)[:300])
+                self._log_malformed_row(row, error)
                 continue
             is_from_copy = self._registration_follower.is_from_copy(row)
             (from_copy if is_from_copy else upstreams).append(upstream)
@@ -349,6 +351,12 @@
         for upstream in upstreams:
             self._fleet.put(upstream)
 
+    def _log_malformed_row(self, row, error):
+        self._malformed_registrations += 1
+        log_event(
+            Event.VM_ROW_INVALID, row=ascii(row.key)[1:-1], reason=str(error)[:300]
+        )
+
     def _on_statements(self, address: str, statements: UpstreamStatements):
         """Record what an engine says of itself when it is asked for a report."""
         upstream = self._fleet.find_by_address(address)
@@ -391,6 +399,7 @@
             "upstream_limit_changes": self._upstream_limits.changes,
             "upstream_limit_diversions": self._upstream_limits.diversions,
             "routers": self._router_count(),
+            "malformed_registrations": self._malformed_registrations,
             "store_era": self._registration_follower.era or 0,
             "store_restorations": self._registration_follower.restorations,
             "ready": int(self._is_ready()),
--- a/src/bulrushdrum/_internal/sidecar/engine_client.py
+++ b/src/bulrushdrum/_internal/sidecar/engine_client.py
@@ -27,6 +27,7 @@
     ends_with_connection,
     read_body,
 )
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.errors import (
     EngineLost,
@@ -288,7 +289,7 @@
     """Turn errors of reading a response body into `EngineRefused`."""
     try:
         yield
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise EngineRefused(200, f"answer is malformed: {error!r}") from error
 
 
@@ -302,7 +303,7 @@
         raise EngineRefused(response.status, response.body.decode("utf-8", "replace"))
     try:
         return json.loads(response.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         if response.is_unframed:
             # An engine that crashes closes the connection inside the body.
             raise EngineLost(f"the answer was cut: {error}", crashed=True) from error
--- a/src/bulrushdrum/_internal/sidecar/orders.py
+++ b/src/bulrushdrum/_internal/sidecar/orders.py
@@ -13,6 +13,7 @@
 import gevent
 from gevent.event import Event as GeventEvent
 
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.connections import PeerConnection
 from bulrushdrum._internal.peering.hub import PeerHub
@@ -108,7 +109,7 @@
             return
         try:
             desired = parse_desired_state(json.loads(text))
-        except (ValueError, InvalidUpstreamState) as error:
+        except (*DECODING_ERRORS, InvalidUpstreamState) as error:
             # The engine keeps its state, and this revision is not parsed again.
             log_event(
                 Event.CONFIGURATION_INVALID,
--- /dev/null
+++ b/tests/integration/test_malformed_registrations.py
@@ -0,0 +1,64 @@
+"""A router beside registrations of another writer that cannot be read or used."""
+
+import base64
+import json
+
+import pytest
+from bench.standins.path_server import PathServer, complete_response
+from tests.integration.router_system import FakeEngine, make_configuration
+
+# Registrations by their id, as the bytes of the row.
+_PLAIN = b'{"service":"s2","address":"127.0.0.1:9","zone":"a","state":"ready",'
+MALFORMED = {
+    "x1": b"[" * 20_000,
+    "x2": _PLAIN + b'"slots":1e400}',
+    "x3": _PLAIN.replace(b":9", b":70000") + b'"slots":8}',
+    "x4": b"\xff\xfe",
+}
+
+pytestmark = pytest.mark.slow
+
+
+def put_bytes(store, upstream_id, value):
+    store.put("servers", upstream_id, None)
+    row = store._rows["servers", upstream_id]
+    del row["deleted"]
+    row["value"] = base64.b64encode(value).decode()
+
+
+def registered(router):
+    state = router.send_request(b"/state", b"GET", router.metrics_port).body
+    return set(json.loads(state)["fleet"]["upstreams"])
+
+
+def test_registrations_that_cannot_be_read_do_not_hide_the_others(router, store):
+    # Guards against a router that follows no registrations because of one row, and
+    # against one that is never ready after a restart beside such a row.
+    server = PathServer("p1", lambda request: complete_response(request))
+    registration = {
+        "service": "s2",
+        "address": server.address,
+        "zone": "a",
+        "slots": 8,
+        "state": "ready",
+        "born": 1,
+    }
+    store.put("op", "config", make_configuration())
+    store.put("servers", "p1", registration)
+    router.wait_for(lambda: router.send_request(b"/a/b/x").status == 200)
+    for upstream_id, value in MALFORMED.items():
+        put_bytes(store, upstream_id, value)
+    store.put("servers", "p2", registration)
+    router.wait_for(lambda: registered(router) == {"p1", "p2"}, 5.0)
+    store.put("servers", "p1", {**registration, "state": "draining"})
+    store.put("servers", "p2", None)
+    router.wait_for(lambda: router.send_request(b"/a/b/x").status == 503, 5.0)
+    store.put("servers", "p1", registration)
+    router.stop()
+    router.start()
+    router.wait_for(lambda: router.send_request(port=router.ready_port).status == 200)
+    assert router.send_request(b"/a/b/x").status == 200
+    page = router.send_request(b"/metrics", b"GET", router.metrics_port).body.decode()
+    assert f"bulrushdrum_malformed_registrations {len(MALFORMED)}" in page
+    assert 3006 not in router.events()
+    server.stop()
