Leave engines out of the placement whose accelerator or layers are unknown

A registered range beyond the model's layers was expanded into a set as large as it claims.

Change: EngineModel.can_use; placement and paths leave others out, event 8104 names them once.

Evidence: test_engines_that_cannot_be_used_do_not_stop_the_placement failed on the code before (timed out) and passes.

--- a/src/bulrushdrum/_internal/coordination/placement_controller.py
+++ b/src/bulrushdrum/_internal/coordination/placement_controller.py
@@ -85,6 +85,8 @@
         self._known_ids: dict[str, frozenset[str]] = {}
         self._changed_at: dict[str, float] = {}
         self._added_at: dict[str, float] = {}
+        # What was last logged as unusable, by service.
+        self._unusable: dict[str, frozenset] = {}
 
     def run(self):
         while True:
@@ -97,10 +99,16 @@
                     self._place_service(service, service.engine)
 
     def _place_service(self, service: Service, model: EngineModel):
+        registered = self._fleet.registered(service.name)
+        self._log_unusable(
+            service.name, [e for e in registered if not model.can_use(e)]
+        )
         engines = [
             engine
-            for engine in self._fleet.registered(service.name)
-            if engine.is_serving and not self._fleet.is_failing(engine.id)
+            for engine in registered
+            if engine.is_serving
+            and not self._fleet.is_failing(engine.id)
+            and model.can_use(engine)
         ]
         if not self._have_registrations_settled(service.name, engines):
             return
@@ -145,6 +153,21 @@
             tasks.spawn(self._send_order, assignment)
         tasks.join()
 
+    def _log_unusable(self, service, engines):
+        """Log the engines that cannot hold layers of the model, once each."""
+        unusable = {(e.id, e.address, e.kind, e.layers) for e in engines}
+        for name, address, kind, layers in unusable - self._unusable.get(
+            service, frozenset()
+        ):
+            log_event(
+                Event.ENGINE_UNUSABLE,
+                upstream=name,
+                address=address,
+                accelerator=kind,
+                layers=layers,
+            )
+        self._unusable[service] = frozenset(unusable)
+
     def _is_stable(self, service, now):
         """Whether the fleet has been unchanged long enough to rebalance layers."""
         return (
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -173,7 +173,7 @@
             engine
             for engine in self._fleet.available(service)
             if engine.layers is not None
-            and engine.kind in model.kinds
+            and model.can_use(engine)
             and engine.id not in excluded
         ]
         if not self._covers(model, engines):
@@ -206,7 +206,7 @@
         """
         groups: dict[str, list[PoolUpstream]] = {}
         for engine in self._fleet.available(service):
-            if engine.layers is not None and engine.kind in model.kinds:
+            if engine.layers is not None and model.can_use(engine):
                 groups.setdefault(engine.data_centre, []).append(engine)
         return {
             data_centre: {
--- a/src/bulrushdrum/_internal/world/engines.py
+++ b/src/bulrushdrum/_internal/world/engines.py
@@ -76,6 +76,15 @@
         free = kind.memory_bytes - layer_count * self.layer_bytes
         return max(free, 0.0) / self.token_layer_bytes
 
+    def can_use(self, engine: "PoolUpstream") -> bool:
+        """Whether an engine is of a known kind and holds only layers of this model.
+
+        Registrations may state a kind or layers that the configuration does not have.
+        """
+        if engine.layers is not None and engine.layers.end > self.layers:
+            return False
+        return engine.kind in self.kinds
+
 
 class PoolUpstream(NamedTuple):
     """One registered upstream.
--- a/tests/integration/test_malformed_registrations.py
+++ b/tests/integration/test_malformed_registrations.py
@@ -15,6 +15,15 @@
     "x3": _PLAIN.replace(b":9", b":70000") + b'"slots":8}',
     "x4": b"\xff\xfe",
 }
+# Engines without an accelerator, of an unknown one, and with unknown layers.
+_ENGINE = (
+    b'{"service":"s1","address":"127.0.0.1:9","zone":"a","slots":8,"state":"ready"'
+)
+UNUSABLE = {
+    "y1": _ENGINE + b"}",
+    "y2": _ENGINE + b',"route-kind":"unknown","layers":{"from":0,"target":5}}',
+    "y3": _ENGINE + b',"route-kind":"k","layers":{"from":0,"target":900000000}}',
+}
 
 pytestmark = pytest.mark.slow
 
@@ -62,3 +71,16 @@
     assert f"bulrushdrum_malformed_registrations {len(MALFORMED)}" in page
     assert 3006 not in router.events()
     server.stop()
+
+
+def test_engines_that_cannot_be_used_do_not_stop_the_placement(router, store):
+    # Guards against layers that no engine gets because of one registration that names
+    # no accelerator, an unknown one, or layers that the model does not have.
+    for upstream_id, value in UNUSABLE.items():
+        put_bytes(store, upstream_id, value)
+    engine = FakeEngine("e1", store)
+    store.put("op", "config", make_configuration())
+    router.wait_for(lambda: router.send_request().status == 200)
+    assert [(o["from"], o["target"]) for o in engine.orders] == [(0, 10)]
+    assert router.events().count(8104) == len(UNUSABLE)
+    assert 3006 not in router.events()
