Use no registration that was replaced by one that cannot be read

An upstream that lives writes its registration again with its next heartbeat.

Evidence: test_a_registration_that_becomes_malformed_names_no_upstream failed on the code before and passes.

--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -341,6 +341,8 @@
             try:
                 upstream = decode_upstream(row.key, row.value)
             except MalformedRow as error:
+                # It replaces what the row held before, as in a snapshot.
+                self._fleet.remove(row.key)
                 self._log_malformed_row(row, error)
                 continue
             is_from_copy = self._registration_follower.is_from_copy(row)
--- a/tests/integration/test_malformed_registrations.py
+++ b/tests/integration/test_malformed_registrations.py
@@ -73,6 +73,28 @@
     server.stop()
 
 
+def test_a_registration_that_becomes_malformed_names_no_upstream(router, store):
+    # Guards against a router that uses what a row held before, which one that starts
+    # beside the row does not.
+    server = PathServer("p1", lambda request: complete_response(request))
+    registration = {
+        "service": "s2",
+        "address": server.address,
+        "zone": "a",
+        "slots": 8,
+        "state": "ready",
+        "born": 1,
+    }
+    store.put("op", "config", make_configuration())
+    store.put("servers", "p1", registration)
+    router.wait_for(lambda: router.send_request(b"/a/b/x").status == 200)
+    put_bytes(store, "p1", MALFORMED["x2"])
+    router.wait_for(lambda: registered(router) == set(), 5.0)
+    store.put("servers", "p1", registration)
+    router.wait_for(lambda: registered(router) == {"p1"}, 5.0)
+    server.stop()
+
+
 def test_engines_that_cannot_be_used_do_not_stop_the_placement(router, store):
     # Guards against layers that no engine gets because of one registration that names
     # no accelerator, an unknown one, or layers that the model does not have.
