Tell prompt parts apart whatever the length of their ids

A part whose id has 64 digits crashed one server after the other; requests with it were never refused.

Cause: ids of over 32 digits were dropped in silence when the header is read, so the quarantine of parts never heard of them.

Change: a longer id is replaced by its digest of 32 digits. Announcements stay as small, and shorter ids are announced as before.

--- a/src/bulrushdrum/_internal/platform/headers.py
+++ b/src/bulrushdrum/_internal/platform/headers.py
@@ -3,6 +3,7 @@
 Names are lower-case bytes, as the parser in `gateway` returns them.
 """
 
+import hashlib
 import math
 import re
 
@@ -54,7 +55,10 @@
 # Longer numbers are no rates or times that an upstream could mean.
 _DECIMAL_RE = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _MAX_QUOTED_BYTES = 60
-_PART_ID_RE = re.compile(rb"[0-9A-Fa-f]{1,32}")
+_PART_ID_RE = re.compile(rb"[0-9A-Fa-f]+")
+# Longer ids of prompt parts are replaced by a digest, because they are remembered and
+# announced to other routers.
+_MAX_PART_ID_DIGITS = 32
 
 _NOT_FORWARDED = frozenset(
     (_DEADLINE_MS, _EXPECTED_UPSTREAM, _TEAM, _PATH, _PRIORITY, _RESUME_AFTER)
@@ -89,10 +93,17 @@
 
 
 def _parse_shared_parts(values):
-    """Return the ids of the parts that requests share: all but the last one."""
+    """Return what identifies the parts that requests share: all but the last one."""
     entries = values.get(_PROMPT_PARTS, b"").split(b",")[:-1]
     ids = [entry.partition(b":")[0].strip() for entry in entries[:_MAX_PROMPT_PARTS]]
-    return tuple(part.decode().lower() for part in ids if _PART_ID_RE.fullmatch(part))
+    return tuple(_shorten_part_id(part) for part in ids if _PART_ID_RE.fullmatch(part))
+
+
+def _shorten_part_id(part):
+    part = part.lower()
+    if len(part) <= _MAX_PART_ID_DIGITS:
+        return part.decode()
+    return hashlib.blake2b(part, digest_size=_MAX_PART_ID_DIGITS // 2).hexdigest()
 
 
 def parse_request_metadata(headers) -> RequestMetadata:
