Take an event id of very many digits for no position

Change: ids of over 18 digits are no positions; the event is forwarded.

Evidence: test_an_id_of_many_digits_is_no_number. It was not run on the code before; int(b'7' * 5000) raises ValueError on Python 3.11.

--- a/src/bulrushdrum/_internal/gateway/events_stream.py
+++ b/src/bulrushdrum/_internal/gateway/events_stream.py
@@ -16,6 +16,8 @@
 # The line before may end with either, and a stream may mix both.
 _EVENT_END_RE = re.compile(rb"\n\r?\n")
 _MAX_END_BYTES = 3
+# Longer numbers are no positions in a stream.
+_MAX_ID_DIGITS = 18
 
 
 class StreamEvent(NamedTuple):
@@ -81,5 +83,8 @@
         if raw_id is None and line.startswith(b"id:"):
             raw_id = line[3:].strip()
         has_data |= line.startswith(b"data")
-    number = int(raw_id) if raw_id is not None and raw_id.isdigit() else None
+    is_number = (
+        raw_id is not None and raw_id.isdigit() and len(raw_id) <= _MAX_ID_DIGITS
+    )
+    number = int(raw_id) if is_number else None
     return StreamEvent(number, raw_id, data, has_data)
--- a/tests/unit/test_event_streams.py
+++ b/tests/unit/test_event_streams.py
@@ -34,3 +34,9 @@
     (event,) = splitter.feed(b"id: x7\r\ndata: a\r\n\r\n")
     assert event.number is None
     assert event.raw_id == b"x7"
+
+
+def test_an_id_of_many_digits_is_no_number():
+    # Guards against a stream that ends because Python converts no text of this length.
+    (event,) = EventSplitter().feed(b"id: " + b"7" * 5000 + b"\ndata: a\n\n")
+    assert event.number is None
