End the grace for lapsed registrations with the return of the store

A server whose entry was removed 1.5 s after a router's connection to the store was reset got requests from that router for up to 2.6 s more.

Cause: an entry that disappears within 2.2 s of the store's return may have lapsed while it was away; the upstream was then kept for 2.2 s from the time at which the removal was read.

Change: it is kept until 2.2 s after the return, whenever the removal is read.

That servers which lapsed in an outage are still used until they are back is tested too; it held before.

--- a/src/bulrushdrum/_internal/coordination/table_follower.py
+++ b/src/bulrushdrum/_internal/coordination/table_follower.py
@@ -83,6 +83,14 @@
         restored = self._restored_version
         return restored is not None and row.version <= restored
 
+    @property
+    def recovered_at(self) -> float:
+        """When the store was first reached after its last outage, on `clock`.
+
+        Minus infinity if there was none.
+        """
+        return self._recovered_at
+
     def seconds_since_outage(self) -> float:
         """Return the time since the store recovered; 0 while it is unavailable."""
         if not self._available:
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -9,6 +9,7 @@
 a backoff time that doubles with each further failure.
 """
 
+import math
 import time
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -21,7 +22,8 @@
 # heartbeat, and about the duration of a restart.
 _INITIAL_BACKOFF_SECONDS = 1.0
 _MAX_BACKOFF_SECONDS = 5.0
-# Registrations that lapsed during an outage are renewed within two seconds of its end.
+# Registrations that lapsed during an outage are renewed within two seconds of its end;
+# one that is still missing this long after the end is gone.
 LAPSED_GRACE_SECONDS = 2.2
 # How long layers that an engine reported stay valid without a registration: about the
 # longest outage of the store during which layers are reassigned.
@@ -109,17 +111,17 @@
     def replace_all(
         self,
         upstreams: Iterable[PoolUpstream],
-        may_have_lapsed=False,
+        lapsed_until: float = -math.inf,
         from_copy: Iterable[PoolUpstream] = (),
     ):
-        """Replace all upstreams; keep missing ones that may only have lapsed.
+        """Replace all upstreams; keep missing ones as `remove` does.
 
         Those `from_copy` may be older than what is known.
         """
         upstreams, from_copy = list(upstreams), list(from_copy)
         listed = {upstream.id for upstream in [*upstreams, *from_copy]}
         for upstream_id in {*self._upstreams, *self._unconfirmed} - listed:
-            self.remove(upstream_id, may_have_lapsed)
+            self.remove(upstream_id, lapsed_until)
         for upstream in upstreams:
             self.put(upstream)
         for upstream in from_copy:
@@ -218,12 +220,18 @@
             return upstream
         return upstream._replace(layers=override.layers)
 
-    def remove(self, upstream_id: str, may_have_lapsed=False):
+    def remove(self, upstream_id: str, lapsed_until: float = -math.inf):
+        """Remove an upstream, at once or at `lapsed_until`, a time of the clock.
+
+        Until then its registration may only have lapsed in an outage of the store. The
+        time does not depend on when the removal was read, so an upstream that left
+        after the outage is not used for longer than one that lapsed in it.
+        """
         self._unconfirmed.pop(upstream_id, None)
         if upstream_id not in self._upstreams:
             return
-        if may_have_lapsed:
-            self._lapsed.setdefault(upstream_id, self._clock() + LAPSED_GRACE_SECONDS)
+        if lapsed_until > self._clock():
+            self._lapsed.setdefault(upstream_id, lapsed_until)
             return
         upstream = self._upstreams.pop(upstream_id)
         self._departures[upstream_id] = _Departure(upstream, self._clock())
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -330,13 +330,11 @@
         self._registry.on_rows(rows, is_snapshot, from_copy)
 
     def _on_registrations(self, rows, is_snapshot):
-        may_have_lapsed = (
-            self._registration_follower.seconds_since_outage() < LAPSED_GRACE_SECONDS
-        )
+        lapsed_until = self._registration_follower.recovered_at + LAPSED_GRACE_SECONDS
         upstreams, from_copy = [], []
         for row in rows:
             if row.value is None:
-                self._fleet.remove(row.key, may_have_lapsed)
+                self._fleet.remove(row.key, lapsed_until)
                 continue
             try:
                 upstream = decode_upstream(row.key, row.value)
@@ -348,7 +346,7 @@
             is_from_copy = self._registration_follower.is_from_copy(row)
             (from_copy if is_from_copy else upstreams).append(upstream)
         if is_snapshot:
-            self._fleet.replace_all(upstreams, may_have_lapsed, from_copy)
+            self._fleet.replace_all(upstreams, lapsed_until, from_copy)
             return
         for upstream in upstreams:
             self._fleet.put(upstream)
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -18,7 +18,7 @@
     # Guards against refusing all requests when the store recovers without the
     # registrations that lapsed during its outage.
     fleet, now = make_fleet("x")
-    fleet.replace_all([], may_have_lapsed=True)
+    fleet.replace_all([], lapsed_until=now[0] + LAPSED_GRACE_SECONDS)
     assert [u.id for u in fleet.available("llm")] == ["x"]
     now[0] += LAPSED_GRACE_SECONDS + 0.01
     assert fleet.available("llm") == []
@@ -26,12 +26,26 @@
 
 def test_a_registration_that_is_renewed_within_the_grace_period_is_kept():
     fleet, now = make_fleet("x")
-    fleet.replace_all([], may_have_lapsed=True)
+    fleet.replace_all([], lapsed_until=now[0] + LAPSED_GRACE_SECONDS)
     fleet.put(make_engine("x"))
     now[0] += LAPSED_GRACE_SECONDS + 0.01
     assert [u.id for u in fleet.available("llm")] == ["x"]
 
 
+def test_a_registration_removed_after_an_outage_is_not_kept_for_longer():
+    # Guards against using an upstream that left soon after an outage for a whole grace
+    # period from when that was read.
+    fleet, now = make_fleet("x", "y")
+    ends_at = now[0] + LAPSED_GRACE_SECONDS
+    now[0] += LAPSED_GRACE_SECONDS - 0.5
+    fleet.remove("x", lapsed_until=ends_at)
+    assert names(fleet) == ["x", "y"]
+    now[0] += 0.6
+    assert names(fleet) == ["y"]
+    fleet.remove("y", lapsed_until=ends_at)
+    assert names(fleet) == []
+
+
 def test_a_draining_upstream_is_unavailable_immediately():
     fleet, _ = make_fleet("x")
     fleet.put(make_engine("x", state=UpstreamState.DRAINING))
@@ -162,7 +176,7 @@
 def test_a_lapsed_upstream_that_is_in_the_copy_stays():
     # Guards against serving less: it need not write its registration again.
     fleet, now = make_fleet("x")
-    fleet.remove("x", may_have_lapsed=True)
+    fleet.remove("x", lapsed_until=now[0] + LAPSED_GRACE_SECONDS)
     fleet.replace_all([], from_copy=[make_engine("x")])
     now[0] += LAPSED_GRACE_SECONDS + 0.1
     assert names(fleet) == ["x"]
