Answer requests that arrive while a router without requests finishes

Streams were passed on to a server and their connections closed without a whole answer.

Cause: a drain ends when no request is in progress; one of which a part has arrived did not count. The router then finished within 0.5 s, but went on accepting by the time that was left of its grace, so that a request which arrived then was passed on and cut when the process exited.

Change: requests of which a part has arrived keep the drain open, and a router finishes when what it has accepted is answered, or at its last moment.

Evidence: real processes, bodies in chunks and with a length.

--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -44,6 +44,8 @@
         self._request: Request | None = None
         self._streaming = False
         self._is_waiting = False
+        # Whether this router shut the connection down while it was idle.
+        self.is_shut_down = False
         self.response_started = False
         self.closing = False
         self.status = 0
@@ -55,6 +57,11 @@
         """Whether a chunked response was started and not completed."""
         return self._streaming
 
+    @property
+    def has_open_request(self) -> bool:
+        """Whether a request is in progress, or has arrived in part."""
+        return not self._is_waiting or self._reader.has_partial_request
+
     def serve(self):
         while not self.closing:
             request = self._next_request()
@@ -76,9 +83,10 @@
 
     def close_if_idle(self):
         """Close the connection unless a request has arrived, whole or in part."""
-        if self._is_waiting and not self._reader.has_partial_request:
-            if not is_readable(self._socket):
-                self.closing = True
+        if not self.has_open_request and not is_readable(self._socket):
+            if not self.is_shut_down:
+                self.closing = self.is_shut_down = True
+                # Ends the wait for the next request with an error.
                 self._socket.shutdown(socket.SHUT_RDWR)
 
     def _next_request(self):
@@ -229,6 +237,11 @@
     def connections(self) -> int:
         return len(self._open)
 
+    @property
+    def open_requests(self) -> int:
+        """The number of requests in progress, or of which a part has arrived."""
+        return sum(connection.has_open_request for connection in self._open)
+
     def start(self):
         self._server.start()
 
@@ -238,7 +251,8 @@
     def finish(self, seconds: float):
         """Stop accepting, and answer the requests that have already been sent.
 
-        Idle connections are closed. Returns after `seconds` at the latest.
+        Idle connections are closed; the others are served until their requests are
+        answered. Returns after `seconds` at the latest.
         """
         deadline = time.monotonic() + seconds
         # Connections that wait in the listener's queue would be reset.
--- a/src/bulrushdrum/_internal/gateway/draining.py
+++ b/src/bulrushdrum/_internal/gateway/draining.py
@@ -159,12 +159,12 @@
             return 0.0
         return max(self._busy_until - self._clock(), 0.0) + _RESTART_SECONDS
 
-    def is_complete(self, requests_in_progress: int) -> bool:
+    def is_complete(self, open_requests: int) -> bool:
         """Whether the router should stop accepting requests now, and finish."""
         now = self._clock()
         if now >= self._stop_deadline():
             return True
-        if requests_in_progress:
+        if open_requests:
             self._idle_since = None
             return False
         if self._idle_since is None:
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -85,9 +85,6 @@
 
 _ENGINE_CALL_TIMEOUT_SECONDS = 0.5
 _DRAIN_POLL_SECONDS = 0.05
-# Requests that arrive when a router is about to exit are refused at once, so that only
-# slow senders take longer.
-_MAX_FINISH_SECONDS = 0.5
 _MAINTENANCE_INTERVAL_SECONDS = 1.0
 _TASK_RESTART_SECONDS = 0.5
 # The table of routers rarely changes, and routers also announce themselves.
@@ -283,17 +280,14 @@
         self._caller_server.is_draining = True
         self._announcements.set_serving(False)
         gevent.spawn(self._registry.unregister)
-        while not self._drain_controller.is_complete(
-            self._caller_server.requests_in_progress
-        ):
+        while not self._drain_controller.is_complete(self._caller_server.open_requests):
             self._announcements.set_accepts_work(
                 self._drain_controller.has_time_for_any_generation(),
                 self._drain_controller.ready_in(),
             )
             gevent.sleep(_DRAIN_POLL_SECONDS)
-        self._caller_server.finish(
-            min(self._drain_controller.seconds_until_exit(), _MAX_FINISH_SECONDS)
-        )
+        # Requests that arrive meanwhile are accepted if they can end before the exit.
+        self._caller_server.finish(self._drain_controller.seconds_until_exit())
         self._request_handler.log_interrupted()
 
     def _log_reload(self):
--- /dev/null
+++ b/tests/integration/test_router_stops.py
@@ -0,0 +1,146 @@
+"""Planned stops of a router: requests that arrive late, or on old connections.
+
+A request that a router has passed on must get its answer, and one that it has not
+passed on is refused as not run or left unread.
+"""
+
+import signal
+import time
+
+import gevent
+import pytest
+from bench.standins.path_server import stream
+from gevent import socket
+from tests.integration.router_system import (
+    AUTHORIZATION,
+    FakeEngine,
+    make_configuration,
+)
+from tests.unit.gateway_fakes import read_response
+
+STREAM_BODY = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 6))
+GRACE_SECONDS = 6.0
+# After SIGTERM a router without requests stops accepting about this much later.
+QUIET_SECONDS = 2.6
+
+pytestmark = pytest.mark.slow
+
+
+class Caller:
+    """One kept connection of a caller, on which it sends one generation."""
+
+    def __init__(self, router, name, chunked=False):
+        self.id = name
+        self.status, self.body, self.is_complete = 0, b"", False
+        self._is_chunked = chunked
+        self._socket = socket.create_connection(("127.0.0.1", router.port), 1.0)
+        self._socket.settimeout(10.0)
+        framing = b"Transfer-Encoding: chunked" if chunked else b"Content-Length: 4"
+        self._head = (
+            b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nBulrushdrum-Attempt-Id: %s\r\n"
+            b"Bulrushdrum-Token-Count: 100,20\r\nBulrushdrum-Length-Hint: 20\r\n"
+            b"%s%s\r\n\r\n" % (name, AUTHORIZATION, framing)
+        )
+
+    def begin(self):
+        """Send the head and a part of the body."""
+        self._socket.sendall(
+            self._head + (b"2\r\nbo\r\n" if self._is_chunked else b"bo")
+        )
+
+    def end(self):
+        """Send the rest of the body and read the answer."""
+        try:
+            self._socket.sendall(b"2\r\ndy\r\n0\r\n\r\n" if self._is_chunked else b"dy")
+            self._read()
+        except OSError:
+            pass
+
+    def send(self):
+        """Send a whole request at once and read the answer."""
+        body = b"4\r\nbody\r\n0\r\n\r\n" if self._is_chunked else b"body"
+        try:
+            self._socket.sendall(self._head + body)
+            self._read()
+        except OSError:
+            pass
+
+    def _read(self):
+        response = read_response(self._socket)
+        self.status, self.body = response.status or 0, response.body
+        self.is_complete = response.is_complete
+
+
+@pytest.fixture
+def engine(router, store):
+    """An engine whose answers take 1.5 s, before a router with a grace of 6 s."""
+    gap = 0.0
+    engine = FakeEngine("e1", store, lambda request: stream(request, gap=gap))
+    store.put("op", "config", make_configuration())
+    router.wait_for(lambda: router.send_request().status == 200)
+    # Enough for the estimate of a duration, by which a draining router decides.
+    for number in range(40):
+        caller = Caller(router, b"before-%d" % number)
+        caller.send()
+        assert caller.status == 200
+    gap = 0.3
+    return engine
+
+
+def passed_on(engine):
+    return {
+        request["headers"]["bulrushdrum-attempt-id"].encode()
+        for request in engine.server.requests
+        if request["target"] == "/a/x"
+    }
+
+
+def check(callers, engine):
+    """Every request that reached the engine has its whole answer."""
+    ran = passed_on(engine)
+    for caller in callers:
+        if caller.id in ran:
+            assert (caller.status, caller.is_complete) == (200, True), caller.id
+            assert caller.body == STREAM_BODY
+        else:
+            assert caller.status in (0, 503), (caller.id, caller.status)
+    return [caller.status for caller in callers]
+
+
+@pytest.mark.parametrize("chunked", [True, False])
+@pytest.mark.parametrize("seconds", [2.0, QUIET_SECONDS + 0.2, QUIET_SECONDS + 0.7])
+def test_a_body_that_ends_while_the_router_finishes_is_answered(
+    router, engine, chunked, seconds
+):
+    # Guards against a request whose body is still arriving when a router without other
+    # requests finishes: it is passed on and cut when the router exits.
+    caller = Caller(router, b"late", chunked)
+    router.process.send_signal(signal.SIGTERM)
+    gevent.sleep(seconds - 0.9)
+    caller.begin()
+    gevent.sleep(0.9)
+    caller.end()
+    assert check([caller], engine) != [0]
+    assert router.process.wait(timeout=8.0) == 0
+    assert 8213 not in router.events()
+
+
+def test_requests_on_old_connections_are_answered_until_the_router_is_gone(
+    router, engine
+):
+    # Guards against requests that are passed on while a router closes its idle
+    # connections, or shortly before, and are cut when it exits.
+    callers = [Caller(router, b"old-%d" % n, n % 2 == 0) for n in range(60)]
+    gevent.sleep(0.2)
+    router.process.send_signal(signal.SIGTERM)
+    started_at = time.monotonic()
+    sending = []
+    for number, caller in enumerate(callers):
+        at = started_at + QUIET_SECONDS - 0.3 + 0.02 * number
+        gevent.sleep(max(at - time.monotonic(), 0.0))
+        sending.append(gevent.spawn(caller.send))
+    gevent.joinall(sending, timeout=10.0)
+    check(callers, engine)
+    assert router.process.wait(timeout=8.0) == 0
+    assert time.monotonic() - started_at < GRACE_SECONDS
+    assert 8213 not in router.events()
--- a/tests/unit/test_caller_connections.py
+++ b/tests/unit/test_caller_connections.py
@@ -1,10 +1,14 @@
-"""Whether callers are still connected."""
+"""Connections of callers: whether they are open, and how they are closed."""
 
 import os
 
+import gevent
 from gevent import socket
 
 from bulrushdrum._internal.caller.http import is_connected
+from bulrushdrum._internal.gateway import callers
+from bulrushdrum._internal.gateway.callers import CallerServer
+from bulrushdrum._internal.gateway.messages import Response
 
 HIGH_FILE_DESCRIPTOR = 1500
 
@@ -23,3 +27,50 @@
     caller.close()
     assert not is_connected(high)
     high.close()
+
+
+def test_a_request_that_arrives_while_its_connection_is_shut_down_is_not_handled(
+    monkeypatch,
+):
+    # Guards against a request that reaches an upstream although its connection cannot
+    # carry an answer any more.
+    handled = []
+    server = CallerServer("127.0.0.1:0", lambda _, request: handled.append(request))
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    with socket.create_connection(address, timeout=2.0) as sock:
+        gevent.sleep(0.05)
+        (connection,) = server._open
+        sock.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+        # As if it arrived between the check for input and the shutdown.
+        monkeypatch.setattr(callers, "is_readable", lambda sock: False)
+        connection.close_if_idle()
+        gevent.sleep(0.1)
+        assert handled == []
+        assert not server._open
+    server.stop_accepting()
+
+
+def test_a_request_of_which_a_part_has_arrived_is_open():
+    # Guards against a router that counts as idle while a body is still arriving.
+    answered = []
+
+    def answer(connection, request):
+        answered.append(request.body)
+        connection.send(Response(200, [], b""))
+
+    server = CallerServer("127.0.0.1:0", answer)
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    with socket.create_connection(address, timeout=2.0) as sock:
+        gevent.sleep(0.05)
+        assert server.open_requests == 0
+        sock.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+        gevent.sleep(0.05)
+        assert server.open_requests == 1
+        finishing = gevent.spawn(server.finish, 2.0)
+        gevent.sleep(0.3)
+        sock.sendall(b"dy")
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+        finishing.get(timeout=1.0)
+        assert answered == [b"body"]
