Log no idle connection that the router itself closed as left by its caller

What was seen: the users' record of LOST around SIGTERM is full of 8202, 'connection lost: File descriptor was closed in another greenlet'. Shutting an idle connection down ends the wait for its next request with that error.

Change: no line for a connection that the router shut down.

Evidence: test_connections_that_a_router_closes_are_not_logged_as_left failed on the code before and passes.

--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -285,7 +285,8 @@
         except CallerDisconnected as error:
             log_event(Event.CALLER_LEFT, reason=str(error))
         except OSError as error:
-            log_event(Event.CALLER_LEFT, reason=f"connection lost: {error}")
+            if not connection.is_shut_down:
+                log_event(Event.CALLER_LEFT, reason=f"connection lost: {error}")
         finally:
             self._open.discard(connection)
             sock.close()
--- a/tests/integration/test_router_stops.py
+++ b/tests/integration/test_router_stops.py
@@ -144,3 +144,12 @@
     assert router.process.wait(timeout=8.0) == 0
     assert time.monotonic() - started_at < GRACE_SECONDS
     assert 8213 not in router.events()
+
+
+def test_connections_that_a_router_closes_are_not_logged_as_left(router, engine):
+    # Guards against log lines that blame callers, in a planned stop, for connections
+    # that the router closed while they were idle.
+    callers = [Caller(router, b"idle-%d" % number) for number in range(5)]
+    router.process.send_signal(signal.SIGTERM)
+    assert router.process.wait(timeout=8.0) == 0
+    assert len(callers) == 5 and 8202 not in router.events()
