Accept calls that nobody can repeat late in a drain only if they certainly end

Requests that came late in the grace were passed on and cut at its end, among them some that may not be repeated.

Cause: a call was accepted if twice the longest of the last 300 calls fits before the exit. One that takes longer is cut.

Change: a router out of rotation accepts a call that is not retryable only if its whole timeout fits. Before that, most callers still come to this router, and a refusal costs them one of few retries.

Evidence: test_a_call_that_nobody_can_repeat_is_accepted_only_if_it_certainly_ends (new interface, so it cannot run on the code before, which accepted it).

--- a/src/bulrushdrum/_internal/gateway/draining.py
+++ b/src/bulrushdrum/_internal/gateway/draining.py
@@ -92,12 +92,16 @@
     def is_draining(self) -> bool:
         return self._started_at is not None
 
-    def decide_call(self, timeout: float) -> DrainAdmission:
+    def decide_call(self, timeout: float, is_retryable: bool = True) -> DrainAdmission:
         """Decide whether a call started now should end before the router exits.
 
-        It takes at most `timeout` seconds.
+        It takes at most `timeout` seconds. Nobody can repeat a call that is not
+        retryable and was cut, so that one is expected to take all of them, unless most
+        callers still come to this router.
         """
         expected_seconds = min(self._calls.seconds(), timeout)
+        if self.is_draining and not is_retryable and self._is_out_of_rotation():
+            expected_seconds = timeout
         return self._decide(expected_seconds, self._calls.samples)
 
     def decide_generation(
--- a/tests/unit/test_draining.py
+++ b/tests/unit/test_draining.py
@@ -219,6 +219,20 @@
     assert scenario.controller.decide_call(timeout=1.5).accepted
 
 
+def test_a_call_that_nobody_can_repeat_is_accepted_only_if_it_certainly_ends():
+    # Guards against a call that is cut at the end of a planned stop, because it takes
+    # longer than all before, and that its caller must not send again.
+    scenario = DrainScenario()
+    for _ in range(300):
+        scenario.calls.record(0.05)
+    scenario.drain(after=6.5)
+    assert scenario.controller.decide_call(timeout=1.5).accepted
+    assert not scenario.controller.decide_call(1.5, is_retryable=False).accepted
+    assert scenario.controller.decide_call(1.0, is_retryable=False).accepted
+    scenario.clock.now -= 4.4
+    assert scenario.controller.decide_call(timeout=1.5, is_retryable=False).accepted
+
+
 def test_retry_after_covers_the_restart_with_jitter():
     # Guards against callers that spend their only retry while all routers restart, and
     # against simultaneous retries.
