Use no host names in registrations

An entry of another writer may have a host name in place of an IP address. Looking it up has no timeout of the router's: a request that is sent there waits for the resolver, and announcements to a router with such a row do too.

Evidence: cases added to test_a_registration_that_cannot_be_read_is_malformed and test_a_router_with_an_impossible_address_is_left_out; they failed before the change by construction (a name was accepted), which was not run.

--- a/src/bulrushdrum/_internal/coordination/router_registry.py
+++ b/src/bulrushdrum/_internal/coordination/router_registry.py
@@ -19,7 +19,7 @@
 )
 from bulrushdrum._internal.platform.rows import RowStore, StoredRow
 from bulrushdrum._internal.settings.router import RouterSettings
-from bulrushdrum._internal.world.addresses import parse_address
+from bulrushdrum._internal.world.addresses import parse_ipv4_address
 
 ROUTERS_TABLE = "routers"
 _REGISTER_RETRY_SECONDS = 0.5
@@ -108,7 +108,7 @@
         self._unregistered.discard(row.key)
         try:
             raw = json.loads(row.value)
-            self._addresses[row.key] = parse_address(f"{raw['ip']}:{raw['port']}")
+            self._addresses[row.key] = parse_ipv4_address(f"{raw['ip']}:{raw['port']}")
             self._last_known_at.setdefault(row.key, time.monotonic())
         except DECODING_ERRORS as error:
             log_event(Event.VM_ROW_INVALID, row=row.key, reason=repr(error))
--- a/src/bulrushdrum/_internal/platform/router_config.py
+++ b/src/bulrushdrum/_internal/platform/router_config.py
@@ -15,7 +15,7 @@
     require_string,
 )
 from bulrushdrum._internal.platform.errors import MalformedRow
-from bulrushdrum._internal.world.addresses import parse_address
+from bulrushdrum._internal.world.addresses import parse_ipv4_address
 from bulrushdrum._internal.world.engines import (
     AcceleratorKind,
     EngineModel,
@@ -166,7 +166,7 @@
         if not _UPSTREAM_ID_RE.fullmatch(upstream_id):
             raise ValueError("the id is not printable ASCII")
         address = require_string(raw, "address")
-        parse_address(address)
+        parse_ipv4_address(address)
         return PoolUpstream(
             id=upstream_id,
             service=require_string(raw, "service"),
--- a/src/bulrushdrum/_internal/world/addresses.py
+++ b/src/bulrushdrum/_internal/world/addresses.py
@@ -1,5 +1,6 @@
 """Network addresses of processes, like `10.0.0.7:7100`."""
 
+import ipaddress
 import re
 
 # Names that the resolver and the headers of a request can hold, and IPv6 addresses.
@@ -20,3 +21,13 @@
     ):
         raise ValueError(f"{address!r} is not an address like '10.0.0.7:7100'")
     return host, int(port)
+
+
+def parse_ipv4_address(address: str) -> tuple[str, int]:
+    """Split an address without a host name; raises `ValueError` otherwise.
+
+    For addresses that other processes register: a name would be looked up, which can
+    take many seconds, each time that it is used.
+    """
+    host, port = parse_address(address)
+    return str(ipaddress.IPv4Address(host)), port
--- a/tests/unit/test_malformed_rows.py
+++ b/tests/unit/test_malformed_rows.py
@@ -80,6 +80,8 @@
         json.dumps({**REGISTRATION, "address": "10.0.0.1:70000"}).encode(),
         json.dumps({**REGISTRATION, "address": "10.0.0.1\r\nx:80"}).encode(),
         json.dumps({**REGISTRATION, "address": "a..b:80"}).encode(),
+        json.dumps({**REGISTRATION, "address": "server.example:80"}).encode(),
+        json.dumps({**REGISTRATION, "address": "[::1]:80"}).encode(),
         json.dumps({**REGISTRATION, "layers": {"from": -3, "target": 5}}).encode(),
     ],
 )
@@ -170,6 +172,7 @@
         {"ip": "127.0.0.1", "port": 70000},
         {"ip": "127.0.0.1", "port": float("inf")},
         {"ip": "a..b", "port": 80},
+        {"ip": "router.example", "port": 80},
         {"ip": "127.0.0.1"},
         [],
     ],
