Tell an outage of one router from one of the store

Cause: a router that was cut off reaches the store again up to 2.6 s after the way is open, and keeps what was removed meanwhile for 2.2 s more, as if it had lapsed in an outage of the store.

Change: routers announce their contact with the store. If a peer reached the store throughout the outage, a removal is final at once, as it is at that peer.

The field store_contact is ignored by routers of earlier releases, and missing in what they announce.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -16,6 +16,7 @@
 from gevent.event import Event as Signal
 
 from bulrushdrum._internal.coordination.router_registry import RouterRegistry
+from bulrushdrum._internal.coordination.store_contact import StoreContact
 from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
@@ -55,6 +56,7 @@
     accepts_work: bool
     ready_at: float
     configuration_version: int
+    store_contact: StoreContact | None
 
 
 class _LayerUpdate(NamedTuple):
@@ -75,6 +77,16 @@
     return _LayerUpdate(int(number), str(upstream_id), int(born), int(first), int(end))
 
 
+def _decode_store_contact(raw, now) -> StoreContact | None:
+    """Decode the ages of a peer's contact; releases without it announce none."""
+    if raw is None:
+        return None
+    since_age, last_age = map(float, raw)
+    if not 0.0 <= last_age <= since_age:
+        raise ValueError(f"store_contact: {raw!r} are no ages")
+    return StoreContact(now - since_age, now - last_age)
+
+
 # The default for announcements of releases that do not count crashes.
 _NO_FAILURES = {"crashes": {}, "served": []}
 # The default for announcements of releases that do not know prompt parts.
@@ -96,6 +108,7 @@
         part_quarantine: PartQuarantine,
         limits: UpstreamLimits,
         configuration_version: Callable[[], int],
+        store_contact: Callable[[], StoreContact | None] = lambda: None,
     ):
         self._settings = settings
         self._incarnation = incarnation
@@ -107,6 +120,7 @@
         self._part_quarantine = part_quarantine
         self._limits = limits
         self._configuration_version = configuration_version
+        self._store_contact = store_contact
         self._peers: dict[str, _Peer] = {}
         self._is_serving = False
         self._accepts_work = True
@@ -166,6 +180,11 @@
         versions = [p.configuration_version for p in self._live_peers().values()]
         return max(versions, default=0)
 
+    def store_contacts(self) -> list[StoreContact]:
+        """Return the contact that live peers have with the store."""
+        contacts = [peer.store_contact for peer in self._live_peers().values()]
+        return [contact for contact in contacts if contact is not None]
+
     def hears_routers(self) -> bool:
         """Whether another router was heard, or the table names no other one."""
         is_alone = self._registry.has_read_table and not self._registry.other_names()
@@ -247,6 +266,7 @@
                 "prompt_parts": self._part_quarantine.announcement(),
                 "limits": self._limits.announcement(),
                 "configuration": self._configuration_version(),
+                "store_contact": self._announced_store_contact(),
                 "silent": self._own_unresponsive,
                 "leaving": list(self._fleet.leaving().items()),
                 "layers": [list(update) for update in self._layer_updates],
@@ -273,6 +293,10 @@
             except OSError as error:
                 log_event(Event.PEER_UNREACHABLE, peer=name, reason=str(error))
 
+    def _announced_store_contact(self):
+        contact, now = self._store_contact(), time.monotonic()
+        return None if contact is None else [round(now - at, 3) for at in contact]
+
     def listen_forever(self):
         while True:
             data, address = self._socket.recvfrom(_MAX_DATAGRAM_BYTES)
@@ -290,6 +314,9 @@
                 accepts_work = bool(raw.get("takes_work", serving))
                 ready_in = max(float(raw.get("ready_in", 0.0)), 0.0)
                 configuration_version = int(raw.get("configuration", 0))
+                store_contact = _decode_store_contact(
+                    raw.get("store_contact"), time.monotonic()
+                )
                 unresponsive = [str(upstream_id) for upstream_id in raw["silent"]]
                 leaving = [(str(i), int(born)) for i, born in raw.get("leaving", [])]
                 updates = [_decode_layer_update(entry) for entry in raw["layers"]]
@@ -322,6 +349,7 @@
                 accepts_work,
                 now + ready_in,
                 configuration_version,
+                store_contact,
             )
             self._reservations.set_peer_usage(name, usages)
             self._apply_layer_updates(name, incarnation, updates)
--- a/src/bulrushdrum/_internal/coordination/table_follower.py
+++ b/src/bulrushdrum/_internal/coordination/table_follower.py
@@ -17,6 +17,10 @@
 
 import gevent
 
+from bulrushdrum._internal.coordination.store_contact import (
+    StoreContact,
+    StoreOutage,
+)
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.platform.errors import HistoryLost, StoreUnavailable
 from bulrushdrum._internal.platform.rows import RowStore, StoredRow
@@ -52,6 +56,9 @@
         self._available = False
         self._failed_at: float | None = None
         self._recovered_at = float("-inf")
+        self._call_sent_at = self._first_failure_sent_at = float("-inf")
+        self._contact: StoreContact | None = None
+        self._outage: StoreOutage | None = None
         # The era of the rows that were read last, and the last one that was logged.
         self._era: int | None = None
         self._seen_era: int | None = None
@@ -91,6 +98,16 @@
         """
         return self._recovered_at
 
+    @property
+    def contact(self) -> StoreContact | None:
+        """The contact with the store, or None while it is unavailable."""
+        return self._contact
+
+    @property
+    def last_outage(self) -> StoreOutage | None:
+        """The last outage that has ended, unless the store was restored since."""
+        return self._outage
+
     def seconds_since_outage(self) -> float:
         """Return the time since the store recovered; 0 while it is unavailable."""
         if not self._available:
@@ -119,6 +136,7 @@
     def _poll(self, spaced):
         """Make a call `spaced` seconds after the last; return whether it had rows."""
         is_snapshot = self._version is None
+        self._call_sent_at = self._clock()
         if is_snapshot:
             state = self._store.read_table(self._table)
         else:
@@ -152,6 +170,8 @@
         self._seen_era = state.era
         self.restorations += 1
         self._recovered_at = self._clock()
+        # What other routers reached may have been the store before.
+        self._outage = None
         log_event(
             Event.STORE_RESTORED,
             table=self._table,
@@ -164,16 +184,19 @@
     def _record_failure(self, error):
         if self._available or self._failed_at is None:
             self._failed_at = self._clock()
+            self._first_failure_sent_at = self._call_sent_at
             log_event(Event.STORE_UNAVAILABLE, table=self._table, reason=str(error))
         self._available = False
+        self._contact = None
 
     def _record_success(self):
+        now = self._clock()
+        self._contact = StoreContact(self._contact.since if self._contact else now, now)
         if not self._available:
             if self._failed_at is not None:
-                self._recovered_at = self._clock()
-            outage_seconds = (
-                0.0 if self._failed_at is None else self._clock() - self._failed_at
-            )
+                self._recovered_at = now
+                self._outage = StoreOutage(self._first_failure_sent_at, now)
+            outage_seconds = 0.0 if self._failed_at is None else now - self._failed_at
             log_event(
                 Event.STORE_AVAILABLE, table=self._table, seconds_away=outage_seconds
             )
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -246,6 +246,11 @@
             del self._ids_by_address[upstream.address]
         self._version += 1
 
+    def remove_lapsed(self):
+        """Remove the upstreams that were kept because they may only have lapsed."""
+        for upstream_id in list(self._lapsed):
+            self.remove(upstream_id)
+
     def get(self, upstream_id: str) -> PoolUpstream | None:
         upstream = self._upstreams.get(upstream_id)
         return None if upstream is None else self._with_own_statements(upstream)
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 import os
 import secrets
 import signal
@@ -24,6 +25,7 @@
     ROUTERS_TABLE,
     RouterRegistry,
 )
+from bulrushdrum._internal.coordination.store_contact import served_others
 from bulrushdrum._internal.coordination.table_follower import TableFollower
 from bulrushdrum._internal.gateway.callers import CallerServer
 from bulrushdrum._internal.gateway.crash_evidence import CrashEvidence
@@ -139,6 +141,7 @@
             self._part_quarantine,
             self._upstream_limits,
             lambda: self._configuration.version,
+            lambda: self._registration_follower.contact,
         )
         self._statements = StatementRecorder(self._fleet, self._upstream_limits)
         calls = EngineCalls(_ENGINE_CALL_TIMEOUT_SECONDS, self._on_statements)
@@ -302,6 +305,8 @@
                 log_event(Event.LINES_OMITTED, counts=omitted)
             self._announcements.set_serving(self._is_ready())
             self._configuration.apply_due(self._configuration_follower)
+            if self._store_served_peers():
+                self._fleet.remove_lapsed()
 
     def _router_count(self):
         return self._announcements.router_count()
@@ -325,6 +330,8 @@
 
     def _on_registrations(self, rows, is_snapshot):
         lapsed_until = self._registration_follower.recovered_at + LAPSED_GRACE_SECONDS
+        if self._store_served_peers():
+            lapsed_until = -math.inf
         upstreams, from_copy = [], []
         for row in rows:
             if row.value is None:
@@ -345,6 +352,13 @@
         for upstream in upstreams:
             self._fleet.put(upstream)
 
+    def _store_served_peers(self):
+        """Whether the last outage of the store was one of this router only."""
+        outage = self._registration_follower.last_outage
+        return outage is not None and served_others(
+            outage, self._announcements.store_contacts()
+        )
+
     def _log_malformed_row(self, row, error):
         self._malformed_registrations += 1
         log_event(
--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -381,6 +381,7 @@
         "limits": [],
         "leaving": [],
         "configuration": 0,
+        "store_contact": None,
     }
     expected = {**SAMPLES["announcement"], **added}
     assert json.loads(peer_socket.recv(65000)) == expected
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -11,6 +11,11 @@
 from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
 from bulrushdrum._internal.coordination.placement_controller import PlacementController
 from bulrushdrum._internal.coordination.router_registry import RouterRegistry
+from bulrushdrum._internal.coordination.store_contact import (
+    StoreContact,
+    StoreOutage,
+    served_others,
+)
 from bulrushdrum._internal.coordination.table_follower import TableFollower
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.pipelines.fleet import Fleet
@@ -120,6 +125,8 @@
     )
     assert store.calls[:3] == ["snapshot", 5, 5]
     assert follower.seconds_since_outage() < 1.0
+    outage, contact = follower.last_outage, follower.contact
+    assert outage.began_at < outage.ended_at == contact.since <= contact.last
     assert received[-1] == (["b"], False)
 
 
@@ -298,6 +305,39 @@
     gevent.sleep(0.05)
 
 
+def test_contact_with_the_store_is_announced(routers):
+    # Guards against a router that takes an outage of its own for one of the store.
+    first, second = routers
+    now = time.monotonic()
+    first._store_contact = lambda: StoreContact(now - 30.0, now - 1.0)
+    send_announcements(first)
+    (contact,) = second.store_contacts()
+    assert abs(contact.since - (now - 30.0)) < 0.2
+    assert abs(contact.last - (now - 1.0)) < 0.2
+    first._store_contact = lambda: None
+    send_announcements(first)
+    assert second.store_contacts() == []
+
+
+@pytest.mark.parametrize(
+    ("since", "last", "served"),
+    [
+        (-10.0, 4.9, True),
+        (-10.0, 3.1, True),
+        # Answered before the store went away, perhaps.
+        (-10.0, 2.9, False),
+        # Failed itself in the outage.
+        (0.1, 5.0, False),
+    ],
+)
+def test_an_outage_of_one_router_is_told_from_one_of_the_store(since, last, served):
+    # Guards against upstreams that are used after they left, and against upstreams that
+    # are not used although their registration only lapsed.
+    contacts = [StoreContact(1.0, 6.0), StoreContact(since, last)]
+    assert served_others(StoreOutage(0.0, 5.0), contacts) is served
+    assert not served_others(StoreOutage(0.0, 5.0), [])
+
+
 def test_reservations_and_unresponsive_upstreams_are_announced(routers):
     first, second = routers
     first._reservations.reserve((Hop(make_engine("e"), LayerRange(0, 20)),), 10.0)
