Read limits and pauses whatever the number of their decimals

Cause: the expression for decimal numbers took nine decimals at most. The same one reads Retry-After.

Change: any number of decimals, which the size of a head bounds.

Evidence: test_a_limit_is_read_whatever_the_number_of_its_decimals and new cases of test_a_pause_is_read_from_refusals_only failed on the code before and pass.

--- a/src/bulrushdrum/_internal/platform/headers.py
+++ b/src/bulrushdrum/_internal/platform/headers.py
@@ -52,8 +52,8 @@
 _MAX_TOKENS = 1e8
 # Longer lists are cut, so that a caller cannot make a request expensive to examine.
 _MAX_PROMPT_PARTS = 32
-# Longer numbers are no rates or times that an upstream could mean.
-_DECIMAL_RE = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+# More digits before the point are no rate or time that an upstream could mean.
+_DECIMAL_RE = re.compile(rb"\d{1,9}(\.\d*)?|\.\d+")
 _MAX_QUOTED_BYTES = 60
 _PART_ID_RE = re.compile(rb"[0-9A-Fa-f]+")
 # Longer ids of prompt parts are replaced by a digest, because they are remembered and
--- a/tests/unit/test_upstream_statements.py
+++ b/tests/unit/test_upstream_statements.py
@@ -11,6 +11,7 @@
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.platform.headers import parse_statements
 from bulrushdrum._internal.world.routes import RequestKind
+from bulrushdrum._internal.world.statements import RequestLimit
 
 
 def with_header(steps, header):
@@ -161,6 +162,10 @@
     [
         (503, b"2", 2.0),
         (503, b"0.5", 0.5),
+        (503, b"1.3333333333333333", 4 / 3),
+        (503, b".25", 0.25),
+        (503, b"2.", 2.0),
+        (503, b".", None),
         (503, b"-1", None),
         (503, b"nan", None),
         (503, b"1e9", None),
@@ -184,3 +189,20 @@
     assert fleet.available("llm") == []
     now[0] += 1.1
     assert len(fleet.available("llm")) == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "limit"),
+    [
+        (b"3.3333333333333335", 10 / 3),
+        (b"0.10000000000000000555", 0.1),
+        (b"12", 12.0),
+        (b" 2.5 ", 2.5),
+        (b".5", 0.5),
+    ],
+)
+def test_a_limit_is_read_whatever_the_number_of_its_decimals(text, limit):
+    # Guards against an upstream whose limit is ignored, because it was written as a
+    # number of double precision.
+    statements = parse_statements(200, [(b"server-limit", text)])
+    assert statements.limit == RequestLimit(limit)
