Let a pause last as long as its upstream named it

Retry-After: 90 on a 503 ended after 60 s; the users' page says that the server wants nothing from that machine for so long.

Cause: a bound of a minute on every pause.

Change: no bound.

--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -38,8 +38,6 @@
 # A registration in a copy whose upstream was known to have left is used after this time
 # if it is still there: registrations without heartbeats have expired by then.
 _COPY_CONFIRMATION_SECONDS = 6.0
-# An upstream that asks for a longer pause is tried again after this time.
-_MAX_PAUSE_SECONDS = 60.0
 # How long upstreams that have left are remembered. Copies are some seconds old.
 _DEPARTURE_SECONDS = 120.0
 
@@ -304,9 +302,10 @@
     def pause(self, upstream_id: str, born: int, seconds: float):
         """Use an incarnation no more for some seconds, because it asked for that.
 
-        Unlike a backoff, a pause does not end with a request that succeeds.
+        Unlike a backoff, a pause does not end with a request that succeeds. It ends
+        early with the next start of the upstream, or with a shorter one that it names.
         """
-        until = self._clock() + min(seconds, _MAX_PAUSE_SECONDS)
+        until = self._clock() + seconds
         known = self._upstreams.get(upstream_id)
         if known is None or known.born != born or seconds <= 0.0:
             return
