Apply changed limits to connections that are open

Cause: the reader of a connection took the limits when it was accepted.

Change: a request may be as large as the limits at its begin or the current ones allow.

Evidence: test_changed_limits_hold_for_connections_that_are_open failed on the code before (413) and passes.

--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -40,7 +40,7 @@
     def __init__(self, sock, server: "CallerServer"):
         self._socket = sock
         self._server = server
-        self._reader = RequestReader(server.limits())
+        self._reader = RequestReader(server.limits)
         self._request: Request | None = None
         self._streaming = False
         self._is_waiting = False
--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import deque
+from collections.abc import Callable
 
 import httptools
 
@@ -18,11 +19,16 @@
 
 
 class RequestReader:
-    """Parses the requests received on one connection."""
+    """Parses the requests received on one connection.
 
-    def __init__(self, limits: CallerLimits):
+    `limits()` returns the limits in force. A request may be as large as those at its
+    begin or the current ones allow.
+    """
+
+    def __init__(self, limits: Callable[[], CallerLimits]):
         self.requests: deque[Request] = deque()
         self._limits = limits
+        self._limits_at_begin = limits()
         self._parser = httptools.HttpRequestParser(self)
         self._started = False
         self._reset()
@@ -55,6 +61,7 @@
 
     def on_message_begin(self):
         self._started = True
+        self._limits_at_begin = self._limits()
 
     def on_url(self, url):
         self._target += url
@@ -66,13 +73,17 @@
 
     def _count_header_bytes(self, count):
         self._header_bytes += count
-        if self._header_bytes > self._limits.header_bytes:
-            raise BadRequest(431, f"headers exceed {self._limits.header_bytes} bytes")
+        if self._header_bytes > self._limits_at_begin.header_bytes:
+            max_bytes = self._limits().header_bytes
+            if self._header_bytes > max_bytes:
+                raise BadRequest(431, f"headers exceed {max_bytes} bytes")
 
     def on_body(self, body):
         self._body_bytes += len(body)
-        if self._body_bytes > self._limits.body_bytes:
-            raise BadRequest(413, f"the body exceeds {self._limits.body_bytes} bytes")
+        if self._body_bytes > self._limits_at_begin.body_bytes:
+            max_bytes = self._limits().body_bytes
+            if self._body_bytes > max_bytes:
+                raise BadRequest(413, f"the body exceeds {max_bytes} bytes")
         self._body.append(body)
 
     def on_message_complete(self):
--- a/tests/unit/test_caller_connections.py
+++ b/tests/unit/test_caller_connections.py
@@ -9,6 +9,7 @@
 from bulrushdrum._internal.gateway import callers
 from bulrushdrum._internal.gateway.callers import CallerServer
 from bulrushdrum._internal.gateway.messages import Response
+from bulrushdrum._internal.world.routes import CallerLimits
 
 HIGH_FILE_DESCRIPTOR = 1500
 
@@ -74,3 +75,34 @@
         assert sock.recv(100).startswith(b"HTTP/1.1 200")
         finishing.get(timeout=1.0)
         assert answered == [b"body"]
+
+
+def test_changed_limits_hold_for_connections_that_are_open():
+    # Guards against refusing what the configuration allows, on connections that were
+    # opened before it was changed.
+    limits = CallerLimits(header_bytes=200, body_bytes=3)
+
+    def send(sock, body, *headers):
+        lines = [b"POST /a HTTP/1.1", b"Host: h", b"Content-Length: %d" % len(body)]
+        sock.sendall(b"\r\n".join([*lines, *headers, b"", body]))
+        return int(sock.recv(1000).split()[1])
+
+    server = CallerServer(
+        "127.0.0.1:0",
+        lambda connection, _: connection.send(Response(200, [], b"")),
+        lambda: limits,
+    )
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    with (
+        socket.create_connection(address, timeout=2.0) as first,
+        socket.create_connection(address, timeout=2.0) as second,
+    ):
+        assert send(first, b"abc") == send(second, b"abc") == 200
+        limits = limits._replace(header_bytes=500, body_bytes=6)
+        assert send(first, b"abcdef") == 200
+        assert send(first, b"abcdef", b"X: " + b"x" * 300) == 200
+        limits = limits._replace(header_bytes=200, body_bytes=3)
+        assert send(first, b"abcd") == 413
+        assert send(second, b"abc", b"X: " + b"x" * 300) == 431
+    server.stop_accepting()
