--- a/tests/integration/test_malformed_registrations.py
+++ b/tests/integration/test_malformed_registrations.py
@@ -40,9 +40,8 @@
     return set(json.loads(state)["fleet"]["upstreams"])
 
 
-def test_registrations_that_cannot_be_read_do_not_hide_the_others(router, store):
-    # Guards against a router that follows no registrations because of one row, and
-    # against one that is never ready after a restart beside such a row.
+def serve_plain_calls(router, store):
+    """Return a server of the plain service, and its registration."""
     server = PathServer("p1", lambda request: complete_response(request))
     registration = {
         "service": "s2",
@@ -55,6 +54,13 @@
     store.put("op", "config", make_configuration())
     store.put("servers", "p1", registration)
     router.wait_for(lambda: router.send_request(b"/a/b/x").status == 200)
+    return server, registration
+
+
+def test_registrations_that_cannot_be_read_do_not_hide_the_others(router, store):
+    # Guards against a router that follows no registrations because of one row, and
+    # against one that is never ready after a restart beside such a row.
+    server, registration = serve_plain_calls(router, store)
     for upstream_id, value in MALFORMED.items():
         put_bytes(store, upstream_id, value)
     store.put("servers", "p2", registration)
@@ -76,18 +82,7 @@
 def test_a_registration_that_becomes_malformed_names_no_upstream(router, store):
     # Guards against a router that uses what a row held before, which one that starts
     # beside the row does not.
-    server = PathServer("p1", lambda request: complete_response(request))
-    registration = {
-        "service": "s2",
-        "address": server.address,
-        "zone": "a",
-        "slots": 8,
-        "state": "ready",
-        "born": 1,
-    }
-    store.put("op", "config", make_configuration())
-    store.put("servers", "p1", registration)
-    router.wait_for(lambda: router.send_request(b"/a/b/x").status == 200)
+    server, registration = serve_plain_calls(router, store)
     put_bytes(store, "p1", MALFORMED["x2"])
     router.wait_for(lambda: registered(router) == set(), 5.0)
     store.put("servers", "p1", registration)
