Ignore a reload signal while a role starts

SIGHUP within the first 0.5 s of a router ended it.

Cause: the handler is set after the libraries have been imported; until then the signal's default ends the process. The same holds for entries and sidecars.

Change: the signal is ignored before the first import of a library, until the role handles it. Commands of operators keep the default.

Evidence: test_a_reload_signal_during_the_start_of_a_role_does_not_end_it failed on the code before for all three roles and passes.

--- a/src/bulrushdrum/__main__.py
+++ b/src/bulrushdrum/__main__.py
@@ -1,12 +1,19 @@
 """The `bulrushdrum` command, which runs the roles and the operator commands."""
 
-from gevent import monkey
+import signal
+import sys
+
+_ROLES = ("entry", "sidecar", "router")
+# The roles handle a change of their settings file when they run. Until then the signal
+# must not end the process.
+if sys.argv[1:2] and sys.argv[1] in _ROLES:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from gevent import monkey  # noqa: E402
 
 # Must run before any other import that uses sockets or threads.
 monkey.patch_all()
 
-import sys  # noqa: E402
-
 
 def run(arguments: list[str]) -> int:
     """Run the role or command in `arguments` and return its exit code."""
--- a/tests/integration/test_command.py
+++ b/tests/integration/test_command.py
@@ -76,3 +76,23 @@
     if shell == "bash":
         syntax_check = subprocess.run(["bash", "-n"], input=script, text=True)
         assert syntax_check.returncode == 0
+
+
+@pytest.mark.parametrize("role", ["router", "entry", "sidecar"])
+def test_a_reload_signal_during_the_start_of_a_role_does_not_end_it(role):
+    # Guards against a process that ends because its settings file changed while it
+    # imported its libraries.
+    code = (
+        "import signal, sys\n"
+        "class Finder:\n"
+        "    def find_spec(self, name, path=None, target=None):\n"
+        "        if name == 'gevent':\n"
+        "            signal.raise_signal(signal.SIGHUP)\n"
+        "sys.meta_path.insert(0, Finder())\n"
+        f"sys.argv = ['bulrushdrum', {role!r}]\n"
+        "import bulrushdrum.__main__\n"
+        "print('started')\n"
+    )
+    command = [sys.executable, "-c", code]
+    result = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert (result.returncode, result.stdout.strip()) == (0, "started"), result.stderr
