Log when SIGTERM arrived, how late the event loop is, and what a stop may cut

In the users' record no line names a cut request, and nothing tells a router that is behind from one that accepted too much. Without a change of what is accepted:

- 1003 says how long after the signal the router noticed it, and the latency of its event loop.
The arrival is noted by Python's own handler, which runs while the loop is busy.
- 1007 and bulrushdrum_event_loop_latency_seconds: the worst latency of the last second, from 0.2 s on.
- 8222 names the requests in progress when a stop begins.
A process that is killed writes no 8213.
- 8212, 8213 and 8222 are not limited to 40 lines a second.
- At the begin and the end of a stop, lines that the reader of the log has not taken are moved to the pipe, which outlives the process, and the counts of omitted lines are logged.

--- a/src/bulrushdrum/_internal/gateway/request_handler.py
+++ b/src/bulrushdrum/_internal/gateway/request_handler.py
@@ -40,6 +40,8 @@
 from bulrushdrum._internal.world.routes import RouterConfiguration
 
 _RETRY_WITHOUT_CONFIGURATION_SECONDS = 1.0
+# Keeps a log line short enough to be read.
+_NAMES_PER_LINE = 100
 # Log lines carry the end of a traceback, which names the fault.
 MAX_TRACEBACK_CHARACTERS = 1500
 
@@ -84,6 +86,20 @@
         self._random = random.Random(seed)
         self._in_progress: dict[CallerConnection, tuple[Request, RequestMetadata]] = {}
 
+    def log_in_progress(self):
+        """Log which requests are in progress when a stop begins.
+
+        A process that is killed logs nothing of the requests which that cuts.
+        """
+        names = [
+            metadata.request_id.decode("latin-1")
+            for _, metadata in self._in_progress.values()
+        ]
+        for first in range(0, len(names), _NAMES_PER_LINE):
+            log_event(
+                Event.REQUESTS_AT_STOP, requests=names[first : first + _NAMES_PER_LINE]
+            )
+
     def log_interrupted(self):
         """Log and count the requests that are interrupted because the router exits."""
         for connection, (request, metadata) in self._in_progress.items():
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -30,6 +30,7 @@
     PROCESS_STOPPED = 1004
     CLOCK_GAP = 1005
     RELOAD_IGNORED = 1006
+    EVENT_LOOP_LATE = 1007
     PEER_CONNECTED = 2001
     PEER_LOST = 2002
     PEER_REFUSED = 2003
@@ -99,8 +100,15 @@
     UPSTREAM_LIMITS_REACHED = 8219
     UPSTREAM_LEAVING = 8220
     UPSTREAM_PAUSED = 8221
+    REQUESTS_AT_STOP = 8222
 
 
+# Lines that name the requests which a stop may cut. Their number is bounded by that of
+# the caller connections.
+_UNLIMITED_EVENTS = frozenset(
+    (Event.ACCEPTED_WHILE_DRAINING, Event.INTERRUPTED_BY_STOP, Event.REQUESTS_AT_STOP)
+)
+
 _bounded_outputs: list[LogOutput] = []
 
 
@@ -132,9 +140,18 @@
     return dict(counts)
 
 
+def persist_unread_lines():
+    """Keep the lines that were not read yet for after the end of this process."""
+    omitted = flush_and_count_omitted()
+    if omitted:
+        log_event(Event.LINES_OMITTED, counts=omitted)
+    for output in _bounded_outputs:
+        output.persist_backlog()
+
+
 def log_event(event: Event, **fields):
     """Log `event` with `fields`, which must be JSON values without secrets."""
-    if _bounded_outputs and not all(
+    if event not in _UNLIMITED_EVENTS and not all(
         output.allow_line(int(event)) for output in _bounded_outputs
     ):
         return
--- a/src/bulrushdrum/_internal/observability/log_output.py
+++ b/src/bulrushdrum/_internal/observability/log_output.py
@@ -3,9 +3,13 @@
 Lines of an event above the rate limit are omitted and counted; the router logs the
 counts once a second. Lines are also omitted and counted while the backlog of unread
 lines is full.
+
+The backlog ends with the process, but what a pipe holds can still be read after it. A
+process that stops therefore moves its backlog there.
 """
 
 import errno
+import fcntl
 import json
 import os
 import time
@@ -16,6 +20,9 @@
 MAX_LINES_PER_EVENT_PER_SECOND = 40
 # Bytes buffered for a slow reader before lines are omitted.
 _MAX_BACKLOG_BYTES = 1_000_000
+# The size of a pipe that can take the backlog, which a process without privileges may
+# set.
+_PERSISTENT_PIPE_BYTES = 1_048_576
 
 
 class LogOutput:
@@ -53,6 +60,15 @@
         self._backlog.append(data)
         self._backlog_bytes += len(data)
 
+    def persist_backlog(self):
+        """Let the pipe hold what its reader has not read when the process ends."""
+        try:
+            fcntl.fcntl(self._fd, fcntl.F_SETPIPE_SZ, _PERSISTENT_PIPE_BYTES)
+        except OSError:
+            # It is no pipe, or may not be larger; then it takes what it can.
+            pass
+        self.flush()
+
     def flush(self):
         """Write as much as `fd` accepts without blocking.
 
--- /dev/null
+++ b/src/bulrushdrum/_internal/observability/loop_latency.py
@@ -0,0 +1,38 @@
+"""Measures how late the event loop runs.
+
+Every task of a process waits for its turn in the event loop. If the process gets too
+little processor time, or a task computes for long, all requests are late by the same
+time, and nothing that is logged of a single one shows the cause.
+"""
+
+import time
+
+import gevent
+
+_INTERVAL_SECONDS = 0.1
+
+
+class LoopLatency:
+    """The latency of the event loop, in seconds."""
+
+    def __init__(self, clock=time.monotonic):
+        self._clock = clock
+        self._worst = 0.0
+        # The latest turn, which may be long ago while the loop is late.
+        self._due_at = clock() + _INTERVAL_SECONDS
+
+    def run(self):
+        """Measure forever."""
+        while True:
+            self._due_at = self._clock() + _INTERVAL_SECONDS
+            gevent.sleep(_INTERVAL_SECONDS)
+            self._worst = max(self._worst, self.current())
+
+    def current(self) -> float:
+        """Return by how much the loop is late at this moment."""
+        return max(self._clock() - self._due_at, 0.0)
+
+    def pop_worst(self) -> float:
+        """Return the highest latency since the previous call."""
+        worst, self._worst = max(self._worst, self.current()), 0.0
+        return worst
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -10,11 +10,11 @@
 import secrets
 import signal
 import sys
+import time
 import traceback
 from dataclasses import replace
 
 import gevent
-from gevent.event import Event as Signal
 
 from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
 from bulrushdrum._internal.coordination.configuration_in_force import (
@@ -51,8 +51,10 @@
     Event,
     flush_and_count_omitted,
     log_event,
+    persist_unread_lines,
     start_bounded_logging,
 )
+from bulrushdrum._internal.observability.loop_latency import LoopLatency
 from bulrushdrum._internal.observability.metrics_registry import MetricsRegistry
 from bulrushdrum._internal.pipelines.crash_quarantine import (
     CrashQuarantine,
@@ -82,6 +84,7 @@
     ResponseLimits,
     RouterSettings,
 )
+from bulrushdrum._internal.termination import TerminationRequest
 from bulrushdrum._internal.world.routes import CallerLimits
 from bulrushdrum._internal.world.statements import UpstreamStatements
 
@@ -89,6 +92,8 @@
 _DRAIN_POLL_SECONDS = 0.05
 _MAINTENANCE_INTERVAL_SECONDS = 1.0
 _TASK_RESTART_SECONDS = 0.5
+# A latency of the event loop that callers notice.
+_LATE_LOOP_SECONDS = 0.2
 # The table of routers rarely changes, and routers also announce themselves.
 _ROUTERS_FEED_WAIT_SECONDS = 8.0
 
@@ -99,9 +104,11 @@
     def __init__(self, settings: RouterSettings):
         self._settings = settings
         self._incarnation = secrets.token_hex(6)
-        self._stop_requested = Signal()
-        # Counted for the metrics.
+        self._termination = TerminationRequest()
+        self._loop_latency = LoopLatency()
+        # Counted or measured for the metrics.
         self._malformed_registrations = 0
+        self._worst_loop_latency = 0.0
         self._configuration = ConfigurationInForce(
             lambda: self._announcements.newest_peer_version(),
             lambda: self._announcements.hears_routers(),
@@ -246,7 +253,7 @@
 
     def run(self):
         """Serve until SIGTERM, then drain and return."""
-        gevent.signal_handler(signal.SIGTERM, self._stop_requested.set)
+        self._termination.install()
         gevent.signal_handler(signal.SIGHUP, self._log_reload)
         self._readiness_server.start()
         self._caller_server.start()
@@ -260,6 +267,7 @@
             self._announcements.listen_forever,
             self._placement.run,
             self._run_maintenance,
+            self._loop_latency.run,
         ):
             gevent.spawn(_run_with_restarts, task)
         if self._settings.path_policy is PathPolicyName.LEAST_REPORTED:
@@ -271,14 +279,20 @@
             address=self._settings.caller_address,
             path_policy=self._settings.path_policy.value,
         )
-        self._stop_requested.wait()
+        self._termination.wait()
         self._drain()
         log_event(Event.PROCESS_STOPPED, node=self._settings.node)
+        persist_unread_lines()
 
     def _drain(self):
         log_event(
-            Event.DRAIN_STARTED, requests=self._caller_server.requests_in_progress
+            Event.DRAIN_STARTED,
+            requests=self._caller_server.requests_in_progress,
+            noticed_after=round(time.monotonic() - self._termination.received_at, 3),
+            loop_latency=round(self._loop_latency.pop_worst(), 3),
         )
+        self._request_handler.log_in_progress()
+        persist_unread_lines()
         self._drain_controller.begin()
         self._caller_server.is_draining = True
         self._announcements.set_serving(False)
@@ -303,6 +317,13 @@
             omitted = flush_and_count_omitted()
             if omitted:
                 log_event(Event.LINES_OMITTED, counts=omitted)
+            self._worst_loop_latency = self._loop_latency.pop_worst()
+            if self._worst_loop_latency > _LATE_LOOP_SECONDS:
+                log_event(
+                    Event.EVENT_LOOP_LATE,
+                    seconds=round(self._worst_loop_latency, 3),
+                    requests=self._caller_server.requests_in_progress,
+                )
             self._announcements.set_serving(self._is_ready())
             self._configuration.apply_due(self._configuration_follower)
             if self._store_served_peers():
@@ -407,6 +428,7 @@
             "upstream_limit_changes": self._upstream_limits.changes,
             "upstream_limit_diversions": self._upstream_limits.diversions,
             "routers": self._router_count(),
+            "event_loop_latency_seconds": round(self._worst_loop_latency, 3),
             "malformed_registrations": self._malformed_registrations,
             "store_era": self._registration_follower.era or 0,
             "store_restorations": self._registration_follower.restorations,
