Reproduce streams that a stopping router cuts long after their engine ended

A router gets 0.12 of a core by SIGSTOP and SIGCONT, has 700 streams in progress and is stopped. The engine ends all of them 0.5 s after the signal; the grace is 6 s.

--- a/tests/integration/test_router_stops.py
+++ b/tests/integration/test_router_stops.py
@@ -11,6 +11,7 @@
 import pytest
 from bench.standins.path_server import stream
 from gevent import socket
+from gevent.event import Event
 from tests.integration.router_system import (
     AUTHORIZATION,
     FakeEngine,
@@ -18,6 +19,12 @@
 )
 from tests.unit.gateway_fakes import read_response
 
+# Streams that one router has in progress when it is stopped.
+MANY_STREAMS = 700
+# The share of a core that a router gets which is short of processor time.
+PROCESSOR_SHARE = 0.12
+THROTTLE_PERIOD_SECONDS = 0.1
+
 STREAM_BODY = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 6))
 GRACE_SECONDS = 6.0
 # After SIGTERM a router without requests stops accepting about this much later.
@@ -153,3 +160,68 @@
     router.process.send_signal(signal.SIGTERM)
     assert router.process.wait(timeout=8.0) == 0
     assert len(callers) == 5 and 8202 not in router.events()
+
+
+class Throttle:
+    """Gives a process a share of a core only, as a quota on a busy machine does."""
+
+    def __init__(self, process):
+        self._process = process
+        self._task = gevent.spawn(self._run)
+
+    def _run(self):
+        while True:
+            self._process.send_signal(signal.SIGSTOP)
+            gevent.sleep(THROTTLE_PERIOD_SECONDS * (1.0 - PROCESSOR_SHARE))
+            self._process.send_signal(signal.SIGCONT)
+            gevent.sleep(THROTTLE_PERIOD_SECONDS * PROCESSOR_SHARE)
+
+    def end(self):
+        self._task.kill()
+        self._process.send_signal(signal.SIGCONT)
+
+
+def test_streams_that_end_in_time_are_answered_by_a_router_short_of_processor_time(
+    router, store
+):
+    # Guards against streams that are cut, though their engine has ended long before,
+    # because a router with many of them computes for seconds when its stop begins.
+    rest = Event()
+
+    def begin_and_end_later(request):
+        steps = stream(request)
+        yield steps[0] + steps[1]
+        rest.wait()
+        yield b"".join(steps[2:])
+
+    script = [lambda request: stream(request, gap=0.01)]
+    engine = FakeEngine("e1", store, lambda request: script[0](request))
+    configuration = make_configuration()
+    configuration["services"][0]["max-conns"] = 2 * MANY_STREAMS
+    configuration["services"][0]["engine"]["slots"] = 2 * MANY_STREAMS
+    configuration["services"][0]["engine"]["kv-token-bytes"] = 1000
+    store.put("op", "config", configuration)
+    router.wait_for(lambda: router.send_request().status == 200)
+    for number in range(40):
+        Caller(router, b"before-%d" % number).send()
+    script[0] = begin_and_end_later
+    callers = [Caller(router, b"many-%d" % n) for n in range(MANY_STREAMS)]
+    sending = [gevent.spawn(caller.send) for caller in callers]
+    deadline = time.monotonic() + 20.0
+    while len(engine.server.requests) < MANY_STREAMS and time.monotonic() < deadline:
+        gevent.sleep(0.05)
+    gevent.sleep(0.5)
+    throttle = Throttle(router.process)
+    router.process.send_signal(signal.SIGTERM)
+    signalled_at = time.monotonic()
+    gevent.sleep(0.5)
+    rest.set()
+    while router.process.poll() is None:
+        if time.monotonic() > signalled_at + GRACE_SECONDS:
+            router.process.kill()
+        gevent.sleep(0.02)
+    throttle.end()
+    gevent.joinall(sending, timeout=5.0)
+    ended = [caller.is_complete and caller.body == STREAM_BODY for caller in callers]
+    assert ended.count(False) == 0
+    assert router.process.returncode == 0
