Bound the estimate of a duration where callers expect nearly the same

The regression of lengths on expected lengths has any slope if the expected ones differ by chance only. The estimate for another expected length was then too large for a number, and the OverflowError, raised where the drain begins or asks whether there is time left, ended the router with all of its requests. Not seen in a run; found while looking for ways in which a stopping router ends without a line. Expected lengths that differ by less than 1 in 100 now count as the same, and an estimate may be infinite.

test_callers_that_expect_nearly_the_same_give_no_extreme_estimate failed before with OverflowError.

--- a/src/bulrushdrum/_internal/gateway/duration_estimates.py
+++ b/src/bulrushdrum/_internal/gateway/duration_estimates.py
@@ -51,6 +51,9 @@
 _STATISTICS_LIFETIME_SECONDS = 0.2
 _STATISTICS_LIFETIME_FACTOR = 20.0
 _FIT_ITERATIONS = 5
+# Callers that nearly expect the same tell nothing about those that expect another
+# length.
+_MIN_EXPECTED_LOG_DEVIATION = 0.01
 # Below this, the mean above a bound is the bound.
 _MIN_PROBABILITY = 1e-6
 _STANDARD_NORMAL = NormalDist()
@@ -145,10 +148,10 @@
             length = statistics.lengths.predict(size.expected_output / steps_per_event)
             seconds = min(
                 seconds,
-                math.exp(length.inv_cdf(probability)) * slowest,
+                _exp(length.inv_cdf(probability)) * slowest,
                 # Length and pace are independent, so their product varies less than
                 # the product of their extremes.
-                math.exp((length + statistics.pace).inv_cdf(probability)),
+                _exp((length + statistics.pace).inv_cdf(probability)),
             )
         return statistics.first_event_seconds + seconds
 
@@ -272,7 +275,7 @@
     x_mean, y_mean = math.fsum(expected) / count, math.fsum(values) / count
     x_variance = _mean_square([x - x_mean for x in expected])
     slope = 0.0
-    if x_variance:
+    if math.sqrt(x_variance) > _MIN_EXPECTED_LOG_DEVIATION:
         products = zip(expected, values, strict=True)
         covariance = math.fsum((x - x_mean) * (y - y_mean) for x, y in products) / count
         slope = covariance / x_variance
@@ -289,6 +292,13 @@
     return math.fsum(value * value for value in values) / len(values)
 
 
+def _exp(logarithm):
+    try:
+        return math.exp(logarithm)
+    except OverflowError:
+        return math.inf
+
+
 def _mean_above(distribution, bound):
     """Return the mean and the variance of the part of `distribution` above `bound`."""
     z = (bound - distribution.mean) / distribution.stdev
--- a/tests/unit/test_draining.py
+++ b/tests/unit/test_draining.py
@@ -313,3 +313,15 @@
     # Guards against streams that are cut, though their engine has ended, because the
     # begin of a drain takes a time in proportion to the square of their number.
     assert measure_begin(400) < 6.0 * measure_begin(100)
+
+
+def test_callers_that_expect_nearly_the_same_give_no_extreme_estimate():
+    # Guards against an estimate that is too large for a number, from lengths that
+    # differ by chance among requests with nearly the same expected answer.
+    scenario = DrainScenario()
+    pairs = [(100.0 + 0.001 * number, 2 + 3 * number) for number in range(40)]
+    scenario.run_generations(*pairs)
+    scenario.drain()
+    size = Generation(500.0, 0.0, 100_000.0)
+    admission = scenario.controller.decide_generation(size, STEPS_PER_EVENT)
+    assert 0.0 < admission.expected_seconds < 60.0
