Count the time until the kill from the signal, not from when it is noticed

Cause: the drain began its clock when the event loop came to the signal handler.

Now the clock starts at the arrival of the signal, which TerminationRequest notes. How long the load balancer goes on sending still counts from when the router says that it is not ready.

The two new unit tests need the time of the signal, which the code before had no place for.

--- a/src/bulrushdrum/_internal/gateway/draining.py
+++ b/src/bulrushdrum/_internal/gateway/draining.py
@@ -79,12 +79,20 @@
         self._calls = calls
         self._clock = clock
         self._random = random.Random(seed)
+        # When SIGTERM arrived, from which the time of the kill counts, and when the
+        # router noticed it and told the load balancer.
         self._started_at: float | None = None
+        self._noticed_at: float | None = None
         self._idle_since: float | None = None
         self._busy_until = clock()
 
-    def begin(self):
-        self._started_at = self._clock()
+    def begin(self, signalled_at: float | None = None):
+        """Begin the drain after a signal that arrived at a time of the clock, or now.
+
+        A busy process notices a signal late, and its time has already begun then.
+        """
+        self._noticed_at = self._clock()
+        self._started_at = self._noticed_at if signalled_at is None else signalled_at
         for size, steps_per_event in self._generations.in_progress():
             self._extend_busy_time(size, steps_per_event)
 
@@ -173,7 +181,8 @@
             return False
         if self._idle_since is None:
             self._idle_since = now
-        return self._is_out_of_rotation() and now - self._idle_since >= _IDLE_SECONDS
+        is_expected = now - self._noticed_at < _OUT_OF_ROTATION_SECONDS
+        return not is_expected and now - self._idle_since >= _IDLE_SECONDS
 
     def seconds_until_exit(self) -> float:
         """Return the time until the router exits at the latest."""
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -293,7 +293,7 @@
         )
         self._request_handler.log_in_progress()
         persist_unread_lines()
-        self._drain_controller.begin()
+        self._drain_controller.begin(self._termination.received_at)
         self._caller_server.is_draining = True
         self._announcements.set_serving(False)
         gevent.spawn(self._registry.unregister)
--- a/tests/unit/test_draining.py
+++ b/tests/unit/test_draining.py
@@ -66,8 +66,8 @@
                 if number == events:
                     self.generations.end(trace, complete=True)
 
-    def drain(self, after=0.0):
-        self.controller.begin()
+    def drain(self, after=0.0, late=0.0):
+        self.controller.begin(self.clock.now - late)
         self.clock.now += after
 
     def accepts(self, expected_tokens):
@@ -325,3 +325,27 @@
     size = Generation(500.0, 0.0, 100_000.0)
     admission = scenario.controller.decide_generation(size, STEPS_PER_EVENT)
     assert 0.0 < admission.expected_seconds < 60.0
+
+
+def test_a_router_that_notices_the_signal_late_exits_before_the_kill():
+    # Guards against a busy router that counts the time until it is killed from when it
+    # notices the signal: it accepts requests that the kill cuts.
+    scenario = DrainScenario()
+    scenario.run_generations(*draw_lengths(200))
+    scenario.drain(late=3.0)
+    assert scenario.controller.seconds_until_exit() <= GRACE_SECONDS - 3.0
+    assert not scenario.accepts(expected_tokens=500.0)
+    scenario.clock.now += SERVING_SECONDS - 3.0
+    assert scenario.controller.is_complete(3)
+
+
+def test_a_router_that_notices_the_signal_late_waits_for_the_load_balancer():
+    # Guards against resetting connections of the load balancer, which only learns of
+    # the stop when the router has noticed it.
+    scenario = DrainScenario()
+    scenario.drain(late=3.0)
+    assert not scenario.controller.is_complete(0)
+    scenario.clock.now += 2.4
+    assert not scenario.controller.is_complete(0)
+    scenario.clock.now += 0.5
+    assert scenario.controller.is_complete(0)
