End a router without the shutdown of its interpreter

With requests in progress a router did not exit in the 0.15 s that it keeps for that, and was killed: 2 of 4 runs with 200 streams on a quiet machine (test_a_router_with_streams_in_progress_exits_before_the_kill). The interpreter ends the greenlet of each connection one by one, and meanwhile nothing is served.

--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -470,7 +470,10 @@
     path_policy: str = PathPolicyName.LEAST_TIME.value,
     response_limits: ResponseLimits | None = None,
 ) -> int:
-    """Run a router with the platform's settings; return the exit code."""
+    """Run a router with the platform's settings, and exit when it has stopped.
+
+    Returns an exit code only if it cannot start.
+    """
     path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
     try:
         policy = PathPolicyName(path_policy)
@@ -490,4 +493,6 @@
         return 2
     start_bounded_logging(settings.node, sys.stdout.fileno())
     RouterProcess(settings).run()
-    return 0
+    # The interpreter would end the task of each connection first, which takes longer
+    # than the time that is left until the kill.
+    os._exit(0)
--- a/tests/integration/test_router_stops.py
+++ b/tests/integration/test_router_stops.py
@@ -181,11 +181,11 @@
         self._process.send_signal(signal.SIGCONT)
 
 
-def test_streams_that_end_in_time_are_answered_by_a_router_short_of_processor_time(
-    router, store
-):
-    # Guards against streams that are cut, though their engine has ended long before,
-    # because a router with many of them computes for seconds when its stop begins.
+def begin_streams(router, store, count):
+    """Begin `count` streams at an engine; return an event that lets them end.
+
+    The engine is silent until then, which does not count as a failure.
+    """
     rest = Event()
 
     def begin_and_end_later(request):
@@ -197,34 +197,58 @@
     script = [lambda request: stream(request, gap=0.01)]
     engine = FakeEngine("e1", store, lambda request: script[0](request))
     configuration = make_configuration()
-    configuration["services"][0]["max-conns"] = 2 * MANY_STREAMS
-    configuration["services"][0]["engine"]["slots"] = 2 * MANY_STREAMS
+    configuration["services"][0]["max-conns"] = 2 * count
+    configuration["services"][0]["engine"]["slots"] = 2 * count
     configuration["services"][0]["engine"]["kv-token-bytes"] = 1000
-    # The engine is silent for a while, which must not count as a failure.
     configuration["routes"][0] |= {"goal-ms": 20_000, "gap-goal-ms": 10_000}
     store.put("op", "config", configuration)
     router.wait_for(lambda: router.send_request().status == 200)
     for number in range(40):
         Caller(router, b"before-%d" % number).send()
     script[0] = begin_and_end_later
-    callers = [Caller(router, b"many-%d" % n) for n in range(MANY_STREAMS)]
+    callers = [Caller(router, b"many-%d" % n) for n in range(count)]
     sending = [gevent.spawn(caller.send) for caller in callers]
     deadline = time.monotonic() + 20.0
     ids = {caller.id for caller in callers}
     while ids - passed_on(engine) and time.monotonic() < deadline:
         gevent.sleep(0.05)
     gevent.sleep(0.5)
+    return rest, callers, sending
+
+
+def wait_for_exit(router, signalled_at):
+    """Wait for the end of a router, and kill it at the end of its grace."""
+    while router.process.poll() is None:
+        if time.monotonic() > signalled_at + GRACE_SECONDS:
+            router.process.kill()
+        gevent.sleep(0.005)
+
+
+def test_streams_that_end_in_time_are_answered_by_a_router_short_of_processor_time(
+    router, store
+):
+    # Guards against streams that are cut, though their engine has ended long before,
+    # because a router with many of them computes for seconds when its stop begins.
+    rest, callers, sending = begin_streams(router, store, MANY_STREAMS)
     throttle = Throttle(router.process)
     router.process.send_signal(signal.SIGTERM)
     signalled_at = time.monotonic()
     gevent.sleep(0.5)
     rest.set()
-    while router.process.poll() is None:
-        if time.monotonic() > signalled_at + GRACE_SECONDS:
-            router.process.kill()
-        gevent.sleep(0.02)
+    wait_for_exit(router, signalled_at)
     throttle.end()
     gevent.joinall(sending, timeout=5.0)
     ended = [caller.is_complete and caller.body == STREAM_BODY for caller in callers]
     assert ended.count(False) == 0
     assert router.process.returncode == 0
+
+
+def test_a_router_with_streams_in_progress_exits_before_the_kill(router, store):
+    # Guards against a router that is killed while it exits, because the end of its
+    # interpreter takes longer than the time that is left.
+    _, callers, sending = begin_streams(router, store, 200)
+    router.process.send_signal(signal.SIGTERM)
+    wait_for_exit(router, time.monotonic())
+    gevent.joinall(sending, timeout=5.0)
+    assert router.process.returncode == 0
+    assert router.events().count(8213) == len(callers)
