Reject requests at a router that is too far behind to serve them

Cause: a router that gets more work than processor time accepted all of it. Its event loop was 1 to 5 s late, it noticed SIGTERM that late or not at all before the kill, and what its engines had finished waited in the kernel.

A request waits for about four turns of the loop before its caller gets the first event, and callers leave after two seconds without one. If four turns take longer than that, or than the time to the deadline, the request is now refused at once as not run, with the Retry-After of other refusals.

--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -19,6 +19,7 @@
 from bulrushdrum._internal.gateway.error_responses import (
     failure_response,
     not_run_response,
+    random_retry_after,
 )
 from bulrushdrum._internal.gateway.errors import (
     ConnectionRefused,
@@ -60,9 +61,6 @@
 _ERROR_BODY_SECONDS = 1.0
 _MAX_REFUSALS = 3
 _QUARANTINE_REASON = "upstreams crash when they run this request"
-# Bounds of the random `Retry-After`, as fractions of the time to the deadline.
-_MIN_RETRY_AFTER_FRACTION = 0.05
-_MAX_RETRY_AFTER_FRACTION = 0.25
 
 
 class GenerationProxy:
@@ -397,11 +395,8 @@
             )
 
     def _retry_after(self, proxied_request):
-        """Return a random delay that leaves time to move layers and spreads retries."""
-        remaining = max(proxied_request.deadline - time.monotonic(), 0.0)
-        return remaining * self._random.uniform(
-            _MIN_RETRY_AFTER_FRACTION, _MAX_RETRY_AFTER_FRACTION
-        )
+        remaining = proxied_request.deadline - time.monotonic()
+        return random_retry_after(remaining, self._random)
 
 
 def _response_form(reader):
--- a/src/bulrushdrum/_internal/gateway/request_handler.py
+++ b/src/bulrushdrum/_internal/gateway/request_handler.py
@@ -18,12 +18,14 @@
 from bulrushdrum._internal.gateway.error_responses import (
     failure_response,
     not_run_response,
+    random_retry_after,
     rejection_response,
 )
 from bulrushdrum._internal.gateway.errors import CallerDisconnected
 from bulrushdrum._internal.gateway.exchange import ProxiedRequest
 from bulrushdrum._internal.gateway.generations import GenerationProxy
 from bulrushdrum._internal.gateway.messages import Request, RequestMetadata
+from bulrushdrum._internal.gateway.overload import OverloadGuard
 from bulrushdrum._internal.gateway.plain_calls import PlainCallProxy
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.observability.metrics_registry import MetricsRegistry
@@ -69,6 +71,7 @@
         reaches_store: Callable[[], bool],
         others_accept_work: Callable[[], bool],
         others_ready_in: Callable[[], float],
+        overload_guard: OverloadGuard,
         seed=None,
     ):
         self._plain_call_proxy = plain_call_proxy
@@ -83,6 +86,7 @@
         self._reaches_store = reaches_store
         self._others_accept_work = others_accept_work
         self._others_ready_in = others_ready_in
+        self._overload_guard = overload_guard
         self._random = random.Random(seed)
         self._in_progress: dict[CallerConnection, tuple[Request, RequestMetadata]] = {}
 
@@ -207,6 +211,10 @@
         if group:
             self._reject_crashing_parts(connection, proxied_request, group)
             return
+        seconds_left = proxied_request.deadline - time.monotonic()
+        if self._overload_guard.rejects(route, seconds_left):
+            self._reject_overloaded(connection, proxied_request)
+            return
         service_name = self._choose_service(route)
         service = configuration.services.get(service_name)
         engine = None if service is None else service.engine
@@ -251,6 +259,20 @@
             self._quarantine.record_success(proxied_request.fingerprint)
         connection.send(self._with_request_id(response, proxied_request.metadata))
 
+    def _reject_overloaded(self, connection, proxied_request):
+        reason = "this router has more work than processor time"
+        self._metrics.increment("rejected_overloaded")
+        remaining = proxied_request.deadline - time.monotonic()
+        response = not_run_response(reason, random_retry_after(remaining, self._random))
+        log_event(
+            Event.REQUEST_REJECTED,
+            request=proxied_request.metadata.request_id.decode("latin-1"),
+            status=response.status,
+            reason="overloaded",
+            loop_latency=round(self._overload_guard.loop_latency, 3),
+        )
+        connection.send(self._with_request_id(response, proxied_request.metadata))
+
     def _reject_quarantined(self, connection, proxied_request):
         reason = "this request has crashed the upstreams that ran it"
         log_event(
--- a/src/bulrushdrum/_internal/observability/loop_latency.py
+++ b/src/bulrushdrum/_internal/observability/loop_latency.py
@@ -17,7 +17,7 @@
 
     def __init__(self, clock=time.monotonic):
         self._clock = clock
-        self._worst = 0.0
+        self._worst = self._last = 0.0
         # The latest turn, which may be long ago while the loop is late.
         self._due_at = clock() + _INTERVAL_SECONDS
 
@@ -26,12 +26,17 @@
         while True:
             self._due_at = self._clock() + _INTERVAL_SECONDS
             gevent.sleep(_INTERVAL_SECONDS)
-            self._worst = max(self._worst, self.current())
+            self._last = self.current()
+            self._worst = max(self._worst, self._last)
 
     def current(self) -> float:
         """Return by how much the loop is late at this moment."""
         return max(self._clock() - self._due_at, 0.0)
 
+    def recent(self) -> float:
+        """Return the latency of the last turn, or of this one if it is later."""
+        return max(self._last, self.current())
+
     def pop_worst(self) -> float:
         """Return the highest latency since the previous call."""
         worst, self._worst = max(self._worst, self.current()), 0.0
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -36,6 +36,7 @@
 )
 from bulrushdrum._internal.gateway.generations import GenerationProxy
 from bulrushdrum._internal.gateway.messages import Response
+from bulrushdrum._internal.gateway.overload import OverloadGuard
 from bulrushdrum._internal.gateway.path_waiting import PathWaiter
 from bulrushdrum._internal.gateway.plain_calls import PlainCallProxy
 from bulrushdrum._internal.gateway.request_handler import (
@@ -242,6 +243,7 @@
             lambda: self._configuration_follower.is_available,
             self._announcements.all_peers_accept_work,
             self._announcements.peers_ready_in,
+            OverloadGuard(self._loop_latency.recent),
             seed=self._incarnation,
         )
         self._caller_server = CallerServer(
