--- a/bench/standins/path_server.py
+++ b/bench/standins/path_server.py
@@ -47,7 +47,7 @@
     def _serve(self, sock, _address):
         stream, number = sock.makefile("rb"), next(self._connections)
         try:
-            while (request := _read_request(stream)) is not None:
+            while (request := read_request(stream)) is not None:
                 request["connection"] = number
                 self.requests.append(request)
                 for step in self.script(request):
@@ -82,7 +82,7 @@
         sock.settimeout(None)
 
 
-def _read_request(stream):
+def read_request(stream):
     line = stream.readline()
     if not line:
         return None
