Take only sustained lateness of the event loop for overload

One late turn counted as overload.

Now two turns in a row must be late. A call waits for two turns before its answer, not for four like a generation.

--- a/src/bulrushdrum/_internal/gateway/overload.py
+++ b/src/bulrushdrum/_internal/gateway/overload.py
@@ -10,17 +10,20 @@
 from bulrushdrum._internal.gateway.stream_watch import caller_timeout
 from bulrushdrum._internal.world.routes import Route
 
-# How often a request waits for its turn before its caller gets the first event: to be
-# read, to be sent, and to receive the head and the event.
+# How often a request that was read waits for its turn before its caller gets the first
+# event: to connect, to send, and to receive the head and the event; or, of a call, to
+# connect and to receive the answer.
 _TURNS_TO_FIRST_EVENT = 4
+_TURNS_TO_ANSWER = 2
 
 
 class OverloadGuard:
     """Rejects the requests whose callers would leave before they got anything.
 
-    `loop_latency()` returns how many seconds the event loop is late.
+    `loop_latency()` returns how many seconds each turn of the event loop is late.
 
-    >>> guard = OverloadGuard(lambda: 0.01)
+    >>> OverloadGuard(lambda: 0.01).rejects_call(seconds_left=0.8)
+    False
     """
 
     def __init__(self, loop_latency: Callable[[], float]):
@@ -30,7 +33,14 @@
     def loop_latency(self) -> float:
         return self._loop_latency()
 
-    def rejects(self, route: Route, seconds_left: float) -> bool:
-        """Whether a request with `seconds_left` until its deadline comes too late."""
+    def rejects_generation(self, route: Route, seconds_left: float) -> bool:
+        """Whether a generation with `seconds_left` to its deadline comes too late."""
         patience = min(caller_timeout(route), seconds_left)
-        return _TURNS_TO_FIRST_EVENT * self._loop_latency() >= patience > 0.0
+        return self._takes_longer(_TURNS_TO_FIRST_EVENT, patience)
+
+    def rejects_call(self, seconds_left: float) -> bool:
+        """Whether a call with `seconds_left` to its deadline comes too late."""
+        return self._takes_longer(_TURNS_TO_ANSWER, seconds_left)
+
+    def _takes_longer(self, turns, patience):
+        return turns * self._loop_latency() >= patience > 0.0
--- a/src/bulrushdrum/_internal/gateway/request_handler.py
+++ b/src/bulrushdrum/_internal/gateway/request_handler.py
@@ -211,14 +211,12 @@
         if group:
             self._reject_crashing_parts(connection, proxied_request, group)
             return
-        seconds_left = proxied_request.deadline - time.monotonic()
-        if self._overload_guard.rejects(route, seconds_left):
-            self._reject_overloaded(connection, proxied_request)
-            return
         service_name = self._choose_service(route)
         service = configuration.services.get(service_name)
         engine = None if service is None else service.engine
-        if engine is None:
+        if self._is_overloaded(proxied_request, route, engine):
+            self._reject_overloaded(connection, proxied_request)
+        elif engine is None:
             self._run_plain_call(connection, proxied_request, route, service_name)
         else:
             self._run_generation(
@@ -259,11 +257,22 @@
             self._quarantine.record_success(proxied_request.fingerprint)
         connection.send(self._with_request_id(response, proxied_request.metadata))
 
+    def _is_overloaded(self, proxied_request, route, engine):
+        seconds_left = proxied_request.deadline - time.monotonic()
+        if engine is None:
+            return self._overload_guard.rejects_call(seconds_left)
+        return self._overload_guard.rejects_generation(route, seconds_left)
+
     def _reject_overloaded(self, connection, proxied_request):
         reason = "this router has more work than processor time"
         self._metrics.increment("rejected_overloaded")
         remaining = proxied_request.deadline - time.monotonic()
-        response = not_run_response(reason, random_retry_after(remaining, self._random))
+        retry_after = random_retry_after(remaining, self._random)
+        if self._drain.is_draining:
+            retry_after = self._drain.retry_after(
+                self._others_accept_work(), self._others_ready_in()
+            )
+        response = not_run_response(reason, retry_after)
         log_event(
             Event.REQUEST_REJECTED,
             request=proxied_request.metadata.request_id.decode("latin-1"),
--- a/src/bulrushdrum/_internal/observability/loop_latency.py
+++ b/src/bulrushdrum/_internal/observability/loop_latency.py
@@ -17,7 +17,7 @@
 
     def __init__(self, clock=time.monotonic):
         self._clock = clock
-        self._worst = self._last = 0.0
+        self._worst = self._last = self._before_last = 0.0
         # The latest turn, which may be long ago while the loop is late.
         self._due_at = clock() + _INTERVAL_SECONDS
 
@@ -26,16 +26,22 @@
         while True:
             self._due_at = self._clock() + _INTERVAL_SECONDS
             gevent.sleep(_INTERVAL_SECONDS)
-            self._last = self.current()
-            self._worst = max(self._worst, self._last)
+            self._record(self.current())
 
     def current(self) -> float:
         """Return by how much the loop is late at this moment."""
         return max(self._clock() - self._due_at, 0.0)
 
-    def recent(self) -> float:
-        """Return the latency of the last turn, or of this one if it is later."""
-        return max(self._last, self.current())
+    def _record(self, latency):
+        self._before_last, self._last = self._last, latency
+        self._worst = max(self._worst, latency)
+
+    def sustained(self) -> float:
+        """Return the latency that two turns in a row had at least.
+
+        A process that was paused, or computed once for long, is late once.
+        """
+        return min(self._before_last, max(self._last, self.current()))
 
     def pop_worst(self) -> float:
         """Return the highest latency since the previous call."""
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -243,7 +243,7 @@
             lambda: self._configuration_follower.is_available,
             self._announcements.all_peers_accept_work,
             self._announcements.peers_ready_in,
-            OverloadGuard(self._loop_latency.recent),
+            OverloadGuard(self._loop_latency.sustained),
             seed=self._incarnation,
         )
         self._caller_server = CallerServer(
