Bound how long the statistics of durations are kept

Found by review: their lifetime is a multiple of the time that they took, which counts a pause of the process.

--- a/src/bulrushdrum/_internal/gateway/duration_estimates.py
+++ b/src/bulrushdrum/_internal/gateway/duration_estimates.py
@@ -50,6 +50,8 @@
 # compute, so that they take a small part of the time of a busy process.
 _STATISTICS_LIFETIME_SECONDS = 0.2
 _STATISTICS_LIFETIME_FACTOR = 20.0
+# A process that is paused while it computes them must not keep them for minutes.
+_MAX_STATISTICS_LIFETIME_SECONDS = 1.0
 _FIT_ITERATIONS = 5
 # Callers that nearly expect the same tell nothing about those that expect another
 # length.
@@ -169,7 +171,9 @@
                 _STATISTICS_LIFETIME_SECONDS,
                 (now - began_at) * _STATISTICS_LIFETIME_FACTOR,
             )
-            self._statistics_expire_at = now + lifetime
+            self._statistics_expire_at = now + min(
+                lifetime, _MAX_STATISTICS_LIFETIME_SECONDS
+            )
         return self._statistics
 
     def _compute_statistics(self, now):
