Let a stop take effect with the signal, not with the begin of the drain

The decisions of a draining router, its readiness and the end of kept connections now hold as soon as the signal has arrived. Which requests are accepted counts from the signal throughout; only the time for which the load balancer is expected to send connections counts from the begin of the drain.

test_a_router_decides_by_the_signal_before_it_has_begun_to_drain needs the time of the signal, which the controller had no access to before its begin.

--- a/src/bulrushdrum/_internal/gateway/draining.py
+++ b/src/bulrushdrum/_internal/gateway/draining.py
@@ -10,6 +10,7 @@
 import math
 import random
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 from bulrushdrum._internal.gateway.duration_estimates import (
@@ -64,7 +65,11 @@
 
 
 class DrainController:
-    """Controls the drain of a router that is killed `grace` seconds after SIGTERM."""
+    """Controls the drain of a router that is killed `grace` seconds after SIGTERM.
+
+    `signalled_at()` returns when the signal arrived, a time of the clock, or None. What
+    it decides holds from then on, also while a busy router has not begun to drain.
+    """
 
     def __init__(
         self,
@@ -73,26 +78,22 @@
         calls: CallDurations,
         clock=time.monotonic,
         seed=None,
+        signalled_at: Callable[[], float | None] = lambda: None,
     ):
         self._grace = grace
+        self._signalled_at = signalled_at
         self._generations = generations
         self._calls = calls
         self._clock = clock
         self._random = random.Random(seed)
-        # When SIGTERM arrived, from which the time of the kill counts, and when the
-        # router noticed it and told the load balancer.
-        self._started_at: float | None = None
-        self._noticed_at: float | None = None
+        # When the drain began, which may be long after the signal.
+        self._begun_at: float | None = None
         self._idle_since: float | None = None
         self._busy_until = clock()
 
-    def begin(self, signalled_at: float | None = None):
-        """Begin the drain after a signal that arrived at a time of the clock, or now.
-
-        A busy process notices a signal late, and its time has already begun then.
-        """
-        self._noticed_at = self._clock()
-        self._started_at = self._noticed_at if signalled_at is None else signalled_at
+    def begin(self):
+        """Begin the drain, of a router that has told the load balancer."""
+        self._begun_at = self._clock()
         for size, steps_per_event in self._generations.in_progress():
             self._extend_busy_time(size, steps_per_event)
 
@@ -100,6 +101,12 @@
     def is_draining(self) -> bool:
         return self._started_at is not None
 
+    @property
+    def _started_at(self):
+        """When SIGTERM arrived, from which the time of the kill counts."""
+        signalled_at = self._signalled_at()
+        return self._begun_at if signalled_at is None else signalled_at
+
     def decide_call(self, timeout: float, is_retryable: bool = True) -> DrainAdmission:
         """Decide whether a call started now should end before the router exits.
 
@@ -181,7 +188,7 @@
             return False
         if self._idle_since is None:
             self._idle_since = now
-        is_expected = now - self._noticed_at < _OUT_OF_ROTATION_SECONDS
+        is_expected = now - self._begun_at < _OUT_OF_ROTATION_SECONDS
         return not is_expected and now - self._idle_since >= _IDLE_SECONDS
 
     def seconds_until_exit(self) -> float:
@@ -192,6 +199,8 @@
         return self._started_at + self._grace - _EXIT_MARGIN_SECONDS
 
     def _is_out_of_rotation(self):
+        # Counts from the signal also if the load balancer learned of it later: less of
+        # the grace is left for what is accepted now.
         return self._clock() - self._started_at >= _OUT_OF_ROTATION_SECONDS
 
     def _stop_deadline(self):
--- a/src/bulrushdrum/_internal/gateway/request_handler.py
+++ b/src/bulrushdrum/_internal/gateway/request_handler.py
@@ -121,6 +121,8 @@
         """Answer one request on the connection of its caller."""
         metadata = parse_request_metadata(request.headers)
         self._in_progress[connection] = (request, metadata)
+        if self._drain.is_draining:
+            connection.closing = True
         try:
             self._handle(connection, request, metadata)
         finally:
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -228,7 +228,11 @@
         self._metrics = MetricsRegistry()
         generations, calls = GenerationDurations(), CallDurations()
         self._drain_controller = DrainController(
-            settings.stop_grace_seconds, generations, calls, seed=self._incarnation
+            settings.stop_grace_seconds,
+            generations,
+            calls,
+            seed=self._incarnation,
+            signalled_at=lambda: self._termination.received_at,
         )
         self._request_handler = RequestHandler(
             plain_call_proxy,
@@ -295,7 +299,7 @@
         )
         self._request_handler.log_in_progress()
         persist_unread_lines()
-        self._drain_controller.begin(self._termination.received_at)
+        self._drain_controller.begin()
         self._caller_server.is_draining = True
         self._announcements.set_serving(False)
         gevent.spawn(self._registry.unregister)
@@ -396,7 +400,7 @@
 
     def _is_ready(self):
         return (
-            not self._caller_server.is_draining
+            self._termination.received_at is None
             and self._configuration.value is not None
             and self._registration_follower.has_snapshot
         )
--- a/src/bulrushdrum/_internal/termination.py
+++ b/src/bulrushdrum/_internal/termination.py
@@ -28,8 +28,8 @@
         self._watcher = None
 
     @property
-    def received_at(self) -> float:
-        """When SIGTERM arrived, a time of the clock; it must have arrived."""
+    def received_at(self) -> float | None:
+        """When SIGTERM arrived, a time of the clock, or None."""
         return self._received_at
 
     def install(self):
--- a/tests/unit/test_draining.py
+++ b/tests/unit/test_draining.py
@@ -40,8 +40,14 @@
         self.clock = FakeClock()
         self.generations = GenerationDurations(self.clock)
         self.calls = CallDurations()
+        self.signalled_at = None
         self.controller = DrainController(
-            GRACE_SECONDS, self.generations, self.calls, self.clock, SEED
+            GRACE_SECONDS,
+            self.generations,
+            self.calls,
+            self.clock,
+            SEED,
+            lambda: self.signalled_at,
         )
 
     def run_generations(self, *pairs):
@@ -67,7 +73,8 @@
                     self.generations.end(trace, complete=True)
 
     def drain(self, after=0.0, late=0.0):
-        self.controller.begin(self.clock.now - late)
+        self.signalled_at = self.clock.now - late
+        self.controller.begin()
         self.clock.now += after
 
     def accepts(self, expected_tokens):
@@ -349,3 +356,27 @@
     assert not scenario.controller.is_complete(0)
     scenario.clock.now += 0.5
     assert scenario.controller.is_complete(0)
+
+
+def test_a_router_decides_by_the_signal_before_it_has_begun_to_drain():
+    # Guards against a busy router that accepts everything until its event loop comes
+    # to the begin of the drain, and is killed before that has ended.
+    scenario = DrainScenario()
+    scenario.run_generations(*draw_lengths(200))
+    scenario.signalled_at = scenario.clock.now - 4.0
+    assert scenario.controller.is_draining
+    assert scenario.accepts(expected_tokens=30.0)
+    assert not scenario.accepts(expected_tokens=400.0)
+    assert not scenario.controller.decide_call(5.0, is_retryable=False).accepted
+
+
+def test_statistics_expire_after_a_pause_while_they_are_computed():
+    # Guards against estimates from before a pause, which hold for twenty times as long.
+    clock = FakeClock()
+    generations = GenerationDurations(lambda: clock.now)
+    assert generations.seconds(None, STEPS_PER_EVENT, 0.9) == 4.0
+    clock.now += 0.3
+    times = iter([clock.now, clock.now + 30.0])
+    generations._clock = lambda: next(times)
+    generations.seconds(None, STEPS_PER_EVENT, 0.9)
+    assert generations._statistics_expire_at <= clock.now + 31.0
