Keep the lines of a stop beside a full backlog, and search a path once

Found by review. Lines of a stop now have a part of it for themselves, and the counts of omitted lines are logged after the pipe was enlarged (test_lines_of_a_stop_are_kept_beside_a_full_backlog).

A request without earlier failures that found no path searched twice in the same way, each time that it was woken.

--- a/src/bulrushdrum/_internal/gateway/path_waiting.py
+++ b/src/bulrushdrum/_internal/gateway/path_waiting.py
@@ -99,7 +99,9 @@
         """
         refusing = progress.refusing_upstreams()
         failed = progress.failed_upstreams | refusing
-        choices = [(failed, progress.suspects), (refusing, progress.suspects)]
+        choices = [(failed, progress.suspects)]
+        if failed != refusing:
+            choices.append((refusing, progress.suspects))
         if progress.suspects:
             choices.insert(0, (failed | progress.suspects, frozenset()))
         for excluded, discouraged in choices:
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -103,10 +103,18 @@
     REQUESTS_AT_STOP = 8222
 
 
-# Lines that name the requests which a stop may cut. Their number is bounded by that of
-# the caller connections.
-_UNLIMITED_EVENTS = frozenset(
-    (Event.ACCEPTED_WHILE_DRAINING, Event.INTERRUPTED_BY_STOP, Event.REQUESTS_AT_STOP)
+# Lines of a stop, and those that name the requests which it may cut: at most a few for
+# each caller connection and each request of one grace.
+_RESERVED_EVENTS = frozenset(
+    int(event)
+    for event in (
+        Event.DRAIN_STARTED,
+        Event.PROCESS_STOPPED,
+        Event.LINES_OMITTED,
+        Event.ACCEPTED_WHILE_DRAINING,
+        Event.INTERRUPTED_BY_STOP,
+        Event.REQUESTS_AT_STOP,
+    )
 )
 
 _bounded_outputs: list[LogOutput] = []
@@ -120,7 +128,7 @@
 
 def start_bounded_logging(process: str, fd: int) -> LogOutput:
     """Write the events of `process` to `fd` with a rate limit and without blocking."""
-    output = LogOutput(fd)
+    output = LogOutput(fd, reserved_events=_RESERVED_EVENTS)
     _bounded_outputs.append(output)
     start_logging(process, output)
     return output
@@ -142,16 +150,16 @@
 
 def persist_unread_lines():
     """Keep the lines that were not read yet for after the end of this process."""
+    for output in _bounded_outputs:
+        output.persist_backlog()
     omitted = flush_and_count_omitted()
     if omitted:
         log_event(Event.LINES_OMITTED, counts=omitted)
-    for output in _bounded_outputs:
-        output.persist_backlog()
 
 
 def log_event(event: Event, **fields):
     """Log `event` with `fields`, which must be JSON values without secrets."""
-    if event not in _UNLIMITED_EVENTS and not all(
+    if _bounded_outputs and not all(
         output.allow_line(int(event)) for output in _bounded_outputs
     ):
         return
--- a/src/bulrushdrum/_internal/observability/log_output.py
+++ b/src/bulrushdrum/_internal/observability/log_output.py
@@ -20,16 +20,28 @@
 MAX_LINES_PER_EVENT_PER_SECOND = 40
 # Bytes buffered for a slow reader before lines are omitted.
 _MAX_BACKLOG_BYTES = 1_000_000
+# The part of the backlog that is kept for lines which must not be omitted.
+_RESERVED_BACKLOG_BYTES = 300_000
 # The size of a pipe that can take the backlog, which a process without privileges may
 # set.
 _PERSISTENT_PIPE_BYTES = 1_048_576
 
 
 class LogOutput:
-    """A file object for eliot that writes to `fd` and makes it non-blocking."""
-
-    def __init__(self, fd: int, clock=time.monotonic):
+    """A file object for eliot that writes to `fd` and makes it non-blocking.
+
+    Lines of `reserved_events` are not limited, and have a part of the backlog for
+    themselves.
+    """
+
+    def __init__(
+        self,
+        fd: int,
+        clock=time.monotonic,
+        reserved_events: frozenset[int] = frozenset(),
+    ):
         self._fd = fd
+        self._reserved_events = reserved_events
         self._clock = clock
         self._backlog: deque[bytes] = deque()
         self._backlog_bytes = 0
@@ -40,6 +52,8 @@
 
     def allow_line(self, event: int) -> bool:
         """Count a line of `event` and return whether it is within the rate limit."""
+        if event in self._reserved_events:
+            return True
         self._reset_counts_on_new_second()
         self._lines_this_second[event] += 1
         if self._lines_this_second[event] <= MAX_LINES_PER_EVENT_PER_SECOND:
@@ -54,9 +68,13 @@
 
     def write(self, line):
         data = line.encode() if isinstance(line, str) else line
-        if self._backlog_bytes + len(data) > _MAX_BACKLOG_BYTES:
-            self._omitted_counts[_parse_event(data)] += 1
-            return
+        size = self._backlog_bytes + len(data)
+        if size > _MAX_BACKLOG_BYTES - _RESERVED_BACKLOG_BYTES:
+            event = _parse_event(data)
+            is_reserved = event in self._reserved_events
+            if size > _MAX_BACKLOG_BYTES or not is_reserved:
+                self._omitted_counts[event] += 1
+                return
         self._backlog.append(data)
         self._backlog_bytes += len(data)
 
--- a/tests/integration/test_router_stops.py
+++ b/tests/integration/test_router_stops.py
@@ -243,6 +243,22 @@
     assert router.process.returncode == 0
 
 
+@pytest.mark.parametrize("seconds", [0.7, 3.0])
+def test_a_router_that_was_paused_refuses_nothing(router, engine, seconds):
+    # Guards against a router that takes one pause for overload, and refuses what has
+    # arrived meanwhile and what comes then.
+    callers = [Caller(router, b"paused-%d" % n) for n in range(8)]
+    gevent.sleep(0.2)
+    router.process.send_signal(signal.SIGSTOP)
+    sending = [gevent.spawn(caller.send) for caller in callers[:4]]
+    gevent.sleep(seconds)
+    router.process.send_signal(signal.SIGCONT)
+    gevent.sleep(0.03)
+    sending += [gevent.spawn(caller.send) for caller in callers[4:]]
+    gevent.joinall(sending, timeout=10.0)
+    assert [caller.status for caller in callers] == [200] * 8
+
+
 def test_a_router_with_streams_in_progress_exits_before_the_kill(router, store):
     # Guards against a router that is killed while it exits, because the end of its
     # interpreter takes longer than the time that is left.
--- a/tests/unit/test_log_output.py
+++ b/tests/unit/test_log_output.py
@@ -39,6 +39,27 @@
     assert os.read(read, 100).startswith(b'{"event": 8203')
 
 
+def test_lines_of_a_stop_are_kept_beside_a_full_backlog():
+    # Guards against logs in which nothing names the requests that a stop has cut,
+    # because lines of other events have filled the backlog of a slow reader.
+    read, write = os.pipe()
+    output = LogOutput(write, reserved_events=frozenset([8213]))
+    other = b'{"event": 8203, "text": "' + b"x" * 10_000 + b'"}\n'
+    for _ in range(200):
+        output.write(other)
+        output.flush()
+    for number in range(100):
+        assert output.allow_line(8213)
+        output.write(b'{"event": 8213, "request": "%d"}\n' % number)
+    output.persist_backlog()
+    os.close(write)
+    data = b""
+    while part := os.read(read, 1 << 20):
+        data += part
+    assert data.count(b'"event": 8213') == 100
+    assert data.count(b"\n") + sum(output.pop_omitted_counts().values()) == 300
+
+
 def test_closed_reader_raises_no_error():
     output, read, _ = make_output()
     os.close(read)
