Let a stopping sidecar wait until the results of all calls are queued

Callers saw 502 upstream_failed with ran "unknown" for calls that had run and ended: 104 to 202 of 400 when the sidecar of their service was stopped with 0.12 of a core.

Cause: the drain counted running and waiting calls. A call that has run is no longer counted, while its result is sent by another greenlet in its turn. The stop gave those greenlets 50 ms of wall time. The event loop runs callbacks for only a few milliseconds before it looks at its timers, so a process short of processor time reached the end of that time first, and then refused to send on connections that were being finished.

Evidence: all 400 calls were running at 1003, 1004 had running 0, and the entry reported the cut ones as "was lost" right after the exit (3003).

Change: the drain also waits for results that are not queued yet, and the fixed time is gone.

--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -178,11 +178,13 @@
         self._heartbeats.send_heartbeats()
         gevent.sleep(min(DRAIN_NOTICE_SECONDS, self._settings.drain_timeout))
         self._status.update(draining=True)
-        while time.monotonic() < (deadline if self._outstanding_work else refuse_until):
+        while time.monotonic() < (
+            deadline
+            if self._outstanding_work or self._service_calls.unsent_results
+            else refuse_until
+        ):
             gevent.sleep(DRAIN_POLL_SECONDS)
         self._server.stop()
-        # Lets the greenlets of finished calls queue their results.
-        gevent.sleep(DRAIN_POLL_SECONDS)
         self._hub.finish(WRITE_TIMEOUT_SECONDS)
         log_event(Event.PROCESS_STOPPED, running=self._outstanding_work)
 
--- a/src/bulrushdrum/_internal/sidecar/service_calls.py
+++ b/src/bulrushdrum/_internal/sidecar/service_calls.py
@@ -55,6 +55,7 @@
         self._client = ServiceClient(settings)
         self._queue = FairQueue(settings.service_queue_limit)
         self._running = 0
+        self._unsent_results = 0
         self._outcome_counts = {outcome.value: 0 for outcome in Outcome}
         hub.register(Call, self._handle_call)
         hub.register(Resolve, self._handle_resolve)
@@ -64,6 +65,14 @@
         """The number of running and queued calls."""
         return self._running + len(self._queue)
 
+    @property
+    def unsent_results(self) -> int:
+        """The number of calls whose result is not yet queued for its entry.
+
+        A call that has run stays here until its greenlet has had its turn.
+        """
+        return self._unsent_results
+
     @property
     def waiting(self) -> int:
         """The number of queued calls."""
@@ -84,7 +93,7 @@
             else:
                 timeout = call.timeout_ms / 1000
                 queued = self._enqueue(call, timeout)
-                gevent.spawn(self._send_result_when_done, connection, queued)
+                self._spawn_sender(self._send_result_when_done, connection, queued)
             return
         decision = self._bindings.admit(
             call.customer,
@@ -99,9 +108,9 @@
                 # Later calls may join this run, so it may outlast its first caller.
                 timeout = max(call.timeout_ms / 1000, self._settings.bound_call_timeout)
                 queued = self._enqueue(call, timeout)
-                gevent.spawn(self._send_result_when_done, connection, queued)
+                self._spawn_sender(self._send_result_when_done, connection, queued)
             case Join():
-                gevent.spawn(self._send_joined_result, connection, call, decision)
+                self._spawn_sender(self._send_joined_result, connection, call, decision)
             case Refuse(reason, outcome):
                 self._send_result(
                     connection,
@@ -153,6 +162,16 @@
             log_internal_error("service call", error)
             return CallResult(outcome=Outcome.UNKNOWN.value, reason="internal error")
 
+    def _spawn_sender(self, send, *arguments):
+        self._unsent_results += 1
+        gevent.spawn(self._send_and_count, send, *arguments)
+
+    def _send_and_count(self, send, *arguments):
+        try:
+            send(*arguments)
+        finally:
+            self._unsent_results -= 1
+
     def _send_result_when_done(self, connection, queued):
         call = queued.call
         try:
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -18,6 +18,7 @@
 from bench.history import History
 from bench.processes import wait_for
 from bench.topology import SERVICE, three_stages
+from tests.integration.throttling import Throttle
 
 pytestmark = pytest.mark.slow
 
@@ -26,6 +27,8 @@
 # Over what the kernel buffers of a connection hold, under the sidecar's limit.
 LARGE_ANSWER_BYTES = 7_000_000
 EXIT_SECONDS = 20.0
+# Requests that one process has in progress when it is stopped.
+MANY_REQUESTS = 400
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
 
@@ -307,6 +310,28 @@
         assert cluster.process("ledger-0").wait(EXIT_SECONDS) == 0
 
 
+def test_a_sidecar_short_of_processor_time_delivers_all_answers_before_it_stops():
+    # Guards against an exit while greenlets of calls that have run still wait for their
+    # turn to queue the results, which reports the calls as possibly run.
+    settings = {"service_concurrency": MANY_REQUESTS}
+    with running(1, 1000, services=1, sidecar_settings=settings) as cluster:
+        set_service_faults(cluster, answer_bytes=20_000, delay_answer_seconds=3.0)
+        callers = [RawConnection(cluster, "entry0") for _ in range(MANY_REQUESTS)]
+        for caller in callers:
+            path = f"/services/{SERVICE}/notes"
+            caller.send("POST", path, secrets.token_bytes(16))
+        gevent.sleep(1.5)
+        sidecar = cluster.process("ledger-0")
+        sidecar.terminate()
+        throttle = Throttle(sidecar)
+        jobs = [gevent.spawn(caller.receive) for caller in callers]
+        results = [job.get() for job in jobs]
+        answers = Counter((status, len(body or b"")) for status, body in results)
+        assert answers == {(200, 20_000): MANY_REQUESTS}
+        assert sidecar.wait(EXIT_SECONDS) == 0
+        throttle.end()
+
+
 @pytest.mark.parametrize("attempt", range(3))
 def test_calls_through_an_entry_that_was_away_when_a_sidecar_stopped_are_served(
     attempt,
