Write each object of records in one flush only

One of the four stops of an entry with 400 streams (389 left in this one) and 0.12 of a core, on the code before this commit, ended with status 1 and "IndexError: pop from an empty deque" in RecordReplicator.drain. All 400 streams were complete, but the stop did not get to EntrySet.leave, PeerHub.finish and event 1004.

Cause: the regular flush of once a flush interval, a report and a stop flush in their own greenlets. Two of them took the same object for the first one, wrote it, and each removed an object from the queue. With one object that raises IndexError; with more, the second removal takes an object whose write is still in progress, and if that write fails, its records are lost at this entry.

Change: Flusher.write_next holds a lock.

--- a/src/bulrushdrum/_internal/records/flushing.py
+++ b/src/bulrushdrum/_internal/records/flushing.py
@@ -9,6 +9,8 @@
 from collections import deque
 from typing import NamedTuple
 
+from gevent.lock import BoundedSemaphore
+
 from bulrushdrum._internal.platform.errors import StoreUnavailable, WriteOutcomeUnknown
 from bulrushdrum._internal.records.record import RequestRecord, encode_record
 
@@ -38,6 +40,9 @@
         self._incarnation = incarnation
         self._sequence = 0
         self._pending: deque[PendingObject] = deque()
+        # A stop and a report flush beside the regular flush. Without the lock, all of
+        # them write the same object, and each removes one from the queue.
+        self._write_lock = BoundedSemaphore(1)
 
     @property
     def record_count(self) -> int:
@@ -84,14 +89,15 @@
         Raises `StoreUnavailable` if the write failed or its outcome is unknown. The
         object then stays first in the queue.
         """
-        if not self._pending:
-            return None
-        pending = self._pending[0]
-        try:
-            # False means that an earlier attempt succeeded, because
-            # the name contains this incarnation.
-            self._objects.put_if_absent(pending.name, pending.lines())
-        except WriteOutcomeUnknown as error:
-            raise StoreUnavailable(str(error)) from error
-        self._pending.popleft()
-        return pending
+        with self._write_lock:
+            if not self._pending:
+                return None
+            pending = self._pending[0]
+            try:
+                # False means that an earlier attempt succeeded, because
+                # the name contains this incarnation.
+                self._objects.put_if_absent(pending.name, pending.lines())
+            except WriteOutcomeUnknown as error:
+                raise StoreUnavailable(str(error)) from error
+            self._pending.popleft()
+            return pending
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -23,9 +23,12 @@
 
     def __init__(self):
         self.objects, self.fault, self.attempts = {}, "", 0
+        self.seconds_per_write = 0.0
 
     def put_if_absent(self, name, data):
         self.attempts += 1
+        if self.seconds_per_write:
+            gevent.sleep(self.seconds_per_write)
         if self.fault == "down":
             raise StoreUnavailable("down")
         if self.fault == "refused":
@@ -122,6 +125,41 @@
     assert replicator.has_room()
 
 
+def start_overlapping_flushes(simulation, *names):
+    """Start a flush for each record, while the previous ones still write."""
+    simulation.objects.seconds_per_write = 0.02
+    replicator = simulation.replicators["a"]
+    flushes = []
+    for name in names:
+        replicator.close(record(name, "answered"))
+        flushes.append(gevent.spawn(replicator.flush))
+        gevent.sleep(0.005)
+    return flushes
+
+
+def test_overlapping_flushes_end_without_an_exception():
+    # Guards against a stop whose flush overlaps the regular one: both removed an object
+    # for the same write, and the exception ended the stop before its last messages.
+    simulation = SimulatedEntries(("a", "d1"), ("b", "d2"))
+    flushes = start_overlapping_flushes(simulation, "r0", "r1")
+    gevent.joinall(flushes, raise_error=True)
+    assert sum(flush.value for flush in flushes) == 2
+    assert simulation.replicators["a"].unflushed == 0
+
+
+def test_overlapping_flushes_keep_an_object_whose_write_fails():
+    # Guards against a flush that removes the object which another one is writing.
+    simulation = SimulatedEntries(("a", "d1"), ("b", "d2"))
+    flushes = start_overlapping_flushes(simulation, "r0", "r1")
+    gevent.sleep(0.02)
+    simulation.objects.fault = "down"
+    gevent.joinall(flushes, raise_error=True)
+    simulation.objects.fault = ""
+    simulation.replicators["a"].flush()
+    written = {flushed.request_id for flushed in simulation.objects.records()}
+    assert written == {"r0", "r1"}
+
+
 def test_partner_closes_open_records_of_a_dead_entry_as_unknown():
     simulation = SimulatedEntries(("a", "d1"), ("b", "d2"))
     simulation.replicators["a"].open(record("open"))
