Keep entries and sidecars from blocking on a log that is not read

Callers of an entry whose log nobody read got no answer from the 247th refused request on, and the entry had not exited 15 s after SIGTERM: its last line was that of a request, and 1003 was missing.

Cause: entries and sidecars wrote their log to standard error with blocking writes from the event loop. A pipe takes 64 KiB; after that every task of the process waits for the reader, and so does the handling of SIGTERM.

Change: they log through LogOutput, as a router does, but without its limit of 40 lines a second, since 3001 to 3003 name requests. They flush it once a second, log the counts of omitted lines (8006), and move unread lines to the pipe at the begin and the end of a stop. The dump of SIGUSR1 takes the same way, because standard error is non-blocking now. That flag belongs to the open file, so it also holds for other processes that write to the same one.

--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -23,8 +23,15 @@
 from bulrushdrum._internal.limits.entry_set import EntrySet
 from bulrushdrum._internal.limits.permits import Permits
 from bulrushdrum._internal.observability.dump import DumpExchange
-from bulrushdrum._internal.observability.events import Event, log_event, start_logging
+from bulrushdrum._internal.observability.events import (
+    Event,
+    flush_and_log_omitted,
+    log_event,
+    persist_unread_lines,
+    start_nonblocking_logging,
+)
 from bulrushdrum._internal.observability.latency_histograms import LatencyHistograms
+from bulrushdrum._internal.observability.log_output import LogOutput
 from bulrushdrum._internal.peering.connections import PeerServer
 from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
 from bulrushdrum._internal.peering.hub import PeerHub
@@ -52,6 +59,7 @@
 
 MAX_OPERATOR_CONNECTIONS = 100
 _DRAIN_POLL_SECONDS = 0.05
+_LOG_FLUSH_INTERVAL_SECONDS = 1.0
 # Callers that keep connections open are refused for at least this long. A connection
 # that closes while a request is on its way does not tell whether the request ran.
 _REFUSAL_SECONDS = 1.0
@@ -65,8 +73,9 @@
 class EntryProcess:
     """The components of one entry."""
 
-    def __init__(self, settings: EntrySettings):
+    def __init__(self, settings: EntrySettings, log_output: LogOutput):
         self._settings = settings
+        self._log_output = log_output
         self._latency_histograms = LatencyHistograms()
         self._stop_requested = Signal()
         self._resumed_at = 0.0
@@ -178,6 +187,7 @@
         gevent.signal_handler(signal.SIGINT, self._stop_requested.set)
         gevent.signal_handler(signal.SIGHUP, log_event, Event.RELOAD_IGNORED)
         gevent.signal_handler(signal.SIGUSR1, self._write_dump)
+        gevent.spawn(self._flush_log_forever)
         self._peer_server.start()
         self._membership.start()
         self._replica.start()
@@ -216,6 +226,7 @@
 
     def _drain(self):
         log_event(Event.DRAIN_STARTED, in_progress=self._frontend.in_progress)
+        persist_unread_lines()
         self._frontend.start_draining()
         self._membership.state = UpstreamState.DRAINING
         self._caller_http.is_draining = True
@@ -236,6 +247,7 @@
         self._peer_server.stop()
         self._hub.finish(_LAST_MESSAGES_SECONDS)
         log_event(Event.PROCESS_STOPPED, in_progress=self._frontend.in_progress)
+        persist_unread_lines()
 
     def _handle_heartbeat(self, connection, heartbeat):
         self._replica.observe_revision(
@@ -275,7 +287,13 @@
         log_event(Event.PEER_REFUSED, peer=address, reason=str(error))
 
     def _write_dump(self):
-        print(json.dumps(self.dump()), file=sys.stderr, flush=True)
+        self._log_output.write(json.dumps(self.dump()) + "\n")
+        self._log_output.flush()
+
+    def _flush_log_forever(self):
+        while True:
+            gevent.sleep(_LOG_FLUSH_INTERVAL_SECONDS)
+            flush_and_log_omitted()
 
 
 def longest_request_seconds(settings: EntrySettings) -> float:
@@ -295,5 +313,7 @@
 
 def run_entry(settings: EntrySettings):
     """Run an entry until SIGTERM or SIGINT."""
-    start_logging(f"entry {settings.node}")
-    EntryProcess(settings).run()
+    log_output = start_nonblocking_logging(
+        f"entry {settings.node}", sys.stderr.fileno()
+    )
+    EntryProcess(settings, log_output).run()
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -109,6 +109,8 @@
     (Event.ACCEPTED_WHILE_DRAINING, Event.INTERRUPTED_BY_STOP, Event.REQUESTS_AT_STOP)
 )
 
+_outputs: list[LogOutput] = []
+# Those of the outputs that have a rate limit.
 _bounded_outputs: list[LogOutput] = []
 
 
@@ -118,21 +120,32 @@
     eliot.add_global_fields(process=process)
 
 
+def start_nonblocking_logging(process: str, fd: int) -> LogOutput:
+    """Write the events of `process` to `fd` without blocking on a slow reader.
+
+    The process must flush it regularly, with `flush_and_log_omitted` or
+    `flush_and_count_omitted`.
+    """
+    output = LogOutput(fd)
+    _outputs.append(output)
+    start_logging(process, output)
+    return output
+
+
 def start_bounded_logging(process: str, fd: int) -> LogOutput:
     """Write the events of `process` to `fd` with a rate limit and without blocking."""
-    output = LogOutput(fd)
+    output = start_nonblocking_logging(process, fd)
     _bounded_outputs.append(output)
-    start_logging(process, output)
     return output
 
 
 def flush_and_count_omitted() -> dict[str, int]:
-    """Flush the bounded outputs and return their counts of omitted lines by event.
+    """Flush the non-blocking outputs and return their counts of omitted lines by event.
 
     The counts cover the time since the previous call.
     """
     counts: Counter[str] = Counter()
-    for output in _bounded_outputs:
+    for output in _outputs:
         output.flush()
         counts.update(
             {str(event): n for event, n in output.pop_omitted_counts().items()}
@@ -140,12 +153,17 @@
     return dict(counts)
 
 
-def persist_unread_lines():
-    """Keep the lines that were not read yet for after the end of this process."""
+def flush_and_log_omitted():
+    """Flush the non-blocking outputs and log how many lines were omitted."""
     omitted = flush_and_count_omitted()
     if omitted:
         log_event(Event.LINES_OMITTED, counts=omitted)
-    for output in _bounded_outputs:
+
+
+def persist_unread_lines():
+    """Keep the lines that were not read yet for after the end of this process."""
+    flush_and_log_omitted()
+    for output in _outputs:
         output.persist_backlog()
 
 
--- a/src/bulrushdrum/_internal/sidecar/dump.py
+++ b/src/bulrushdrum/_internal/sidecar/dump.py
@@ -2,9 +2,9 @@
 
 import json
 import resource
-import sys
 from dataclasses import fields
 
+from bulrushdrum._internal.observability.log_output import LogOutput
 from bulrushdrum._internal.peering.messages import Dump, DumpQuery
 
 
@@ -20,10 +20,13 @@
 class StateDump:
     """Builds the state dump.
 
-    `sections` maps the name of a section to a function that returns its JSON value.
+    `sections` maps the name of a section to a function that returns its JSON value. The
+    dump is written to `log_output`, because standard error is non-blocking: a direct
+    write would fail while the log is not read.
     """
 
-    def __init__(self, hub, sections):
+    def __init__(self, hub, sections, log_output: LogOutput):
+        self._log_output = log_output
         self._hub = hub
         self._sections = sections
         hub.register(DumpQuery, self._handle_query)
@@ -39,7 +42,8 @@
 
     def write(self):
         """Write the dump to standard error as a single line of JSON."""
-        print(json.dumps({"dump": self.collect()}), file=sys.stderr, flush=True)
+        self._log_output.write(json.dumps({"dump": self.collect()}) + "\n")
+        self._log_output.flush()
 
     def _handle_query(self, connection, message):
         connection.send(Dump(message.token, json.dumps(self.collect())))
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -19,7 +19,14 @@
 import gevent
 from gevent.event import Event as GeventEvent
 
-from bulrushdrum._internal.observability.events import Event, log_event, start_logging
+from bulrushdrum._internal.observability.events import (
+    Event,
+    flush_and_log_omitted,
+    log_event,
+    persist_unread_lines,
+    start_nonblocking_logging,
+)
+from bulrushdrum._internal.observability.log_output import LogOutput
 from bulrushdrum._internal.peering.connections import (
     WRITE_TIMEOUT_SECONDS,
     PeerServer,
@@ -28,6 +35,7 @@
 from bulrushdrum._internal.peering.hub import PeerHub
 from bulrushdrum._internal.peering.messages import Beat, CacheEvent, CacheEvents
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
+from bulrushdrum._internal.sidecar.background_loops import spawn_loop
 from bulrushdrum._internal.sidecar.bindings import BindingTable
 from bulrushdrum._internal.sidecar.dump import StateDump, settings_without_secrets
 from bulrushdrum._internal.sidecar.engine_client import EngineClient
@@ -41,6 +49,7 @@
 
 EXIT_ADDRESS_IN_USE = 3
 DRAIN_POLL_SECONDS = 0.05
+LOG_FLUSH_INTERVAL_SECONDS = 1.0
 # Time between the announcement of a drain and the refusal of new work. The announcement
 # takes a round trip, or longer if an entry is busy. Refusing the work that entries send
 # in the meantime would cost each of those requests another attempt.
@@ -50,7 +59,7 @@
 class Sidecar:
     """Creates and connects the parts of one sidecar process."""
 
-    def __init__(self, settings: SidecarSettings):
+    def __init__(self, settings: SidecarSettings, log_output: LogOutput):
         self._settings = settings
         incarnation = f"{settings.node}.{secrets.token_hex(6)}"
         self._local = PeerIdentity(
@@ -97,7 +106,7 @@
             self._hub, self._next_hops, settings, self._build_heartbeat, self._clean_up
         )
         self._watch = self._create_watch()
-        self._dump = StateDump(self._hub, self._dump_sections())
+        self._dump = StateDump(self._hub, self._dump_sections(), log_output)
         self._silent_since = {}
         self._drain_requested = GeventEvent()
         self._server = PeerServer(
@@ -117,6 +126,7 @@
         gevent.signal_handler(signal.SIGINT, self._drain_requested.set)
         gevent.signal_handler(signal.SIGHUP, log_event, Event.RELOAD_IGNORED)
         gevent.signal_handler(signal.SIGUSR1, self._dump.write)
+        spawn_loop("log", self._flush_log)
         self._watch.start()
         self._heartbeats.start()
         self._orders.start()
@@ -170,6 +180,7 @@
         the connection just ended, the entry could not tell whether the work ran.
         """
         log_event(Event.DRAIN_STARTED, running=self._outstanding_work)
+        persist_unread_lines()
         started = time.monotonic()
         deadline = started + self._settings.drain_timeout
         silence = self._settings.missed_heartbeats * self._settings.heartbeat_interval
@@ -187,6 +198,11 @@
         self._server.stop()
         self._hub.finish(WRITE_TIMEOUT_SECONDS)
         log_event(Event.PROCESS_STOPPED, running=self._outstanding_work)
+        persist_unread_lines()
+
+    def _flush_log(self):
+        gevent.sleep(LOG_FLUSH_INTERVAL_SECONDS)
+        flush_and_log_omitted()
 
     def _build_heartbeat(self):
         return Beat(
@@ -254,8 +270,10 @@
 
     gevent must already have patched the standard library.
     """
-    start_logging(f"sidecar {settings.node}")
-    sidecar = Sidecar(settings)
+    log_output = start_nonblocking_logging(
+        f"sidecar {settings.node}", sys.stderr.fileno()
+    )
+    sidecar = Sidecar(settings, log_output)
     gc.collect()
     gc.freeze()
     return sidecar.run()
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -1,5 +1,6 @@
 """Planned stops of entries and sidecars: real processes, raw connections of callers."""
 
+import fcntl
 import hashlib
 import json
 import os
@@ -29,6 +30,9 @@
 EXIT_SECONDS = 20.0
 # Requests that one process has in progress when it is stopped.
 MANY_REQUESTS = 400
+# More lines than a pipe of one page holds.
+PIPE_BYTES = 4096
+UNREAD_LINES = 100
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
 
@@ -353,6 +357,55 @@
         assert cluster.process("ledger-0").wait(EXIT_SECONDS) == 0
 
 
+class UnreadLog:
+    """The log of a stopped process as a pipe that nothing reads until its end."""
+
+    def __init__(self, path):
+        path.unlink()
+        os.mkfifo(path)
+        self._fd = os.open(path, os.O_RDONLY | os.O_NONBLOCK)
+        fcntl.fcntl(self._fd, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+
+    def read_events(self):
+        """Return the numbers of the events; the process must have ended."""
+        data = b""
+        while part := os.read(self._fd, 65_536):
+            data += part
+        os.close(self._fd)
+        return [json.loads(line)["event"] for line in data.splitlines()]
+
+
+@pytest.mark.parametrize("name", ["entry0", "ledger-0"])
+def test_a_process_whose_log_is_not_read_serves_and_logs_its_whole_stop(name):
+    # Guards against a process that blocks on its log, so that it answers nothing and
+    # does not notice SIGTERM, and against lines that are lost at its exit.
+    with running(entries=1, services=1) as cluster:
+        process = cluster.process(name)
+        process.terminate()
+        assert process.wait(EXIT_SECONDS) == 0
+        log = UnreadLog(cluster.directory / f"{name}.log")
+        start = cluster.start_entry if name == "entry0" else cluster.start_upstream
+        start(name)
+        cluster.wait_connected()
+        cluster.wait_customer("entry0", CUSTOMER)
+        for _ in range(UNREAD_LINES):
+            process.signal(signal.SIGHUP)
+            gevent.sleep(0.01)
+        set_service_faults(cluster, delay_answer_seconds=1.0)
+        body = secrets.token_bytes(16)
+        caller = RawConnection(cluster, "entry0")
+        caller.send("POST", f"/services/{SERVICE}/notes", body)
+        wait_running(cluster, body)
+        terminate(cluster, name)
+        status, answer = caller.receive()
+        assert status == 200, answer
+        assert process.wait(EXIT_SECONDS) == 0
+        events = log.read_events()
+        assert events[-1] == 1004
+        # Two signals that arrive in the same turn of the event loop are one.
+        assert events.count(1003) == 1 and events.count(1006) > UNREAD_LINES // 2
+
+
 def test_sighup_ends_no_stream_of_an_entry_or_a_sidecar():
     # Guards against SIGHUP, at which services reload or reopen files, ending a process
     # that serves, also while it drains.
