--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -117,6 +117,8 @@
     )
 )
 
+_outputs: list[LogOutput] = []
+# Those of the outputs that have a rate limit.
 _bounded_outputs: list[LogOutput] = []
 
 
@@ -126,21 +128,32 @@
     eliot.add_global_fields(process=process)
 
 
+def start_nonblocking_logging(process: str, fd: int) -> LogOutput:
+    """Write the events of `process` to `fd` without blocking on a slow reader.
+
+    The process must flush it regularly, with `flush_and_log_omitted` or
+    `flush_and_count_omitted`.
+    """
+    output = LogOutput(fd, reserved_events=_RESERVED_EVENTS)
+    _outputs.append(output)
+    start_logging(process, output)
+    return output
+
+
 def start_bounded_logging(process: str, fd: int) -> LogOutput:
     """Write the events of `process` to `fd` with a rate limit and without blocking."""
-    output = LogOutput(fd, reserved_events=_RESERVED_EVENTS)
+    output = start_nonblocking_logging(process, fd)
     _bounded_outputs.append(output)
-    start_logging(process, output)
     return output
 
 
 def flush_and_count_omitted() -> dict[str, int]:
-    """Flush the bounded outputs and return their counts of omitted lines by event.
+    """Flush the non-blocking outputs and return their counts of omitted lines by event.
 
     The counts cover the time since the previous call.
     """
     counts: Counter[str] = Counter()
-    for output in _bounded_outputs:
+    for output in _outputs:
         output.flush()
         counts.update(
             {str(event): n for event, n in output.pop_omitted_counts().items()}
@@ -148,15 +161,20 @@
     return dict(counts)
 
 
-def persist_unread_lines():
-    """Keep the lines that were not read yet for after the end of this process."""
-    for output in _bounded_outputs:
-        output.persist_backlog()
+def flush_and_log_omitted():
+    """Flush the non-blocking outputs and log how many lines were omitted."""
     omitted = flush_and_count_omitted()
     if omitted:
         log_event(Event.LINES_OMITTED, counts=omitted)
 
 
+def persist_unread_lines():
+    """Keep the lines that were not read yet for after the end of this process."""
+    for output in _outputs:
+        output.persist_backlog()
+    flush_and_log_omitted()
+
+
 def log_event(event: Event, **fields):
     """Log `event` with `fields`, which must be JSON values without secrets."""
     if _bounded_outputs and not all(
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -1,5 +1,6 @@
 """Planned stops of entries and sidecars: real processes, raw connections of callers."""
 
+import fcntl
 import hashlib
 import json
 import os
@@ -18,6 +19,7 @@
 from bench.history import History
 from bench.processes import wait_for
 from bench.topology import SERVICE, three_stages
+from tests.integration.throttling import Throttle
 
 pytestmark = pytest.mark.slow
 
@@ -26,6 +28,11 @@
 # Over what the kernel buffers of a connection hold, under the sidecar's limit.
 LARGE_ANSWER_BYTES = 7_000_000
 EXIT_SECONDS = 20.0
+# Requests that one process has in progress when it is stopped.
+MANY_REQUESTS = 400
+# More lines than a pipe of one page holds.
+PIPE_BYTES = 4096
+UNREAD_LINES = 100
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
 
@@ -307,6 +314,44 @@
         assert cluster.process("ledger-0").wait(EXIT_SECONDS) == 0
 
 
+def check_answers_of_a_throttled_stop(name, requests, answer_bytes):
+    settings = {"service_concurrency": MANY_REQUESTS}
+    with running(1, 1000, services=1, sidecar_settings=settings) as cluster:
+        set_service_faults(cluster, answer_bytes=answer_bytes, delay_answer_seconds=3.0)
+        callers = [RawConnection(cluster, "entry0") for _ in range(requests)]
+        for caller in callers:
+            path = f"/services/{SERVICE}/notes"
+            caller.send("POST", path, secrets.token_bytes(16))
+        gevent.sleep(1.5)
+        process = cluster.process(name)
+        process.terminate()
+        throttle = Throttle(process)
+        jobs = [gevent.spawn(caller.receive) for caller in callers]
+        results = [job.get() for job in jobs]
+        answers = Counter((status, len(body or b"")) for status, body in results)
+        assert answers == {(200, answer_bytes): requests}
+        assert process.wait(EXIT_SECONDS) == 0
+        throttle.end()
+
+
+@pytest.mark.parametrize(
+    ("requests", "answer_bytes"), [(MANY_REQUESTS, 20_000), (60, 2_000_000)]
+)
+def test_a_sidecar_short_of_processor_time_delivers_all_answers_before_it_stops(
+    requests, answer_bytes
+):
+    # Guards against an exit while greenlets of calls that have run still wait for their
+    # turn to queue the results, and against a sidecar that takes an entry for silent
+    # because it is late to read what the entry sent. Both report calls as possibly run.
+    check_answers_of_a_throttled_stop("ledger-0", requests, answer_bytes)
+
+
+def test_an_entry_short_of_processor_time_delivers_all_answers_before_it_stops():
+    # Guards against an entry that sends no heartbeat in time while it reads large
+    # results: the sidecar closes the connection, with the results that wait in it.
+    check_answers_of_a_throttled_stop("entry0", MANY_REQUESTS, 200_000)
+
+
 @pytest.mark.parametrize("attempt", range(3))
 def test_calls_through_an_entry_that_was_away_when_a_sidecar_stopped_are_served(
     attempt,
@@ -328,6 +373,55 @@
         assert cluster.process("ledger-0").wait(EXIT_SECONDS) == 0
 
 
+class UnreadLog:
+    """The log of a stopped process as a pipe that nothing reads until its end."""
+
+    def __init__(self, path):
+        path.unlink()
+        os.mkfifo(path)
+        self._fd = os.open(path, os.O_RDONLY | os.O_NONBLOCK)
+        fcntl.fcntl(self._fd, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+
+    def read_events(self):
+        """Return the numbers of the events; the process must have ended."""
+        data = b""
+        while part := os.read(self._fd, 65_536):
+            data += part
+        os.close(self._fd)
+        return [json.loads(line)["event"] for line in data.splitlines()]
+
+
+@pytest.mark.parametrize("name", ["entry0", "ledger-0"])
+def test_a_process_whose_log_is_not_read_serves_and_logs_its_whole_stop(name):
+    # Guards against a process that blocks on its log, so that it answers nothing and
+    # does not notice SIGTERM, and against lines that are lost at its exit.
+    with running(entries=1, services=1) as cluster:
+        process = cluster.process(name)
+        process.terminate()
+        assert process.wait(EXIT_SECONDS) == 0
+        log = UnreadLog(cluster.directory / f"{name}.log")
+        start = cluster.start_entry if name == "entry0" else cluster.start_upstream
+        start(name)
+        cluster.wait_connected()
+        cluster.wait_customer("entry0", CUSTOMER)
+        for _ in range(UNREAD_LINES):
+            process.signal(signal.SIGHUP)
+            gevent.sleep(0.01)
+        set_service_faults(cluster, delay_answer_seconds=1.0)
+        body = secrets.token_bytes(16)
+        caller = RawConnection(cluster, "entry0")
+        caller.send("POST", f"/services/{SERVICE}/notes", body)
+        wait_running(cluster, body)
+        terminate(cluster, name)
+        status, answer = caller.receive()
+        assert status == 200, answer
+        assert process.wait(EXIT_SECONDS) == 0
+        events = log.read_events()
+        assert events[-1] == 1004
+        # Two signals that arrive in the same turn of the event loop are one.
+        assert events.count(1003) == 1 and events.count(1006) > UNREAD_LINES // 2
+
+
 def test_sighup_ends_no_stream_of_an_entry_or_a_sidecar():
     # Guards against SIGHUP, at which services reload or reopen files, ending a process
     # that serves, also while it drains.
