Choose the announcement ports of test routers among free datagram ports

test_calls_beyond_all_limits_are_refused_at_once_as_not_run failed once, on beside two other test processes: a router ended at its start, because another process had bound its datagram port. The port was looked for among those of streams.

--- a/tests/integration/router_system.py
+++ b/tests/integration/router_system.py
@@ -112,7 +112,7 @@
                 "front": f"127.0.0.1:{self.port}",
                 "ready-addr": f"127.0.0.1:{self.ready_port}",
             },
-            "internal-ports": [free_port(), metrics],
+            "internal-ports": [free_port(socket.SOCK_DGRAM), metrics],
             "bounds": {"grace-s": 6, **bounds},
             "platform": {"address": store.address},
         }
--- a/tests/stops/run.py
+++ b/tests/stops/run.py
@@ -21,6 +21,7 @@
 import time  # noqa: E402
 from collections import Counter  # noqa: E402
 from pathlib import Path  # noqa: E402
+from socket import SOCK_DGRAM  # noqa: E402
 from typing import NamedTuple  # noqa: E402
 
 import gevent  # noqa: E402
@@ -83,7 +84,7 @@
                 "front": f"127.0.0.1:{self.port}",
                 "ready-addr": f"127.0.0.1:{self.ready_port}",
             },
-            "internal-ports": [free_port(), metrics],
+            "internal-ports": [free_port(SOCK_DGRAM), metrics],
             "bounds": {"grace-s": options.grace, "retry-budget-extra": 200},
             "platform": {"address": store.address},
         }
