Split the messages between processes by what they are about

Developers found 46 message types of all purposes in one file of 494 lines.

The classes were moved unchanged (their syntax trees are equal before and after): process_messages.py holds identity and state of a process (99 lines), request_messages.py attempts at generations and calls to services (162), shared_state_messages.py configuration, permits, entry set, records and suspects (203). messages.py keeps the union `Message` (88). The importers take each class from its own file. The codec still has 37 frames and 46 layouts. Of the tests only imports changed, and the name wire.RecordsAck.

--- a/bench/entry_probe.py
+++ b/bench/entry_probe.py
@@ -20,25 +20,29 @@
 from bulrushdrum._internal.peering.connections import dial
 from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import (
-    AttemptFailed,
+from bulrushdrum._internal.peering.process_messages import (
     Beat,
     CacheEvents,
+    Describe,
+    Dump,
+    DumpQuery,
+)
+from bulrushdrum._internal.peering.request_messages import (
+    AttemptFailed,
     Call,
     CallResult,
     ChainStage,
     Close,
-    Describe,
-    Dump,
-    DumpQuery,
     Open,
     Opened,
-    OrderLease,
-    OrderLeaseRequest,
     Resolved,
     Step,
     Tokens,
 )
+from bulrushdrum._internal.peering.shared_state_messages import (
+    OrderLease,
+    OrderLeaseRequest,
+)
 
 SECRET = "a-shared-secret-for-tests"
 KEYS = PeeringKeys("k1", {"k1": SECRET.encode()})
--- a/bench/slopes_configuration.py
+++ b/bench/slopes_configuration.py
@@ -32,7 +32,7 @@
 )
 from bulrushdrum._internal.peering.handshake import PeerIdentity  # noqa: E402
 from bulrushdrum._internal.peering.hub import PeerHub  # noqa: E402
-from bulrushdrum._internal.peering.messages import ConfigEntry  # noqa: E402
+from bulrushdrum._internal.peering.shared_state_messages import ConfigEntry  # noqa: E402
 from bulrushdrum._internal.platform.table import Table  # noqa: E402
 from bulrushdrum._internal.world.contracts import (  # noqa: E402
     encode_contract,
--- a/bench/slopes_limits.py
+++ b/bench/slopes_limits.py
@@ -24,7 +24,7 @@
 from bulrushdrum._internal.limits.permits import Permits
 from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.peering.codec import decode, encode
-from bulrushdrum._internal.peering.messages import (
+from bulrushdrum._internal.peering.shared_state_messages import (
     EntryMember,
     EntrySetAck,
     EntrySetValue,
--- a/bench/slopes_messages.py
+++ b/bench/slopes_messages.py
@@ -3,7 +3,8 @@
 import time
 
 from bulrushdrum._internal.peering.codec import decode, encode
-from bulrushdrum._internal.peering.messages import Beat, Step, Steps, Token, Tokens
+from bulrushdrum._internal.peering.process_messages import Beat
+from bulrushdrum._internal.peering.request_messages import Step, Steps, Token, Tokens
 
 ROUNDS = 7
 CALLS = 400
--- a/src/bulrushdrum/_internal/caller/frontend.py
+++ b/src/bulrushdrum/_internal/caller/frontend.py
@@ -17,7 +17,7 @@
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.observability.latency_histograms import LatencyHistograms
 from bulrushdrum._internal.peering.handshake import PeeringKeys
-from bulrushdrum._internal.peering.messages import Call, Header
+from bulrushdrum._internal.peering.request_messages import Call, Header
 from bulrushdrum._internal.records.record import RequestRecord
 from bulrushdrum._internal.records.replication import RecordReplicator
 from bulrushdrum._internal.routing.at_most_once import AtMostOnceExecutor
--- a/src/bulrushdrum/_internal/caller/keyed_requests.py
+++ b/src/bulrushdrum/_internal/caller/keyed_requests.py
@@ -4,7 +4,7 @@
 
 from bulrushdrum._internal.caller.errors import CallerError
 from bulrushdrum._internal.peering.handshake import PeeringKeys
-from bulrushdrum._internal.peering.messages import CallResult
+from bulrushdrum._internal.peering.request_messages import CallResult
 from bulrushdrum._internal.routing.at_most_once import AtMostOnceExecutor
 from bulrushdrum._internal.routing.errors import InvalidIssuedKey
 from bulrushdrum._internal.routing.issued_keys import is_issued_key, read_issued_key
--- a/src/bulrushdrum/_internal/configuration/edits.py
+++ b/src/bulrushdrum/_internal/configuration/edits.py
@@ -33,7 +33,7 @@
 from bulrushdrum._internal.configuration.replica import ConfigurationReplica
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import ConfigEntry
+from bulrushdrum._internal.peering.shared_state_messages import ConfigEntry
 from bulrushdrum._internal.platform.errors import (
     StoreUnavailable,
     WriteConflict,
--- a/src/bulrushdrum/_internal/configuration/log.py
+++ b/src/bulrushdrum/_internal/configuration/log.py
@@ -12,7 +12,7 @@
 
 from bulrushdrum._internal.configuration.errors import LogPruned
 from bulrushdrum._internal.configuration.store import ConfigStore
-from bulrushdrum._internal.peering.messages import ConfigEntry
+from bulrushdrum._internal.peering.shared_state_messages import ConfigEntry
 from bulrushdrum._internal.platform.errors import StoreUnavailable
 from bulrushdrum._internal.platform.table import Table, Write
 
--- a/src/bulrushdrum/_internal/configuration/order_leases.py
+++ b/src/bulrushdrum/_internal/configuration/order_leases.py
@@ -13,8 +13,8 @@
 from bulrushdrum._internal.configuration.replica import ConfigurationReplica
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import (
-    Describe,
+from bulrushdrum._internal.peering.process_messages import Describe
+from bulrushdrum._internal.peering.shared_state_messages import (
     Desired,
     OrderLease,
     OrderLeaseRequest,
--- a/src/bulrushdrum/_internal/configuration/peers.py
+++ b/src/bulrushdrum/_internal/configuration/peers.py
@@ -11,7 +11,7 @@
 from bulrushdrum._internal.peering.connections import PeerConnection
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import (
+from bulrushdrum._internal.peering.shared_state_messages import (
     ConfigConfirm,
     ConfigEntries,
     ConfigEntry,
--- a/src/bulrushdrum/_internal/configuration/replica.py
+++ b/src/bulrushdrum/_internal/configuration/replica.py
@@ -20,7 +20,7 @@
 from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import ConfigEntry
+from bulrushdrum._internal.peering.shared_state_messages import ConfigEntry
 from bulrushdrum._internal.platform.errors import StoreUnavailable
 from bulrushdrum._internal.platform.table import Table
 from bulrushdrum._internal.world.contracts import (
--- a/src/bulrushdrum/_internal/configuration/store.py
+++ b/src/bulrushdrum/_internal/configuration/store.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from bulrushdrum._internal.decoding import DECODING_ERRORS
-from bulrushdrum._internal.peering.messages import ConfigEntry
+from bulrushdrum._internal.peering.shared_state_messages import ConfigEntry
 
 _REVISION = struct.Struct("!Q")
 # Values are compressed one by one and share their field names. This dictionary reduces
--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -35,7 +35,7 @@
 from bulrushdrum._internal.peering.connections import PeerServer
 from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import CacheEvents
+from bulrushdrum._internal.peering.process_messages import CacheEvents
 from bulrushdrum._internal.platform.objects import ObjectStore
 from bulrushdrum._internal.platform.table import Table
 from bulrushdrum._internal.platform.vm_list import VmList
--- a/src/bulrushdrum/_internal/limits/acknowledgement_sender.py
+++ b/src/bulrushdrum/_internal/limits/acknowledgement_sender.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from bulrushdrum._internal.peering.errors import ConnectionLost
-from bulrushdrum._internal.peering.messages import BusyPermit, EntrySetAck
+from bulrushdrum._internal.peering.shared_state_messages import BusyPermit, EntrySetAck
 
 
 class AcknowledgementSender:
--- a/src/bulrushdrum/_internal/limits/acknowledgements.py
+++ b/src/bulrushdrum/_internal/limits/acknowledgements.py
@@ -14,7 +14,7 @@
 from collections import deque
 
 from bulrushdrum._internal.limits.ownership import Ownership
-from bulrushdrum._internal.peering.messages import EntryMember, EntrySetAck
+from bulrushdrum._internal.peering.shared_state_messages import EntryMember, EntrySetAck
 
 # Number of earlier versions searched for continuous ownership of a permit. Discarding
 # older ones is safe: the entry only waits for acknowledgements instead.
--- a/src/bulrushdrum/_internal/limits/customer_permits.py
+++ b/src/bulrushdrum/_internal/limits/customer_permits.py
@@ -5,7 +5,7 @@
 
 from gevent.event import Event as Signal
 
-from bulrushdrum._internal.peering.messages import EntryMember
+from bulrushdrum._internal.peering.shared_state_messages import EntryMember
 
 
 class Permit(NamedTuple):
--- a/src/bulrushdrum/_internal/limits/entry_set.py
+++ b/src/bulrushdrum/_internal/limits/entry_set.py
@@ -18,7 +18,7 @@
 from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.errors import ConnectionLost
-from bulrushdrum._internal.peering.messages import (
+from bulrushdrum._internal.peering.shared_state_messages import (
     EntryMember,
     EntrySetQuery,
     EntrySetValue,
--- a/src/bulrushdrum/_internal/limits/loans.py
+++ b/src/bulrushdrum/_internal/limits/loans.py
@@ -12,7 +12,7 @@
 from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.errors import ConnectionLost
-from bulrushdrum._internal.peering.messages import (
+from bulrushdrum._internal.peering.shared_state_messages import (
     EntryMember,
     LoansHeld,
     LoansQuery,
--- a/src/bulrushdrum/_internal/limits/ownership.py
+++ b/src/bulrushdrum/_internal/limits/ownership.py
@@ -12,7 +12,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from bulrushdrum._internal.peering.messages import EntryMember
+from bulrushdrum._internal.peering.shared_state_messages import EntryMember
 
 _MASK = (1 << 64) - 1
 # Odd number close to 2**64 / golden ratio. One multiplication for each pair of permit
--- a/src/bulrushdrum/_internal/limits/permits.py
+++ b/src/bulrushdrum/_internal/limits/permits.py
@@ -26,7 +26,11 @@
 from bulrushdrum._internal.limits.loans import Loans, PendingLoan
 from bulrushdrum._internal.limits.settings import LimitSettings
 from bulrushdrum._internal.observability.events import Event, log_event
-from bulrushdrum._internal.peering.messages import BusyPermit, EntryMember, EntrySetAck
+from bulrushdrum._internal.peering.shared_state_messages import (
+    BusyPermit,
+    EntryMember,
+    EntrySetAck,
+)
 
 _MAINTENANCE_INTERVAL_SECONDS = 0.25
 
--- a/src/bulrushdrum/_internal/observability/dump.py
+++ b/src/bulrushdrum/_internal/observability/dump.py
@@ -8,7 +8,7 @@
 
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import Dump, DumpQuery
+from bulrushdrum._internal.peering.process_messages import Dump, DumpQuery
 
 _TIMEOUT_SECONDS = 3.0
 
--- a/src/bulrushdrum/_internal/peering/codec.py
+++ b/src/bulrushdrum/_internal/peering/codec.py
@@ -1,6 +1,6 @@
 """Encodes messages as Cap'n Proto frames and decodes them.
 
->>> decode(encode(messages.RecordsAck(batch=7)))
+>>> decode(encode(shared_state_messages.RecordsAck(batch=7)))
 RecordsAck(batch=7)
 
 Bytes that cannot be decoded raise `FrameError`.
@@ -13,8 +13,13 @@
 
 import capnp
 
-from bulrushdrum._internal.peering import messages
+from bulrushdrum._internal.peering import (
+    process_messages,
+    request_messages,
+    shared_state_messages,
+)
 from bulrushdrum._internal.peering.errors import FrameError
+from bulrushdrum._internal.peering.messages import Message
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("wire.capnp")))
@@ -26,43 +31,43 @@
 _SPARE_PACKED_WORDS = 128
 
 _UNION_NAMES: dict[type, str] = {
-    messages.Hello: "hello",
-    messages.Welcome: "welcome",
-    messages.Proof: "proof",
-    messages.Describe: "describe",
-    messages.Beat: "beat",
-    messages.Open: "open",
-    messages.Opened: "opened",
-    messages.Steps: "steps",
-    messages.Tokens: "tokens",
-    messages.Close: "close",
-    messages.AttemptFailed: "attemptFailed",
-    messages.Call: "call",
-    messages.CallResult: "callResult",
-    messages.Resolve: "resolve",
-    messages.ConfigEntries: "configEntries",
-    messages.ConfigQuery: "configQuery",
-    messages.ConfigConfirm: "configConfirm",
-    messages.PermitBorrow: "permitBorrow",
-    messages.PermitLoan: "permitLoan",
-    messages.PermitReturn: "permitReturn",
-    messages.EntrySetAck: "entrySetAck",
-    messages.RecordCopies: "recordCopies",
-    messages.RecordsAck: "recordsAck",
-    messages.RecordsFlushed: "recordsFlushed",
-    messages.Suspects: "suspects",
-    messages.OrderLeaseRequest: "orderLeaseRequest",
-    messages.OrderLease: "orderLease",
-    messages.Desired: "desired",
-    messages.Rejected: "rejected",
-    messages.Resolved: "resolved",
-    messages.CacheEvents: "cacheEvents",
-    messages.DumpQuery: "dumpQuery",
-    messages.Dump: "dump",
-    messages.EntrySetQuery: "entrySetQuery",
-    messages.EntrySetValue: "entrySetValue",
-    messages.LoansQuery: "loansQuery",
-    messages.LoansHeld: "loansHeld",
+    process_messages.Hello: "hello",
+    process_messages.Welcome: "welcome",
+    process_messages.Proof: "proof",
+    process_messages.Describe: "describe",
+    process_messages.Beat: "beat",
+    request_messages.Open: "open",
+    request_messages.Opened: "opened",
+    request_messages.Steps: "steps",
+    request_messages.Tokens: "tokens",
+    request_messages.Close: "close",
+    request_messages.AttemptFailed: "attemptFailed",
+    request_messages.Call: "call",
+    request_messages.CallResult: "callResult",
+    request_messages.Resolve: "resolve",
+    shared_state_messages.ConfigEntries: "configEntries",
+    shared_state_messages.ConfigQuery: "configQuery",
+    shared_state_messages.ConfigConfirm: "configConfirm",
+    shared_state_messages.PermitBorrow: "permitBorrow",
+    shared_state_messages.PermitLoan: "permitLoan",
+    shared_state_messages.PermitReturn: "permitReturn",
+    shared_state_messages.EntrySetAck: "entrySetAck",
+    shared_state_messages.RecordCopies: "recordCopies",
+    shared_state_messages.RecordsAck: "recordsAck",
+    shared_state_messages.RecordsFlushed: "recordsFlushed",
+    shared_state_messages.Suspects: "suspects",
+    shared_state_messages.OrderLeaseRequest: "orderLeaseRequest",
+    shared_state_messages.OrderLease: "orderLease",
+    shared_state_messages.Desired: "desired",
+    process_messages.Rejected: "rejected",
+    request_messages.Resolved: "resolved",
+    process_messages.CacheEvents: "cacheEvents",
+    process_messages.DumpQuery: "dumpQuery",
+    process_messages.Dump: "dump",
+    shared_state_messages.EntrySetQuery: "entrySetQuery",
+    shared_state_messages.EntrySetValue: "entrySetValue",
+    shared_state_messages.LoansQuery: "loansQuery",
+    shared_state_messages.LoansHeld: "loansHeld",
 }
 _MESSAGE_TYPES = {name: message_type for message_type, name in _UNION_NAMES.items()}
 
@@ -181,7 +186,8 @@
 
 _MESSAGE_LAYOUTS = {
     message_type: _build_layout(message_type)
-    for message_type in vars(messages).values()
+    for module in (process_messages, request_messages, shared_state_messages)
+    for message_type in vars(module).values()
     if isinstance(message_type, type) and hasattr(message_type, "_fields")
 }
 
@@ -233,7 +239,7 @@
     return message_type._make(values)
 
 
-def encode(message: messages.Message) -> bytes:
+def encode(message: Message) -> bytes:
     """Return `message` encoded as a packed frame.
 
     Raises `FrameError` if a value does not fit the type of its field in `wire.capnp`.
@@ -251,7 +257,7 @@
         raise FrameError(f"cannot encode {message!r}: {error}") from error
 
 
-def decode(data: bytes) -> messages.Message:
+def decode(data: bytes) -> Message:
     """Decode one packed frame. Raises `FrameError` if `data` is malformed.
 
     Untrusted bytes must not be decoded in a greenlet, see `_INTEGER_RANGES`.
--- a/src/bulrushdrum/_internal/peering/connections.py
+++ b/src/bulrushdrum/_internal/peering/connections.py
@@ -26,7 +26,8 @@
     accept_handshake,
     dial_handshake,
 )
-from bulrushdrum._internal.peering.messages import Message, Step, Steps, Token, Tokens
+from bulrushdrum._internal.peering.messages import Message
+from bulrushdrum._internal.peering.request_messages import Step, Steps, Token, Tokens
 from bulrushdrum._internal.world.addresses import parse_address
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
--- a/src/bulrushdrum/_internal/peering/handshake.py
+++ b/src/bulrushdrum/_internal/peering/handshake.py
@@ -11,7 +11,12 @@
 from typing import NamedTuple
 
 from bulrushdrum._internal.peering.errors import HandshakeError
-from bulrushdrum._internal.peering.messages import Hello, Proof, Rejected, Welcome
+from bulrushdrum._internal.peering.process_messages import (
+    Hello,
+    Proof,
+    Rejected,
+    Welcome,
+)
 
 PROTOCOL_VERSION = 1
 _NONCE_BYTES = 16
--- a/src/bulrushdrum/_internal/records/copying.py
+++ b/src/bulrushdrum/_internal/records/copying.py
@@ -5,7 +5,7 @@
 
 from gevent.event import Event as Signal
 
-from bulrushdrum._internal.peering.messages import RecordCopies
+from bulrushdrum._internal.peering.shared_state_messages import RecordCopies
 from bulrushdrum._internal.records.flushing import Flusher, PendingObject
 from bulrushdrum._internal.records.record import (
     RequestRecord,
--- a/src/bulrushdrum/_internal/records/partners.py
+++ b/src/bulrushdrum/_internal/records/partners.py
@@ -3,7 +3,7 @@
 import zlib
 from hashlib import blake2b
 
-from bulrushdrum._internal.peering.messages import EntryMember
+from bulrushdrum._internal.peering.shared_state_messages import EntryMember
 from bulrushdrum._internal.records.record import RequestRecord, decode_record
 
 # Closed records are compressed in blocks of this size. They accumulate only while the
--- a/src/bulrushdrum/_internal/records/replication.py
+++ b/src/bulrushdrum/_internal/records/replication.py
@@ -12,7 +12,7 @@
 
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.errors import ConnectionLost
-from bulrushdrum._internal.peering.messages import (
+from bulrushdrum._internal.peering.shared_state_messages import (
     EntryMember,
     RecordCopies,
     RecordsAck,
--- a/src/bulrushdrum/_internal/routing/at_most_once.py
+++ b/src/bulrushdrum/_internal/routing/at_most_once.py
@@ -27,7 +27,7 @@
 
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.errors import ConnectionLost
-from bulrushdrum._internal.peering.messages import CallResult, Resolved
+from bulrushdrum._internal.peering.request_messages import CallResult, Resolved
 from bulrushdrum._internal.routing.claim_rows import Binding, BindingProposal
 from bulrushdrum._internal.routing.claims import ClaimStore
 from bulrushdrum._internal.routing.errors import (
--- a/src/bulrushdrum/_internal/routing/bound_chat.py
+++ b/src/bulrushdrum/_internal/routing/bound_chat.py
@@ -10,7 +10,7 @@
 
 from expression import Result
 
-from bulrushdrum._internal.peering.messages import CallResult, Resolved
+from bulrushdrum._internal.peering.request_messages import CallResult, Resolved
 from bulrushdrum._internal.routing.chains import ChainPlanner, ChainRequest
 from bulrushdrum._internal.routing.claims import Binding, BindingProposal
 from bulrushdrum._internal.routing.errors import (
--- a/src/bulrushdrum/_internal/routing/claim_rows.py
+++ b/src/bulrushdrum/_internal/routing/claim_rows.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 from urllib.parse import quote
 
-from bulrushdrum._internal.peering.messages import CallResult, Header
+from bulrushdrum._internal.peering.request_messages import CallResult, Header
 from bulrushdrum._internal.platform.table import Row
 from bulrushdrum._internal.routing.errors import InvalidIdempotencyKey
 from bulrushdrum._internal.world.requests import MAX_KEY_CHARACTERS, Outcome
--- a/src/bulrushdrum/_internal/routing/claims.py
+++ b/src/bulrushdrum/_internal/routing/claims.py
@@ -22,7 +22,7 @@
 
 from bulrushdrum._internal.observability.events import Event as LogEvent
 from bulrushdrum._internal.observability.events import log_event
-from bulrushdrum._internal.peering.messages import CallResult
+from bulrushdrum._internal.peering.request_messages import CallResult
 from bulrushdrum._internal.platform.errors import (
     PlatformError,
     StoreUnavailable,
--- a/src/bulrushdrum/_internal/routing/crash_quarantine.py
+++ b/src/bulrushdrum/_internal/routing/crash_quarantine.py
@@ -11,7 +11,7 @@
 import time
 from collections import OrderedDict
 
-from bulrushdrum._internal.peering.messages import Incident
+from bulrushdrum._internal.peering.shared_state_messages import Incident
 
 MAX_INCIDENTS = 10_000
 INCIDENT_LIFETIME_SECONDS = 3600.0
--- a/src/bulrushdrum/_internal/routing/incident_exchange.py
+++ b/src/bulrushdrum/_internal/routing/incident_exchange.py
@@ -16,7 +16,7 @@
 from bulrushdrum._internal.peering.connections import PeerConnection
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import Incident, Suspects
+from bulrushdrum._internal.peering.shared_state_messages import Incident, Suspects
 from bulrushdrum._internal.routing.crash_quarantine import CrashQuarantine
 
 # An entry that has not answered a query within this time may be partitioned. It is
--- a/src/bulrushdrum/_internal/routing/membership.py
+++ b/src/bulrushdrum/_internal/routing/membership.py
@@ -16,7 +16,8 @@
 from bulrushdrum._internal.peering.errors import ConnectionLost, PeeringError
 from bulrushdrum._internal.peering.handshake import PeeringKeys
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import Beat, Describe, EntryMember
+from bulrushdrum._internal.peering.process_messages import Beat, Describe
+from bulrushdrum._internal.peering.shared_state_messages import EntryMember
 from bulrushdrum._internal.platform.errors import PlatformError
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.upstreams import LayerRange, UpstreamState
--- a/src/bulrushdrum/_internal/routing/model_runner.py
+++ b/src/bulrushdrum/_internal/routing/model_runner.py
@@ -14,17 +14,17 @@
 
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.errors import ConnectionLost
-from bulrushdrum._internal.peering.messages import (
+from bulrushdrum._internal.peering.request_messages import (
     AttemptFailed,
     ChainStage,
     Close,
-    Incident,
     Open,
     Opened,
     Step,
     Token,
     Tokens,
 )
+from bulrushdrum._internal.peering.shared_state_messages import Incident
 from bulrushdrum._internal.routing.chains import ChainPlanner, ChainRequest
 from bulrushdrum._internal.routing.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.routing.errors import (
--- a/src/bulrushdrum/_internal/routing/pending_calls.py
+++ b/src/bulrushdrum/_internal/routing/pending_calls.py
@@ -9,7 +9,12 @@
 
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import Call, CallResult, Resolve, Resolved
+from bulrushdrum._internal.peering.request_messages import (
+    Call,
+    CallResult,
+    Resolve,
+    Resolved,
+)
 from bulrushdrum._internal.routing.errors import CallTimeout, NotSent
 
 
--- a/src/bulrushdrum/_internal/routing/running_requests.py
+++ b/src/bulrushdrum/_internal/routing/running_requests.py
@@ -9,7 +9,7 @@
 
 from gevent.queue import Empty, Queue
 
-from bulrushdrum._internal.peering.messages import AttemptFailed, Token
+from bulrushdrum._internal.peering.request_messages import AttemptFailed, Token
 from bulrushdrum._internal.routing.membership import Upstream
 from bulrushdrum._internal.world.contracts import Contract
 from bulrushdrum._internal.world.requests import ChatRequest
--- a/src/bulrushdrum/_internal/routing/service_calls.py
+++ b/src/bulrushdrum/_internal/routing/service_calls.py
@@ -9,7 +9,12 @@
 import secrets
 
 from bulrushdrum._internal.peering.errors import ConnectionLost
-from bulrushdrum._internal.peering.messages import Call, CallResult, Resolve, Resolved
+from bulrushdrum._internal.peering.request_messages import (
+    Call,
+    CallResult,
+    Resolve,
+    Resolved,
+)
 from bulrushdrum._internal.routing.claims import Binding, BindingProposal
 from bulrushdrum._internal.routing.errors import (
     CallTimeout,
--- a/src/bulrushdrum/_internal/sidecar/bindings.py
+++ b/src/bulrushdrum/_internal/sidecar/bindings.py
@@ -28,7 +28,7 @@
 import gevent
 from gevent.event import AsyncResult
 
-from bulrushdrum._internal.peering.messages import CallResult, Resolved
+from bulrushdrum._internal.peering.request_messages import CallResult, Resolved
 from bulrushdrum._internal.world.requests import MAX_KEY_CHARACTERS, Outcome
 
 WINDOW_SECONDS = 60.0
--- a/src/bulrushdrum/_internal/sidecar/dump.py
+++ b/src/bulrushdrum/_internal/sidecar/dump.py
@@ -5,7 +5,7 @@
 from dataclasses import fields
 
 from bulrushdrum._internal.observability.log_output import LogOutput
-from bulrushdrum._internal.peering.messages import Dump, DumpQuery
+from bulrushdrum._internal.peering.process_messages import Dump, DumpQuery
 
 
 def settings_without_secrets(settings) -> dict:
--- a/src/bulrushdrum/_internal/sidecar/heartbeats.py
+++ b/src/bulrushdrum/_internal/sidecar/heartbeats.py
@@ -19,7 +19,7 @@
 from bulrushdrum._internal.peering.connections import PeerConnection
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import Beat
+from bulrushdrum._internal.peering.process_messages import Beat
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.background_loops import spawn_loop
 from bulrushdrum._internal.sidecar.next_hops import NextHops
--- a/src/bulrushdrum/_internal/sidecar/leases.py
+++ b/src/bulrushdrum/_internal/sidecar/leases.py
@@ -16,7 +16,10 @@
 from bulrushdrum._internal.peering.connections import PeerConnection
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import OrderLease, OrderLeaseRequest
+from bulrushdrum._internal.peering.shared_state_messages import (
+    OrderLease,
+    OrderLeaseRequest,
+)
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 
 # A renewal may fail twice before the lease ends.
--- a/src/bulrushdrum/_internal/sidecar/next_hops.py
+++ b/src/bulrushdrum/_internal/sidecar/next_hops.py
@@ -14,7 +14,7 @@
 from bulrushdrum._internal.peering.connections import PeerConnection, dial
 from bulrushdrum._internal.peering.errors import PeeringError
 from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
-from bulrushdrum._internal.peering.messages import ChainStage
+from bulrushdrum._internal.peering.request_messages import ChainStage
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.errors import NextStageUnreachable
 
--- a/src/bulrushdrum/_internal/sidecar/open_validation.py
+++ b/src/bulrushdrum/_internal/sidecar/open_validation.py
@@ -1,7 +1,7 @@
 """Validates an `Open` against this sidecar's identity and loaded model."""
 
 from bulrushdrum._internal.peering.handshake import PeerIdentity
-from bulrushdrum._internal.peering.messages import Open
+from bulrushdrum._internal.peering.request_messages import Open
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.status import UpstreamStatus
 from bulrushdrum._internal.world.contracts import HIGHEST_PRIORITY
--- a/src/bulrushdrum/_internal/sidecar/orders.py
+++ b/src/bulrushdrum/_internal/sidecar/orders.py
@@ -17,7 +17,7 @@
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.peering.connections import PeerConnection
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import Desired
+from bulrushdrum._internal.peering.shared_state_messages import Desired
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.background_loops import spawn_loop
 from bulrushdrum._internal.sidecar.engine_client import EngineClient, EngineState
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -33,7 +33,7 @@
 )
 from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import Beat, CacheEvent, CacheEvents
+from bulrushdrum._internal.peering.process_messages import Beat, CacheEvent, CacheEvents
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.background_loops import spawn_loop
 from bulrushdrum._internal.sidecar.bindings import BindingTable
--- a/src/bulrushdrum/_internal/sidecar/sequences.py
+++ b/src/bulrushdrum/_internal/sidecar/sequences.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 
 from bulrushdrum._internal.peering.connections import PeerConnection
-from bulrushdrum._internal.peering.messages import Open, Step
+from bulrushdrum._internal.peering.request_messages import Open, Step
 from bulrushdrum._internal.sidecar.engine_client import LoadedModel
 
 # A sidecar of the largest deployment receives at most five opens per second, so this
--- a/src/bulrushdrum/_internal/sidecar/service_calls.py
+++ b/src/bulrushdrum/_internal/sidecar/service_calls.py
@@ -15,7 +15,7 @@
 from bulrushdrum._internal.peering.connections import PeerConnection
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import Call, CallResult, Resolve
+from bulrushdrum._internal.peering.request_messages import Call, CallResult, Resolve
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.background_loops import log_internal_error
 from bulrushdrum._internal.sidecar.bindings import BindingTable, Join, Refuse, Run
--- a/src/bulrushdrum/_internal/sidecar/service_client.py
+++ b/src/bulrushdrum/_internal/sidecar/service_client.py
@@ -14,7 +14,7 @@
 
 from bulrushdrum._internal.bounded_http import BoundedConnection
 from bulrushdrum._internal.event_stream_bodies import is_cut_event_stream
-from bulrushdrum._internal.peering.messages import Call, CallResult, Header
+from bulrushdrum._internal.peering.request_messages import Call, CallResult, Header
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.world.addresses import parse_address
 from bulrushdrum._internal.world.requests import Outcome
--- a/src/bulrushdrum/_internal/sidecar/stages.py
+++ b/src/bulrushdrum/_internal/sidecar/stages.py
@@ -15,7 +15,7 @@
 from bulrushdrum._internal.peering.connections import PeerConnection
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import (
+from bulrushdrum._internal.peering.request_messages import (
     AttemptFailed,
     CallResult,
     Close,
--- a/src/bulrushdrum/_internal/sidecar/status.py
+++ b/src/bulrushdrum/_internal/sidecar/status.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from bulrushdrum._internal.peering.messages import Describe
+from bulrushdrum._internal.peering.process_messages import Describe
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.engine_client import EngineState
 from bulrushdrum._internal.world.upstreams import UpstreamState
--- a/src/bulrushdrum/_internal/sidecar/step_loop.py
+++ b/src/bulrushdrum/_internal/sidecar/step_loop.py
@@ -13,7 +13,7 @@
 from gevent.event import Event
 
 from bulrushdrum._internal.limits.fair_queue import FairQueue
-from bulrushdrum._internal.peering.messages import Step
+from bulrushdrum._internal.peering.request_messages import Step
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.background_loops import (
     log_internal_error,
--- a/tests/integration/test_sidecar_processes.py
+++ b/tests/integration/test_sidecar_processes.py
@@ -18,7 +18,8 @@
 from bench.processes import PortPool, wait_for
 from bench.standins.model_digest import expected_answer
 
-from bulrushdrum._internal.peering.messages import Desired, Header, Resolve, Step
+from bulrushdrum._internal.peering.request_messages import Header, Resolve, Step
+from bulrushdrum._internal.peering.shared_state_messages import Desired
 from bulrushdrum._internal.sidecar.process import DRAIN_NOTICE_SECONDS
 
 LAYERS = 6
--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -37,7 +37,7 @@
 from bulrushdrum._internal.peering import messages
 from bulrushdrum._internal.peering.codec import decode, encode
 from bulrushdrum._internal.peering.handshake import PeeringKeys
-from bulrushdrum._internal.peering.messages import ConfigEntry
+from bulrushdrum._internal.peering.shared_state_messages import ConfigEntry
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import (
--- a/tests/regressions/test_frames_in_greenlets.py
+++ b/tests/regressions/test_frames_in_greenlets.py
@@ -11,7 +11,8 @@
 import gevent
 from bulrushdrum._internal.peering.errors import FrameError
 from bulrushdrum._internal.peering.codec import encode
-from bulrushdrum._internal.peering.messages import (RecordsAck, Step)
+from bulrushdrum._internal.peering.request_messages import Step
+from bulrushdrum._internal.peering.shared_state_messages import RecordsAck
 
 refused = 0
 
@@ -37,7 +38,7 @@
 import gevent
 from gevent.event import Event
 from bulrushdrum._internal.peering.codec import decode, encode
-from bulrushdrum._internal.peering.messages import Call, CallResult, Step, Steps
+from bulrushdrum._internal.peering.request_messages import Call, CallResult, Step, Steps
 
 growing = (b"x" * 8 + b"y" * 6 + bytes(2)) * 100
 bodies = [growing, b"x" * 100_000, b"x" * 7_000_000]
@@ -70,7 +71,7 @@
 from bulrushdrum._internal.peering.connections import PeerServer
 from bulrushdrum._internal.peering.handshake import PeerIdentity, PeeringKeys
 from bulrushdrum._internal.peering.codec import encode
-from bulrushdrum._internal.peering.messages import (Hello)
+from bulrushdrum._internal.peering.process_messages import Hello
 
 with socket.socket() as reserved:
     reserved.bind(("127.0.0.1", 0))
--- a/tests/unit/stage_fakes.py
+++ b/tests/unit/stage_fakes.py
@@ -7,7 +7,7 @@
 
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.handshake import PeerIdentity
-from bulrushdrum._internal.peering.messages import ChainStage, Open, Step, Steps
+from bulrushdrum._internal.peering.request_messages import ChainStage, Open, Step, Steps
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
 from bulrushdrum._internal.sidecar.bindings import BindingTable
 from bulrushdrum._internal.sidecar.engine_client import EngineState
--- a/tests/unit/test_at_most_once_executor.py
+++ b/tests/unit/test_at_most_once_executor.py
@@ -9,7 +9,7 @@
 from tests.unit.memory_table import MemoryTable
 
 from bulrushdrum._internal.peering.errors import ConnectionLost
-from bulrushdrum._internal.peering.messages import CallResult
+from bulrushdrum._internal.peering.request_messages import CallResult
 from bulrushdrum._internal.routing import claims
 from bulrushdrum._internal.routing.at_most_once import AtMostOnceExecutor
 from bulrushdrum._internal.routing.claim_rows import Binding, BindingProposal
--- a/tests/unit/test_bindings.py
+++ b/tests/unit/test_bindings.py
@@ -3,7 +3,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from bulrushdrum._internal.peering.messages import CallResult
+from bulrushdrum._internal.peering.request_messages import CallResult
 from bulrushdrum._internal.sidecar.bindings import (
     RETAINED_WINDOWS,
     WINDOW_SECONDS,
--- a/tests/unit/test_bounded_calls.py
+++ b/tests/unit/test_bounded_calls.py
@@ -13,7 +13,7 @@
 from tests.unit.stage_fakes import make_settings
 
 from bulrushdrum._internal.operator.router_role import run_router_role
-from bulrushdrum._internal.peering.messages import Call
+from bulrushdrum._internal.peering.request_messages import Call
 from bulrushdrum._internal.platform.engine_calls import EngineCalls, OrderOutcome
 from bulrushdrum._internal.platform.errors import (
     StoreUnavailable,
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -5,7 +5,7 @@
 from tests.unit.memory_table import MemoryTable
 
 from bulrushdrum._internal.peering.handshake import PeeringKeys
-from bulrushdrum._internal.peering.messages import CallResult, Header
+from bulrushdrum._internal.peering.request_messages import CallResult, Header
 from bulrushdrum._internal.routing.claim_expiry import (
     EPOCH_SECONDS,
     RETENTION_EPOCHS,
--- a/tests/unit/test_configuration_replica.py
+++ b/tests/unit/test_configuration_replica.py
@@ -10,7 +10,10 @@
 from bulrushdrum._internal.configuration.log import load_store, log_key, read_head
 from bulrushdrum._internal.configuration.replica import ConfigurationReplica
 from bulrushdrum._internal.configuration.store import ConfigStore
-from bulrushdrum._internal.peering.messages import ConfigEntries, ConfigEntry
+from bulrushdrum._internal.peering.shared_state_messages import (
+    ConfigEntries,
+    ConfigEntry,
+)
 from bulrushdrum._internal.platform.table import Write
 from bulrushdrum._internal.world.contracts import hash_api_key
 
--- a/tests/unit/test_cut_responses.py
+++ b/tests/unit/test_cut_responses.py
@@ -6,7 +6,7 @@
 from bench.standins.path_server import RESET, PathServer
 from tests.unit.stage_fakes import make_settings
 
-from bulrushdrum._internal.peering.messages import Call
+from bulrushdrum._internal.peering.request_messages import Call
 from bulrushdrum._internal.platform.engine_calls import EngineCalls, OrderOutcome
 from bulrushdrum._internal.platform.errors import StoreUnavailable, WriteOutcomeUnknown
 from bulrushdrum._internal.platform.service import PlatformService
--- a/tests/unit/test_incident_exchange.py
+++ b/tests/unit/test_incident_exchange.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from bulrushdrum._internal.peering.messages import Incident, Suspects
+from bulrushdrum._internal.peering.shared_state_messages import Incident, Suspects
 from bulrushdrum._internal.routing.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.routing.incident_exchange import IncidentExchange
 
--- a/tests/unit/test_merging.py
+++ b/tests/unit/test_merging.py
@@ -4,7 +4,13 @@
 from hypothesis import strategies as st
 
 from bulrushdrum._internal.peering.connections import MAX_MERGED_BYTES, merge_queued
-from bulrushdrum._internal.peering.messages import Close, Step, Steps, Token, Tokens
+from bulrushdrum._internal.peering.request_messages import (
+    Close,
+    Step,
+    Steps,
+    Token,
+    Tokens,
+)
 
 LARGE_ACTIVATION = bytes(MAX_MERGED_BYTES // 3)
 queued_messages = st.one_of(
--- a/tests/unit/test_messages.py
+++ b/tests/unit/test_messages.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from bulrushdrum._internal.peering import codec
-from bulrushdrum._internal.peering import messages as wire
 from bulrushdrum._internal.peering.errors import FrameError
+from bulrushdrum._internal.peering.shared_state_messages import RecordsAck
 
 MESSAGE_TYPES = sorted(
     codec._UNION_NAMES, key=lambda message_type: message_type.__name__
@@ -36,4 +36,4 @@
 
 def test_value_out_of_range_raises_frame_error():
     with pytest.raises(FrameError, match="RecordsAck"):
-        codec.encode(wire.RecordsAck(batch=-1))
+        codec.encode(RecordsAck(batch=-1))
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -14,7 +14,7 @@
 )
 
 from bulrushdrum._internal.observability.events import Event
-from bulrushdrum._internal.peering.messages import (
+from bulrushdrum._internal.peering.shared_state_messages import (
     Desired,
     OrderLease,
     OrderLeaseRequest,
--- a/tests/unit/test_pending_calls.py
+++ b/tests/unit/test_pending_calls.py
@@ -6,7 +6,7 @@
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.handshake import PeerIdentity
 from bulrushdrum._internal.peering.hub import PeerHub
-from bulrushdrum._internal.peering.messages import Call, CallResult
+from bulrushdrum._internal.peering.request_messages import Call, CallResult
 from bulrushdrum._internal.routing.errors import CallTimeout, NotSent
 from bulrushdrum._internal.routing.pending_calls import PendingCalls
 
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -11,7 +11,7 @@
 from bulrushdrum._internal.limits.ownership import EntrySetVersion, Ownership
 from bulrushdrum._internal.limits.permits import Permits
 from bulrushdrum._internal.limits.settings import LimitSettings
-from bulrushdrum._internal.peering.messages import EntryMember
+from bulrushdrum._internal.peering.shared_state_messages import EntryMember
 from bulrushdrum._internal.platform.table import Row
 
 SETTINGS = LimitSettings(borrow_timeout=0.2, borrow_pause=0.005, loan_check_age=0.0)
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -6,7 +6,8 @@
 import pytest
 from expression import Result
 
-from bulrushdrum._internal.peering.messages import Beat, Describe, Incident
+from bulrushdrum._internal.peering.process_messages import Beat, Describe
+from bulrushdrum._internal.peering.shared_state_messages import Incident
 from bulrushdrum._internal.routing.chains import POLICIES, ChainPlanner, ChainRequest
 from bulrushdrum._internal.routing.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.routing.membership import Upstream
--- a/tests/unit/test_service_client.py
+++ b/tests/unit/test_service_client.py
@@ -6,7 +6,7 @@
 from gevent.server import StreamServer
 from tests.unit.stage_fakes import make_settings
 
-from bulrushdrum._internal.peering.messages import Call, Header
+from bulrushdrum._internal.peering.request_messages import Call, Header
 from bulrushdrum._internal.sidecar.service_client import ServiceClient
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n"
--- a/tests/unit/test_stages.py
+++ b/tests/unit/test_stages.py
@@ -7,7 +7,12 @@
 from hypothesis import strategies as st
 from tests.unit.stage_fakes import ENGINE_STATE, LAST_STAGE, StageUnderTest
 
-from bulrushdrum._internal.peering.messages import AttemptFailed, Close, Step, Token
+from bulrushdrum._internal.peering.request_messages import (
+    AttemptFailed,
+    Close,
+    Step,
+    Token,
+)
 from bulrushdrum._internal.sidecar.errors import (
     EngineLost,
     EngineRefused,
