Share the result of a failed search for memory among waiting requests

While memory is short, each request that ends wakes all that wait, and each of them searches a path.

Change: a request does not search if a smaller or equal one has found too little memory within the last 10 ms and this router has released nothing since. Memory only shrinks between releases, so that the search would fail as well; a property test compares both.

The test of the number of searches failed before (100 searches for 100 waiting requests).

--- a/src/bulrushdrum/_internal/pipelines/memory_reservations.py
+++ b/src/bulrushdrum/_internal/pipelines/memory_reservations.py
@@ -48,6 +48,12 @@
         self._own: dict[str, EngineUsage] = {}
         self._peers: dict[str, dict[str, EngineUsage]] = {}
         self._total: dict[str, EngineUsage] = {}
+        self._release_count = 0
+
+    @property
+    def release_count(self) -> int:
+        """How many reservations this router has released."""
+        return self._release_count
 
     def reserve(self, hops: tuple[Hop, ...], tokens: float) -> Reservation:
         self._adjust(hops, tokens, 1)
@@ -55,6 +61,7 @@
 
     def release(self, reservation: Reservation):
         self._adjust(reservation.hops, -reservation.tokens, -1)
+        self._release_count += 1
 
     def _adjust(self, hops, tokens, count):
         for index, hop in enumerate(hops):
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -20,6 +20,7 @@
 )
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import Hop, MemoryReservations
+from bulrushdrum._internal.pipelines.memory_shortages import MemoryShortages
 from bulrushdrum._internal.pipelines.path_policies import (
     LeastTime,
     PathPolicy,
@@ -122,6 +123,7 @@
         self._random = random.Random(seed)
         self._clock = clock
         self._link_budgets: dict[tuple[str, str], _LinkBudget] = {}
+        self._shortages = MemoryShortages(reservations, clock)
 
     def set_slowdown(self, upstream_id: str, slowdown: float):
         """Set how many times slower an upstream runs than is typical of its kind."""
@@ -145,6 +147,8 @@
         Raises `NoPath` if some layers are not available, `InsufficientMemory`, or
         `LimitsReached`.
         """
+        if self._shortages.is_known(service, demand.tokens):
+            raise _insufficient_memory(service, demand)
         reached: list[PoolUpstream] = []
         while True:
             reached_ids = {upstream.id for upstream in reached}
@@ -154,6 +158,8 @@
                 )
             except PipelineError as error:
                 if not reached:
+                    if isinstance(error, InsufficientMemory) and not excluded:
+                        self._shortages.record(service, demand.tokens)
                     raise
                 raise LimitsReached(
                     self._limits.summarize(reached),
@@ -193,9 +199,7 @@
         path = self._cheapest_path(model, costs)
         if path is not None and self._has_link_time(model, path, demand):
             return path
-        raise InsufficientMemory(
-            f"no path of {service!r} has free memory for {demand.tokens:.0f} tokens"
-        )
+        raise _insufficient_memory(service, demand)
 
     def describe_memory(self, service: str, model: EngineModel) -> dict:
         """Return the state of each data centre that explains a lack of memory.
@@ -325,6 +329,12 @@
         return _reconstruct_path(best.get(model.layers))
 
 
+def _insufficient_memory(service, demand):
+    return InsufficientMemory(
+        f"no path of {service!r} has free memory for {demand.tokens:.0f} tokens"
+    )
+
+
 def _missing_layers(model, engines):
     """Return the layers that none of `engines` holds."""
     missing, layer = [], 0
