Find the place of a waiting request without a count of the whole queue

Change: the queue keeps the tickets that wait in order and looks a place up by bisection.

The test of the queue's order uses set_waiting in place of the attribute; its checks are the same. The test of the number of comparisons could not run before, because the interface is new.

--- a/src/bulrushdrum/_internal/gateway/turns.py
+++ b/src/bulrushdrum/_internal/gateway/turns.py
@@ -60,8 +60,8 @@
         try:
             return self._wait(turn, ticket, find)
         finally:
-            self._queue.leave(turn.service, ticket)
             if ticket.is_waiting:
+                self._queue.set_waiting(ticket, False)
                 self.notify()
 
     def log_limits_reached(self, request_id: bytes, service: str, error: LimitsReached):
@@ -78,7 +78,7 @@
 
     def _wait(self, turn, ticket, find):
         while True:
-            ahead = self._queue.waiting_ahead(turn.service, ticket)
+            ahead = self._queue.waiting_ahead(ticket)
             if ahead:
                 error = self._limits_reached[turn.service]
                 self._limits.record_demand(error.reached.limits, turn.requester)
@@ -87,7 +87,7 @@
                     return find()
                 except turn.waits_for as problem:
                     error = problem
-                ticket.is_waiting = isinstance(error, LimitsReached)
+                self._queue.set_waiting(ticket, isinstance(error, LimitsReached))
                 if ticket.is_waiting:
                     self._limits_reached[turn.service] = error
             remaining = turn.until - time.monotonic()
--- a/tests/unit/test_cost_of_waiting.py
+++ b/tests/unit/test_cost_of_waiting.py
@@ -9,6 +9,7 @@
 from tests.unit.pool_fakes import make_engine, make_limits, make_model
 
 from bulrushdrum._internal.gateway.turns import Turn, TurnWaiter
+from bulrushdrum._internal.limits.wait_queue import Ticket, WaitQueue
 from bulrushdrum._internal.pipelines.errors import InsufficientMemory, PipelineError
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import MemoryReservations
@@ -131,3 +132,38 @@
                 make_chooser().choose("llm", MODEL, demand)
         else:
             made.append(reservations.reserve(path, demand.tokens))
+
+
+class CountingRank(float):
+    """A rank that counts how often it is compared."""
+
+    comparisons = 0
+
+    def __lt__(self, other):
+        CountingRank.comparisons += 1
+        return float.__lt__(self, other)
+
+
+@pytest.mark.parametrize("length", [100, 1600])
+def test_the_place_in_the_queue_is_found_without_a_look_at_each_request(length):
+    # Guards against an event loop that is late because each of many waiting requests
+    # counts the whole queue.
+    queue = WaitQueue()
+    tickets = [Ticket("s", CountingRank(rank)) for rank in range(length)]
+    for ticket in tickets:
+        queue.set_waiting(ticket, True)
+    CountingRank.comparisons = 0
+    assert [queue.waiting_ahead(ticket) for ticket in tickets] == list(range(length))
+    assert CountingRank.comparisons <= length * 12
+
+
+def test_a_request_that_has_stopped_waiting_is_not_counted():
+    # Guards against requests that wait behind one that has left.
+    queue = WaitQueue()
+    first, second = (queue.join("s", at, None) for at in (1.0, 2.0))
+    assert queue.waiting_ahead(second) == 0
+    queue.set_waiting(first, True)
+    queue.set_waiting(first, True)
+    assert (queue.waiting_ahead(second), len(queue)) == (1, 1)
+    queue.set_waiting(first, False)
+    assert (queue.waiting_ahead(second), len(queue)) == (0, 0)
--- a/tests/unit/test_limit_shares.py
+++ b/tests/unit/test_limit_shares.py
@@ -274,7 +274,7 @@
     urgent = queue.join("s", arrived_at=0.2, priority=0)
     late_urgent = queue.join("s", arrived_at=1.0, priority=0)
     for ticket in (old, urgent, late_urgent):
-        ticket.is_waiting = True
-    assert queue.waiting_ahead("s", urgent) == 0
-    assert queue.waiting_ahead("s", old) == 1
-    assert queue.waiting_ahead("s", late_urgent) == 2
+        queue.set_waiting(ticket, True)
+    assert queue.waiting_ahead(urgent) == 0
+    assert queue.waiting_ahead(old) == 1
+    assert queue.waiting_ahead(late_urgent) == 2
