Let a stream without a path wait as long as its caller

Cause: the wait for another path was 0.4 of the time that callers wait for the next event, counted from the loss of the path. The layers that the departed engines held are loaded elsewhere a little later, and callers still wait then.

Change: the wait ends one goal before the caller's timeout, counted from its last event, and not before the old end. The next attempt has the goal to read the prompt again.

Both tests failed before: the stream was closed after 0.81 s.

--- a/src/bulrushdrum/_internal/gateway/generation_progress.py
+++ b/src/bulrushdrum/_internal/gateway/generation_progress.py
@@ -24,6 +24,8 @@
         # When the attempt in progress was sent, and its events with data.
         self.sent_at = 0.0
         self.attempt_events = 0
+        # When the caller received the last event; 0 before the first one.
+        self.last_event_at = 0.0
         self.has_data = False
         # Another run cannot go on after an event that has no id.
         self.can_resume = True
@@ -51,6 +53,7 @@
             if event.number != self.last_number + 1:
                 raise UpstreamFailed(f"event {event.number} is out of order", True)
         self.events += 1
+        self.last_event_at = time.monotonic()
         if event.has_data:
             self.has_data, self.has_begun_event = True, False
             self.can_resume = event.raw_id is not None
--- a/src/bulrushdrum/_internal/gateway/path_waiting.py
+++ b/src/bulrushdrum/_internal/gateway/path_waiting.py
@@ -69,7 +69,7 @@
             proxied_request.request.read_at,
             proxied_request.priority,
             min(
-                time.monotonic() + _longest_wait(route, progress),
+                _wait_until(proxied_request, route, progress),
                 proxied_request.deadline,
             ),
             progress,
@@ -131,9 +131,14 @@
         )
 
 
-def _longest_wait(route, progress):
-    if progress.attempts:
-        # A refusal would discard work that was already done, and the caller waits as
-        # long for the next event as for any other.
-        return caller_timeout(route) * _RETRY_WAIT_FRACTION
-    return route.goal * _WAIT_FRACTION
+def _wait_until(proxied_request, route, progress):
+    now = time.monotonic()
+    if not progress.attempts:
+        return now + route.goal * _WAIT_FRACTION
+    # A refusal would discard work that was already done, and the caller waits as long
+    # for the next event as for any other. The next attempt reads the prompt again.
+    last_event_at = progress.last_event_at or proxied_request.request.read_at
+    return max(
+        last_event_at + caller_timeout(route) - route.goal,
+        now + caller_timeout(route) * _RETRY_WAIT_FRACTION,
+    )
--- a/tests/unit/test_generations.py
+++ b/tests/unit/test_generations.py
@@ -77,6 +77,35 @@
     assert generation_requests(two)[0]["headers"]["last-event-id"] == "2"
 
 
+def test_a_stream_without_a_path_waits_as_long_as_its_caller(gateway):
+    # Guards against streams that are closed while their callers still wait, shortly
+    # before the layers that a departed upstream held are loaded elsewhere.
+    def depart(request):
+        yield head(request)
+        yield event(1)
+        gateway.fleet.remove("one")
+        gevent.spawn_later(1.2, gateway.add_server, "two", resumed, (0, 40))
+        yield None
+
+    gateway.add_server("one", with_reports(depart), (0, 40))
+    response = gateway.call()
+    assert (response.body, response.is_complete) == (EVENTS, True)
+
+
+def test_a_stream_without_a_path_ends_before_its_caller_leaves(gateway):
+    # Guards against streams that wait for a path when no event can arrive in time.
+    def depart(request):
+        yield head(request)
+        yield event(1)
+        gateway.fleet.remove("one")
+        yield None
+
+    gateway.route = gateway.route._replace(goal=0.5)
+    gateway.add_server("one", with_reports(depart), (0, 40))
+    assert not gateway.call().is_complete
+    assert 1.2 < gateway.seconds < 2.0
+
+
 def test_duplicate_events_of_a_resumed_stream_are_dropped(gateway):
     def repeats_an_event(request):
         return stream(request, first=2)
