Prepare the entries in the scenario of a limit beside a paused entry

The check of the limit itself did not fail.

Causes, each in the preparation of the scenario and none in the product: 1. Cluster.start and Cluster.repair waited for upstreams, not for the other entries. The owners of the 8 permits depend on the drawn incarnations. New: no acknowledgement. If entry1 and entry2 have never been connected since the start (entry1 dials again after up to 5 s), entry2 may not use its own permits yet, by design, and entry0's are all there are while entry1 is paused.

Change: start and repair wait, for 30 s at most, until each entry reports that it is connected to all others, is a member of the entry set and lacks no acknowledgement. The scenario pauses an entry that owns at most half of the permits: entry1, or entry0 if entry1 owns more. It prints the owners. All checks and bounds are as before.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -132,6 +132,7 @@
         for name in self.entries:
             self.wait_entry(name)
         self.wait_connected()
+        self.wait_peers()
 
     def kill_all(self):
         """Kill every process at once, for systems whose shutdown is not tested."""
@@ -319,6 +320,7 @@
         for name in self.entries:
             self.wait_entry(name)
         self.wait_connected()
+        self.wait_peers()
 
     def kill_vm(self, name: str):
         """Kill all processes of a VM; the VM list still contains it."""
@@ -383,6 +385,31 @@
                 READY_TIMEOUT_SECONDS,
             )
 
+    def wait_peers(self):
+        """Wait until the entries are connected and agree on the entry set.
+
+        Before that, an entry cannot borrow permits, and cannot use all that it owns.
+        """
+        for entry in self.entries:
+            wait_for(
+                lambda entry=entry: self._has_peers(entry),
+                f"{entry} to be connected to the other entries and in the entry set",
+                READY_TIMEOUT_SECONDS,
+            )
+
+    def _has_peers(self, entry):
+        try:
+            dump = self.dump(entry)
+        except (urllib3.exceptions.HTTPError, OSError, ClusterError):
+            return False
+        connected = {peer["node"] for peer in dump["membership"]["entries"]}
+        permits = dump["permits"]
+        return (
+            set(self.entries) <= connected | {entry}
+            and permits["entry_set"]["member"]
+            and not permits["missing_acknowledgements"]
+        )
+
     def serving_at(self, entry: str) -> set[str]:
         """Return the ids of the upstreams that an entry assigns work to."""
         return {
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -18,7 +18,7 @@
     And the customer limited has a concurrency limit of 8
     And the customer limited has been served at every entry
     And each engine step takes 5 ms
-    When entry1 is paused for 4 seconds
+    When an entry that owns at most half of the permits of limited is paused for 4 s
     And 60 requests of limited for 12 tokens arrive at all entries within a second
     Then at most 8 requests of limited ran concurrently
     And at least 2 requests of limited ran concurrently
--- a/tests/features/test_limits.py
+++ b/tests/features/test_limits.py
@@ -9,6 +9,9 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 from running_system import peak_concurrency, standard_system
 
+from bulrushdrum._internal.limits.ownership import EntrySetVersion, Ownership
+from bulrushdrum._internal.peering.messages import EntryMember
+
 pytestmark = pytest.mark.slow
 scenarios("limits.feature")
 
@@ -21,9 +24,32 @@
     gevent.sleep(2)  # lets the other entries detect the partition
 
 
-@when("entry1 is paused for 4 seconds")
+def owned_permits(context):
+    """Return how many permits of the customer limited each entry owns."""
+    node_by_incarnation = {
+        context.cluster.dump(name)["incarnation"]: name
+        for name in context.cluster.entries
+    }
+    members = [
+        EntryMember(node, incarnation)
+        for incarnation, node in node_by_incarnation.items()
+    ]
+    limit = context.cluster.ensure_customer(context.limited)["concurrency"]
+    incarnations, owners = Ownership(EntrySetVersion(1, tuple(members))).owners(
+        context.limited, limit, ""
+    )
+    return Counter(node_by_incarnation[incarnations[index]] for index in owners)
+
+
+@when("an entry that owns at most half of the permits of limited is paused for 4 s")
 def pause(context):
-    process = context.cluster.process("entry1")
+    # The owners depend on the drawn incarnations of the entries. While the entry is
+    # paused, only the permits of the others can be used: if it owned nearly all of
+    # them, the load would not approach the limit.
+    owned = owned_permits(context)
+    name = "entry1" if 2 * owned["entry1"] <= owned.total() else "entry0"
+    print(f"{name} is paused, permits owned: {dict(owned)}")
+    process = context.cluster.process(name)
     process.pause()
     context.tasks.append(gevent.spawn_later(4, process.resume))
 
