Let other tasks run between the answers that a sidecar reads

Callers saw 502 upstream_failed with ran "unknown" for calls to a service whose sidecar stopped with 0.12 of a core, beside other load.

Cause: the answers of many calls arrive while the sidecar has no processor. The event loop then runs all tasks whose sockets are ready before it looks at its timers, and the results that are queued wait for that as well.

Evidence: a traced run of -k 400-20000 at load 33 had one iteration of the loop with 179 turns of service calls, 0.0504 s of processor time, 1.847 s of wall time and no turn of the connection's writer, with 49 results queued. The entry, on time to 10 ms, closed the connection after 1.574 s of silence; 33 of 400 calls were answered 502.

Change: after each read of an answer the call waits for a later iteration if this one has taken 5 ms.

--- a/src/bulrushdrum/_internal/sidecar/service_client.py
+++ b/src/bulrushdrum/_internal/sidecar/service_client.py
@@ -7,12 +7,14 @@
 """
 
 import http.client
+import io
 import re
 
 import gevent
 from urllib3.exceptions import HTTPError
 
-from bulrushdrum._internal.bounded_http import BoundedConnection
+from bulrushdrum._internal.bounded_http import BoundedConnection, BoundedResponse
+from bulrushdrum._internal.event_loop import run_other_tasks_if_due
 from bulrushdrum._internal.event_stream_bodies import is_cut_event_stream
 from bulrushdrum._internal.peering.messages import Call, CallResult, Header
 from bulrushdrum._internal.settings.sidecar import SidecarSettings
@@ -41,6 +43,39 @@
     return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
+class _SharingReader(io.RawIOBase):
+    """Reads an answer of a service, and lets other tasks run after each read.
+
+    All calls whose answers arrive at once would be read in one iteration of the event
+    loop otherwise, and the heartbeats of this process would wait for that.
+    """
+
+    def __init__(self, raw):
+        self._raw = raw
+
+    def readable(self):
+        return True
+
+    def readinto(self, buffer):
+        size = self._raw.readinto(buffer)
+        run_other_tasks_if_due()
+        return size
+
+    def close(self):
+        self._raw.close()
+        super().close()
+
+
+class _ServiceResponse(BoundedResponse):
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.fp = type(self.fp)(_SharingReader(self.fp.detach()))
+
+
+class _ServiceConnection(BoundedConnection):
+    response_class = _ServiceResponse
+
+
 class ServiceClient:
     """Calls the plain service at `settings.upstream_url`."""
 
@@ -53,7 +88,7 @@
         """Make one call; `timeout` covers sending and receiving, in seconds."""
         if not _TARGET_RE.fullmatch(call.path) or not _METHOD_RE.fullmatch(call.method):
             return _failed(Outcome.NOT_RUN, "malformed method or path")
-        connection = BoundedConnection(
+        connection = _ServiceConnection(
             self._host, self._port, timeout=CONNECT_TIMEOUT_SECONDS
         )
         try:
