Let other tasks run between the requests that an entry reads

Callers saw 503 upstream_unavailable for 301 of 400 calls that they sent at once to an entry beside other load, before any process was stopped.

Cause: the event loop runs all tasks whose sockets are ready before it looks at its timers, so the entry handled the requests of all callers before it sent the next heartbeat.

The entry, which was not throttled, lost all seven sidecars within 0.1 s, and six of them again 2.7 s later; ledger-0 logged 2004 with 1.671 s of silence. In a traced run at load 33 the entry took 0.221 s of processor time and 0.926 s of wall time for the 400 requests, in 4 iterations of the loop.

Change: after the head of a request has arrived, it waits for a later iteration if this one has taken 5 ms.

--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -18,6 +18,7 @@
 )
 from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
 from bulrushdrum._internal.decoding import DECODING_ERRORS
+from bulrushdrum._internal.event_loop import run_other_tasks_if_due
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.addresses import parse_address
@@ -97,6 +98,9 @@
 
     def get_environ(self):
         self.is_idle = False
+        # Many callers whose requests arrive at once would delay the heartbeats of this
+        # process as one long task does.
+        run_other_tasks_if_due()
         environ = super().get_environ()
         environ[IS_CALLER_CONNECTED] = lambda: is_connected(self.socket)
         return environ
