--- a/src/bulrushdrum/_internal/peering/connections.py
+++ b/src/bulrushdrum/_internal/peering/connections.py
@@ -41,7 +41,7 @@
 MAX_QUEUED_MESSAGES = 20_000
 HANDSHAKE_TIMEOUT_SECONDS = 3.0
 WRITE_TIMEOUT_SECONDS = 10.0
-# Other tasks may run after each part of a frame. Copying one took 0.1 ms.
+# Other tasks may run after each part of a frame.
 _PART_BYTES = 256 * 1024
 _LENGTH_PREFIX = struct.Struct("!I")
 
--- a/tests/features/test_limits.py
+++ b/tests/features/test_limits.py
@@ -10,7 +10,7 @@
 from running_system import peak_concurrency, standard_system
 
 from bulrushdrum._internal.limits.ownership import EntrySetVersion, Ownership
-from bulrushdrum._internal.peering.messages import EntryMember
+from bulrushdrum._internal.peering.shared_state_messages import EntryMember
 
 pytestmark = pytest.mark.slow
 scenarios("limits.feature")
--- a/tests/unit/test_peer_connections.py
+++ b/tests/unit/test_peer_connections.py
@@ -12,7 +12,7 @@
 from bulrushdrum._internal.peering.connections import FrameStream, PeerConnection
 from bulrushdrum._internal.peering.errors import ConnectionLost
 from bulrushdrum._internal.peering.handshake import PeerIdentity
-from bulrushdrum._internal.peering.messages import CallResult
+from bulrushdrum._internal.peering.request_messages import CallResult
 
 PEER = PeerIdentity("sidecar", "ledger-0", "ledger-0.1", "dc1", "127.0.0.1:1")
 # What reading and handling one part of the input takes.
--- a/tests/unit/test_service_client_turns.py
+++ b/tests/unit/test_service_client_turns.py
@@ -5,7 +5,7 @@
 from gevent.monkey import get_original
 from gevent.server import StreamServer
 
-from bulrushdrum._internal.peering.messages import Call
+from bulrushdrum._internal.peering.request_messages import Call
 from bulrushdrum._internal.sidecar import service_client
 from bulrushdrum._internal.sidecar.service_client import ServiceClient
 
