Count tasks that wait to be started in the latency of the event loop

Cause: gevent looks at its timers between batches of the tasks that wait to be started or resumed. The timer that measures the latency overtakes them, and new connections are such tasks.

Change: a measurement ends only when the tasks that waited before it have had their turn.

--- a/src/bulrushdrum/_internal/observability/loop_latency.py
+++ b/src/bulrushdrum/_internal/observability/loop_latency.py
@@ -26,6 +26,8 @@
         while True:
             self._due_at = self._clock() + _INTERVAL_SECONDS
             gevent.sleep(_INTERVAL_SECONDS)
+            # Timers overtake the tasks that wait to be started or resumed.
+            gevent.sleep(0)
             self._record(self.current())
 
     def current(self) -> float:
--- a/tests/unit/test_termination.py
+++ b/tests/unit/test_termination.py
@@ -6,12 +6,18 @@
 import sys
 import time
 
+import gevent
 import pytest
+from gevent.event import Event
 
 from bulrushdrum._internal.observability.loop_latency import LoopLatency
 
 # A process whose event loop is busy for BUSY_SECONDS when the signal arrives.
 BUSY_SECONDS = 1.0
+# Tasks that take TASK_SECONDS each and start another one; WAITING_TASKS wait at a time.
+TASK_SECONDS = 0.001
+WAITING_TASKS = 800
+TASKS = 3200
 _BUSY_PROCESS = f"""
 import time
 import gevent
@@ -90,3 +96,31 @@
     while data := os.read(process.stdout.fileno(), 65536):
         output += data
     assert output.count(b"\n") == 1500
+
+
+def test_the_latency_counts_tasks_that_wait_to_be_started():
+    # Guards against a router that accepts all requests while each new connection waits
+    # for seconds: gevent runs timers between any 50 tasks that wait to be started.
+    latency = LoopLatency()
+    measuring = gevent.spawn(latency.run)
+    gevent.sleep(0.3)
+    waits, done = [], Event()
+
+    def work(spawned_at):
+        waits.append((time.monotonic() - spawned_at, latency.sustained()))
+        end = time.monotonic() + TASK_SECONDS
+        while time.monotonic() < end:
+            pass
+        if len(waits) < TASKS:
+            gevent.spawn(work, time.monotonic())
+        else:
+            done.set()
+
+    now = time.monotonic()
+    for _ in range(WAITING_TASKS):
+        gevent.spawn(work, now)
+    done.wait()
+    measuring.kill()
+    waited, seen = waits[TASKS - 1]
+    assert waited > 0.5
+    assert seen > waited / 4.0
