Tell callers refused before a drain begins when the router is back

Between SIGTERM and the begin of the drain a busy router refuses what it cannot end in time, and asked these callers back after 1.2 s, where 2.5 s is right: they would use up their retries while it still drains.

Cause: the generations in progress were counted at the begin of the drain only.

Change: they are counted with the first request that is accepted or refused after the signal. The test failed before (1.2 s in place of 2.5 s).

--- a/src/bulrushdrum/_internal/gateway/draining.py
+++ b/src/bulrushdrum/_internal/gateway/draining.py
@@ -90,12 +90,13 @@
         self._begun_at: float | None = None
         self._idle_since: float | None = None
         self._busy_until = clock()
+        # Whether that accounts for the generations that were in progress at the signal.
+        self._counts_in_progress = False
 
     def begin(self):
         """Begin the drain, of a router that has told the load balancer."""
         self._begun_at = self._clock()
-        for size, steps_per_event in self._generations.in_progress():
-            self._extend_busy_time(size, steps_per_event)
+        self._count_in_progress()
 
     @property
     def is_draining(self) -> bool:
@@ -129,6 +130,7 @@
             self._expected_seconds(size, steps_per_event), self._generations.samples
         )
         if admission.accepted:
+            self._count_in_progress()
             self._extend_busy_time(size, steps_per_event)
         return admission
 
@@ -144,6 +146,13 @@
             probability = _IN_ROTATION_PROBABILITY
         return self._generations.seconds(size, steps_per_event, probability)
 
+    def _count_in_progress(self):
+        if self._counts_in_progress:
+            return
+        self._counts_in_progress = True
+        for size, steps_per_event in self._generations.in_progress():
+            self._extend_busy_time(size, steps_per_event)
+
     def _extend_busy_time(self, size, steps_per_event):
         # The router restarts when the last of many generations has ended, so a probable
         # duration of one would be too short: callers would come back too early.
@@ -176,6 +185,7 @@
         """Return the approximate time until this router has restarted."""
         if not self.is_draining:
             return 0.0
+        self._count_in_progress()
         return max(self._busy_until - self._clock(), 0.0) + _RESTART_SECONDS
 
     def is_complete(self, open_requests: int) -> bool:
--- a/tests/unit/test_draining.py
+++ b/tests/unit/test_draining.py
@@ -380,3 +380,15 @@
     generations._clock = lambda: next(times)
     generations.seconds(None, STEPS_PER_EVENT, 0.9)
     assert generations._statistics_expire_at <= clock.now + 31.0
+
+
+def test_callers_refused_before_the_drain_has_begun_wait_for_those_in_progress():
+    # Guards against callers that are asked back while the router still drains: between
+    # the signal and the begin of the drain it refuses, but counts no generation.
+    scenario = DrainScenario()
+    scenario.run_generations(*[(100.0, 25)] * 30)
+    scenario.generations.begin(RequestTrace(scenario.clock), make_size(600.0), 4)
+    scenario.signalled_at = scenario.clock.now
+    before = scenario.controller.ready_in()
+    scenario.controller.begin()
+    assert before == scenario.controller.ready_in()
