Serve connections that a stopping router has accepted but not begun to read

A connection whose task still waits for its turn in a late event loop does not count as open, so that a router that stops took itself for idle, exited, and its caller's connection was reset.

Change: the end of a server waits until those tasks have started.

--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -259,6 +259,8 @@
         while self._accept_pending() and time.monotonic() < deadline:
             gevent.sleep(_FINISH_POLL_SECONDS)
         self.stop_accepting()
+        # The tasks of the last connections may not have started, which adds them.
+        gevent.sleep(0)
         while self._open and time.monotonic() < deadline:
             for connection in list(self._open):
                 connection.close_if_idle()
--- a/tests/unit/test_caller_connections.py
+++ b/tests/unit/test_caller_connections.py
@@ -1,6 +1,7 @@
 """Connections of callers: whether they are open, and how they are closed."""
 
 import os
+import time
 
 import gevent
 from gevent import socket
@@ -106,3 +107,31 @@
         assert send(first, b"abcd") == 413
         assert send(second, b"abc", b"X: " + b"x" * 300) == 431
     server.stop_accepting()
+
+
+def test_a_connection_that_waits_to_be_served_is_answered_before_the_server_ends():
+    # Guards against a router that exits while the task of a connection that it has
+    # accepted still waits for its turn in a late event loop.
+    answered = []
+
+    def answer(connection, request):
+        answered.append(request.body)
+        connection.send(Response(200, [], b""))
+
+    def compute(rounds):
+        end = time.monotonic() + 0.001
+        while time.monotonic() < end:
+            pass
+        if rounds:
+            gevent.spawn(compute, rounds - 1)
+
+    server = CallerServer("127.0.0.1:0", answer)
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    with socket.create_connection(address, timeout=2.0) as sock:
+        sock.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+        for _ in range(200):
+            gevent.spawn(compute, 3)
+        server.finish(3.0)
+        assert answered == [b""]
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
