Keep serving when a part of the drain raises an error

Change: each part of the drain that computes or logs is run on its own, and an exception is logged as an internal error. What was accepted gets the rest of the grace, as the exit depends on the clock and the open requests only. The test failed before with the OverflowError that it raises.

--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -103,19 +103,16 @@
             noticed_after=round(time.monotonic() - self._termination.received_at, 3),
             loop_latency=round(components.loop_latency.pop_worst(), 3),
         )
-        components.request_handler.log_in_progress()
+        _run_once(components.request_handler.log_in_progress)
         persist_unread_lines()
-        components.drain_controller.begin()
+        _run_once(components.drain_controller.begin)
         components.caller_server.is_draining = True
         components.announcements.set_serving(False)
         gevent.spawn(components.registry.unregister)
         while not components.drain_controller.is_complete(
             components.caller_server.open_requests
         ):
-            components.announcements.set_accepts_work(
-                components.drain_controller.has_time_for_any_generation(),
-                components.drain_controller.ready_in(),
-            )
+            _run_once(self._announce_drain)
             gevent.sleep(_DRAIN_POLL_SECONDS)
         # Requests that arrive meanwhile are accepted if they can end before the exit.
         components.caller_server.finish(
@@ -123,6 +120,13 @@
         )
         components.request_handler.log_interrupted()
 
+    def _announce_drain(self):
+        components = self._components
+        components.announcements.set_accepts_work(
+            components.drain_controller.has_time_for_any_generation(),
+            components.drain_controller.ready_in(),
+        )
+
     def _log_reload(self):
         log_event(Event.SETTINGS_CHANGED, node=self._settings.node)
 
@@ -151,17 +155,23 @@
 
 def _run_with_restarts(task):
     """Run a background task, and restart it after an unexpected exception."""
-    while True:
-        try:
-            return task()
-        except Exception as error:
-            log_event(
-                Event.INTERNAL_ERROR,
-                task=task.__qualname__,
-                reason=repr(error),
-                traceback=traceback.format_exc()[-MAX_TRACEBACK_CHARACTERS:],
-            )
-            gevent.sleep(_TASK_RESTART_SECONDS)
+    while not _run_once(task):
+        gevent.sleep(_TASK_RESTART_SECONDS)
+
+
+def _run_once(task) -> bool:
+    """Run a task; return false after an unexpected exception, which is logged."""
+    try:
+        task()
+    except Exception as error:
+        log_event(
+            Event.INTERNAL_ERROR,
+            task=task.__qualname__,
+            reason=repr(error),
+            traceback=traceback.format_exc()[-MAX_TRACEBACK_CHARACTERS:],
+        )
+        return False
+    return True
 
 
 def run_router(
--- /dev/null
+++ b/tests/unit/test_router_drain.py
@@ -0,0 +1,68 @@
+"""The drain of a router whose parts fail."""
+
+import time
+from types import SimpleNamespace
+
+from bulrushdrum._internal import router_process
+from bulrushdrum._internal.router_process import RouterProcess
+
+EXIT_SECONDS = 3.0
+POLLS = 3
+
+
+def fail():
+    raise OverflowError("int too large to convert to float")
+
+
+def make_process(monkeypatch, caller_server, polls):
+    """Return a router that drains until `polls` is empty; its estimates all fail."""
+    ignore = SimpleNamespace(
+        set_serving=lambda serving: None,
+        set_accepts_work=lambda *args: None,
+        unregister=lambda: None,
+    )
+    components = SimpleNamespace(
+        caller_server=caller_server,
+        loop_latency=SimpleNamespace(pop_worst=lambda: 0.0),
+        request_handler=SimpleNamespace(
+            log_in_progress=fail, log_interrupted=lambda: None
+        ),
+        drain_controller=SimpleNamespace(
+            begin=fail,
+            has_time_for_any_generation=fail,
+            ready_in=fail,
+            is_complete=lambda open_requests: not polls or not polls.pop(),
+            seconds_until_exit=lambda: EXIT_SECONDS,
+        ),
+        announcements=ignore,
+        registry=ignore,
+    )
+    monkeypatch.setattr(
+        router_process, "RouterComponents", lambda settings, termination: components
+    )
+    settings = SimpleNamespace(
+        node="r", ip="127.0.0.1", ready_address="127.0.0.1:0", metrics_port=0
+    )
+    monkeypatch.setattr(
+        router_process,
+        "TerminationRequest",
+        lambda: SimpleNamespace(received_at=time.monotonic()),
+    )
+    return RouterProcess(settings)
+
+
+def test_an_error_in_a_drain_does_not_cut_the_requests_in_progress(monkeypatch):
+    # Guards against a router that ends with all its streams, and without a line that
+    # names them, because an estimate raises.
+    finished = []
+    caller_server = SimpleNamespace(
+        requests_in_progress=1,
+        open_requests=1,
+        is_draining=False,
+        finish=finished.append,
+    )
+    polls = [True] * POLLS
+    make_process(monkeypatch, caller_server, polls)._drain()
+    assert caller_server.is_draining
+    assert not polls
+    assert finished == [EXIT_SECONDS]
