Continue the tasks of peer connections before those of calls

Callers saw 502 upstream_failed with ran "unknown" for 396 and 344 of 400 calls of a sidecar with 0.12 of a core, since tasks wait for a later iteration of the loop in one queue.

Cause: the task that writes to a connection waited for its turn behind those of up to 400 calls, with the heartbeats that it was to write.

The sidecar's heartbeats were queued 0.02 to 0.22 s late and the loop made 7 to 12 iterations in an interval, but the writer had no turn for over 1.7 s, while the queue of the connection grew from 73 to 346 and from 32 to 154 messages. The entry closed the connection after 1.967 and 1.826 s without a byte.

Change: each iteration continues all waiting tasks of peer connections first. There are a few per peer, and each does one part of at most 256 KiB.

--- a/src/bulrushdrum/_internal/peering/connections.py
+++ b/src/bulrushdrum/_internal/peering/connections.py
@@ -101,7 +101,7 @@
             data += received
             # A connection that was closed meanwhile still returns what the kernel had
             # received.
-            if run_other_tasks_if_due() and self._closed:
+            if run_other_tasks_if_due(is_connection=True) and self._closed:
                 raise ConnectionLost("connection was closed")
         return bytes(data)
 
@@ -129,7 +129,7 @@
         try:
             for start in range(0, len(data), _PART_BYTES):
                 self._sock.sendall(data[start : start + _PART_BYTES])
-                run_other_tasks_if_due()
+                run_other_tasks_if_due(is_connection=True)
         except OSError as error:
             raise ConnectionLost(f"write failed: {error}") from error
         return len(data)
--- a/tests/unit/test_event_loop.py
+++ b/tests/unit/test_event_loop.py
@@ -87,3 +87,28 @@
     tasks[1].kill(block=False)
     gevent.joinall(tasks, timeout=5)
     assert sorted(ended) == [0, 2, 3]
+
+
+def test_connections_do_not_wait_for_the_turns_of_many_calls():
+    # Guards against heartbeats that are queued in time, and wait for the turn of the
+    # task that writes them behind those of hundreds of calls.
+    done = []
+
+    def call(number):
+        for _ in range(3):
+            compute()
+            run_other_tasks_if_due()
+            done.append(number)
+
+    def connection():
+        for _ in range(5):
+            compute()
+            run_other_tasks_if_due(is_connection=True)
+            done.append("part")
+
+    calls = [gevent.spawn(call, number) for number in range(40)]
+    gevent.joinall([*calls, gevent.spawn(connection)])
+    parts = [at for at, who in enumerate(done) if who == "part"]
+    gaps = [b - a for a, b in zip([0, *parts], parts, strict=False)]
+    assert max(gaps) <= MAX_PARTS_PER_ITERATION, gaps
+    assert sorted(who for who in done if who != "part") == sorted([*range(40)] * 3)
