Count the requests of a server only after all of a killed router are read

No fault of the product: the test counted the requests of the removed server right after SIGKILL, when a GET /report that the router had sent could still wait to be read by the stand-in. test_nothing_is_used_after_a_restart_without_the_ store counted before the kill, with the same race ("assert 3 == 2").

Change: both tests kill the router, wait for the end of the process, and then until the stand-in has accepted all connections and read them to their end, for 10 s at most (PathServer.wait_connections_end). Then they count. What the killed router had sent cannot come later, so a request that comes after the count is still one of the restarted router. All checks are as before.

--- a/bench/standins/path_server.py
+++ b/bench/standins/path_server.py
@@ -34,6 +34,7 @@
         self.requests: list[dict] = []
         self.closed_early = 0
         self._connections = itertools.count()
+        self._open_connections = 0
         self._server = StreamServer(("127.0.0.1", port), self._serve)
         self._server.start()
 
@@ -44,8 +45,24 @@
     def stop(self):
         self._server.stop(timeout=0.1)
 
+    def wait_connections_end(self, seconds: float = 10.0):
+        """Wait until all connections have ended and all that they sent has been read.
+
+        For a client that has ended: `requests` then holds all that it sent. Raises
+        `gevent.Timeout` after `seconds`.
+        """
+        with gevent.Timeout(seconds):
+            # Connections are accepted in order, so all others have been accepted when
+            # this one is.
+            with socket.create_connection(("127.0.0.1", self._server.server_port)) as s:
+                s.shutdown(socket.SHUT_WR)
+                s.recv(1)
+            while self._open_connections:
+                gevent.sleep(0.005)
+
     def _serve(self, sock, _address):
         stream, number = sock.makefile("rb"), next(self._connections)
+        self._open_connections += 1
         try:
             while (request := read_request(stream)) is not None:
                 request["connection"] = number
@@ -63,6 +80,7 @@
         except OSError:
             self.closed_early += 1
         finally:
+            self._open_connections -= 1
             stream.close()
             sock.close()
 
--- a/tests/integration/test_router_process.py
+++ b/tests/integration/test_router_process.py
@@ -174,9 +174,16 @@
         assert (response.status, response.is_complete) == (200, True)
 
 
-def restart(router):
+def kill(router, *engines):
+    """Kill the router and wait until the engines have read all that it had sent."""
     router.process.kill()
     router.process.wait(timeout=10)
+    for engine in engines:
+        engine.server.wait_connections_end()
+
+
+def restart(router):
+    kill(router)
     router.start()
     router.wait_for(lambda: router.send_request(port=router.ready_port).status)
 
@@ -186,7 +193,8 @@
     engine = serve_generations(router, store)
     other = FakeEngine("e2", store)
     router.wait_for(lambda: other.orders)
-    router.process.kill()
+    # A request that the killed router had sent may still wait to be read.
+    kill(router, engine)
     store.put("op", "config", make_configuration(version=9, key="k2"))
     store.put("servers", "e1", None)
     count = len(engine.server.requests)
@@ -203,6 +211,7 @@
     # Guards against a router that starts from a state which may have been withdrawn.
     engine = serve_generations(router, store)
     store.is_down = True
+    kill(router, engine)
     count = len(engine.server.requests)
     restart(router)
     for _ in range(5):
