Send small messages between routers beside their announcements

An announcement holds the whole state of a router and is several KB large, too much to send to 31 peers over a link of 10 Mbit/s whenever a router learns something. A message is a datagram of its own on the same socket.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -15,6 +15,7 @@
 from gevent import socket
 from gevent.event import Event as Signal
 
+from bulrushdrum._internal.coordination.peer_messages import PeerMessages
 from bulrushdrum._internal.coordination.router_registry import RouterRegistry
 from bulrushdrum._internal.coordination.store_contact import StoreContact
 from bulrushdrum._internal.decoding import DECODING_ERRORS
@@ -136,6 +137,12 @@
         self._announcement_due = Signal()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((settings.ip, settings.peer_port))
+        self.messages = PeerMessages(
+            settings.node,
+            incarnation,
+            self._send_datagram,
+            lambda: {name: peer.address for name, peer in self._live_peers().items()},
+        )
 
     @property
     def interval(self) -> float:
@@ -288,10 +295,13 @@
         for name, address in targets.items():
             if name == self._settings.node:
                 continue
-            try:
-                self._socket.sendto(message, address)
-            except OSError as error:
-                log_event(Event.PEER_UNREACHABLE, peer=name, reason=str(error))
+            self._send_datagram(name, address, message)
+
+    def _send_datagram(self, name, address, data):
+        try:
+            self._socket.sendto(data, address)
+        except OSError as error:
+            log_event(Event.PEER_UNREACHABLE, peer=name, reason=str(error))
 
     def _announced_store_contact(self):
         contact, now = self._store_contact(), time.monotonic()
@@ -302,6 +312,10 @@
             data, address = self._socket.recvfrom(_MAX_DATAGRAM_BYTES)
             try:
                 raw = json.loads(data)
+                if "kind" in raw:
+                    self.messages.receive(raw)
+                    self.messages.record_heard()
+                    continue
                 usages = {
                     str(upstream_id): EngineUsage(
                         float(usage[0]), int(usage[1]), int(usage[2])
@@ -339,6 +353,7 @@
             if known is None:
                 log_event(Event.PEER_CONNECTED, peer=name, serving=serving)
             self._registry.record_heard(name)
+            self.messages.record_heard()
             now = time.monotonic()
             self._peers[name] = _Peer(
                 address,
