Move streams off a silent path before their pause is late

Callers saw every stream over an engine that fell silent pause for 0.5 s (median): its path was checked after 1.2 gap goals at the earliest, and the report asked for then was 200 ms old. A stream now moves when it is unusually silent for itself, in time for the first event of the next attempt. Paths that still deliver show which engines may be silent.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -177,6 +177,9 @@
             peer.accepts_work for peer in live_peers.values()
         )
 
+    def has_live_peers(self) -> bool:
+        return bool(self._live_peers())
+
     def peers_ready_in(self) -> float:
         """Return the time until all live peers accept work again, as they expect."""
         ready_at = [peer.ready_at for peer in self._live_peers().values()]
--- a/src/bulrushdrum/_internal/gateway/attempt_failures.py
+++ b/src/bulrushdrum/_internal/gateway/attempt_failures.py
@@ -10,6 +10,7 @@
     ResponseTooLarge,
     UpstreamFailed,
     UpstreamRestarted,
+    UpstreamSilent,
 )
 from bulrushdrum._internal.gateway.exchange import ProxiedRequest
 from bulrushdrum._internal.gateway.generation_progress import GenerationProgress
@@ -83,7 +84,7 @@
                 self._fleet.mark_terminated(first.id, first.born)
             self._fleet.record_failure(path[0].upstream.id)
             self._pool.drop_address(path[0].address)
-        if error.unresponsive:
+        if error.unresponsive and not isinstance(error, UpstreamSilent):
             self._detect_stall(path)
         if not error.unresponsive:
             # The connection failed, or the response was invalid.
@@ -92,7 +93,9 @@
         avoided = {name for name in ids if self._fleet.is_avoided(name)}
         progress.failed_upstreams |= avoided
         is_unexplained = not avoided and not isinstance(error, UpstreamRestarted)
-        if error.unresponsive and is_unexplained:
+        if isinstance(error, UpstreamSilent):
+            progress.suspects |= error.candidates
+        elif error.unresponsive and is_unexplained:
             progress.suspects |= ids
 
     def record_refusal(
--- a/src/bulrushdrum/_internal/gateway/errors.py
+++ b/src/bulrushdrum/_internal/gateway/errors.py
@@ -45,6 +45,17 @@
     """An upstream of the path has restarted and holds no layers."""
 
 
+class UpstreamSilent(UpstreamFailed):
+    """The path of a stream has fallen silent, and the stream moves to another one.
+
+    `candidates` are the ids of the upstreams that may be silent.
+    """
+
+    def __init__(self, message: str, candidates: frozenset[str]):
+        super().__init__(message, True, True)
+        self.candidates = candidates
+
+
 class ConnectionRefused(UpstreamFailed):
     """Nothing listens at the address of the upstream, so its process has ended."""
 
--- a/src/bulrushdrum/_internal/gateway/generation_progress.py
+++ b/src/bulrushdrum/_internal/gateway/generation_progress.py
@@ -10,6 +10,7 @@
 from bulrushdrum._internal.gateway.events_stream import StreamEvent
 from bulrushdrum._internal.gateway.exchange import ProxiedRequest
 from bulrushdrum._internal.limits.retry_window import RetryCosts
+from bulrushdrum._internal.pipelines.memory_reservations import Hop
 from bulrushdrum._internal.pipelines.paths import Demand
 from bulrushdrum._internal.world.engines import EngineModel
 
@@ -41,6 +42,8 @@
         # Upstreams of paths that stalled for an unknown reason.
         self.suspects: set[str] = set()
         self.refused_until: dict[str, float] = {}
+        # The path of the next attempt, if it is already chosen.
+        self.next_path: tuple[Hop, ...] | None = None
 
     def accept(self, event: StreamEvent) -> bool:
         """Record the next event; return False if it was already delivered.
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -45,6 +45,7 @@
 )
 from bulrushdrum._internal.gateway.path_waiting import PathWaiter, describe_refusal
 from bulrushdrum._internal.gateway.statement_recorder import StatementRecorder
+from bulrushdrum._internal.gateway.stream_moves import StreamMover
 from bulrushdrum._internal.gateway.stream_watch import StreamWatch
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
@@ -77,8 +78,10 @@
         detect_stall,
         crash_evidence: CrashEvidence,
         statements: StatementRecorder,
+        mover: StreamMover,
         seed=None,
     ):
+        self._mover = mover
         self._fleet = fleet
         self._reservations = reservations
         self._path_waiter = path_waiter
@@ -131,9 +134,20 @@
                 return
             reservation = self._reservations.reserve(path, demand.tokens)
             try:
-                outcome = self._attempt(
-                    connection, proxied_request, route, path, progress
-                )
+                can_retry = self._can_retry_elsewhere(route, progress)
+                with self._mover.watch(
+                    proxied_request,
+                    route,
+                    service,
+                    model,
+                    demand,
+                    path,
+                    progress,
+                    can_retry,
+                ) as watched:
+                    outcome = self._attempt(
+                        connection, proxied_request, route, path, progress, watched
+                    )
             except UpstreamFailed as error:
                 self._failures.record_failure(proxied_request, path, error, progress)
                 if isinstance(error, DeadlinePassed):
@@ -184,7 +198,7 @@
         )
         return False
 
-    def _attempt(self, connection, proxied_request, route, path, progress):
+    def _attempt(self, connection, proxied_request, route, path, progress, watched):
         """Forward the stream of `path`; return None at its end, or a `PathRefusal`."""
         forwarding = ForwardingMetadata(
             path[0].upstream.id,
@@ -202,9 +216,11 @@
         watch = StreamWatch(route, proxied_request.deadline)
         try:
             while not reader.has_head:
-                received = self._receive(connection, pending, watch)
-                if not reader.has_head and watch.is_check_due(received):
-                    self._check_path(path, watch, can_retry)
+                received = self._receive(connection, pending, watch, watched)
+                if not reader.has_head:
+                    if watch.is_check_due(received):
+                        self._check_path(path, watch, can_retry)
+                    watched.move_if_overdue(received)
             connection.trace.upstream_status = reader.status
             response_metadata = validate_response_head(
                 pending, proxied_request.metadata.request_id
@@ -226,6 +242,7 @@
                     path,
                     progress,
                     watch,
+                    watched,
                     can_retry,
                     proxied_request,
                 )
@@ -240,9 +257,10 @@
         """Whether a stalled attempt may be followed by another one."""
         return route.is_retryable and progress.attempts + 1 < route.max_attempts
 
-    def _receive(self, connection, pending, watch):
+    def _receive(self, connection, pending, watch, watched):
         """Wait for data until the next check; tell whether any was received."""
-        received = pending.connection.receive(watch.wait_seconds())
+        seconds = watched.wait_seconds(watch.wait_seconds())
+        received = pending.connection.receive(seconds)
         if received:
             connection.trace.record_data()
         return received
@@ -267,7 +285,15 @@
         return None
 
     def _forward_stream(
-        self, connection, pending, path, progress, watch, can_retry, proxied_request
+        self,
+        connection,
+        pending,
+        path,
+        progress,
+        watch,
+        watched,
+        can_retry,
+        proxied_request,
     ):
         reader, received = pending.reader, True
         splitter = EventSplitter(pending.connection.limits.event_bytes)
@@ -279,13 +305,15 @@
                         connection, reader, events, progress, proxied_request
                     ):
                         watch.record_event()
+                        watched.record_event()
                 if reader.is_complete:
                     break
                 # What was received comes first: it may have an event that ends the
                 # silence of the upstream.
                 if watch.is_check_due(received):
                     self._check_path(path, watch, can_retry)
-                received = self._receive(connection, pending, watch)
+                watched.move_if_overdue(received)
+                received = self._receive(connection, pending, watch, watched)
         finally:
             progress.has_begun_event |= splitter.has_begun_event
         if splitter.has_partial_event:
@@ -297,6 +325,7 @@
             connection.send(Response(reader.status, end_to_end(reader.headers)))
         else:
             self._end_stream(connection, reader, progress)
+        watched.end()
         self._crash_evidence.record_end(proxied_request, progress)
         for hop in path:
             self._fleet.record_success(hop.upstream.id)
--- a/src/bulrushdrum/_internal/gateway/path_waiting.py
+++ b/src/bulrushdrum/_internal/gateway/path_waiting.py
@@ -61,6 +61,9 @@
 
         Raises the `PipelineError` that explains why there is none in time.
         """
+        if progress.next_path is not None:
+            path, progress.next_path = progress.next_path, None
+            return path
         waits_for = (InsufficientMemory, LimitsReached)
         if progress.started:
             waits_for = (PipelineError,)
@@ -89,6 +92,21 @@
             self._log_insufficient_memory(proxied_request, service, model)
             raise
 
+    def find_other_path(
+        self, proxied_request, service, model, demand, progress, excluded
+    ) -> tuple[Hop, ...] | None:
+        """Return a path without the upstreams `excluded` if there is one now.
+
+        Its request is counted with its upstreams, as by `wait_for_path`.
+        """
+        excluded = excluded | progress.failed_upstreams | progress.refusing_upstreams()
+        try:
+            return self._chooser.choose(
+                service, model, demand, excluded, progress.suspects, progress
+            )
+        except PipelineError:
+            return None
+
     def _choose_path(self, proxied_request, service, model, demand, progress):
         """Choose a path, preferably without the upstreams that failed this request.
 
--- a/src/bulrushdrum/_internal/limits/retry_window.py
+++ b/src/bulrushdrum/_internal/limits/retry_window.py
@@ -81,6 +81,18 @@
             costs.counted += 1
         return True
 
+    def try_count_ahead(self, costs: RetryCosts, service: str, routers: int) -> bool:
+        """Count the sending that follows the one in progress, if the limit allows it.
+
+        The last part of the limit is left to requests that must be sent again.
+        """
+        if costs.sent < costs.counted:
+            return True
+        if not self.try_spend(service, routers, has_delivered=False):
+            return False
+        costs.counted += 1
+        return True
+
     def _recent(self, times, service):
         recent = times.setdefault(service, deque())
         oldest = self._clock() - self._seconds
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -101,6 +101,7 @@
     UPSTREAM_LEAVING = 8220
     UPSTREAM_PAUSED = 8221
     REQUESTS_AT_STOP = 8222
+    STREAM_MOVED = 8224
 
 
 # Lines of a stop, and those that name the requests which it may cut: at most a few for
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -32,6 +32,7 @@
 from bulrushdrum._internal.gateway.plain_calls import PlainCallProxy
 from bulrushdrum._internal.gateway.request_handler import RequestHandler
 from bulrushdrum._internal.gateway.statement_recorder import StatementRecorder
+from bulrushdrum._internal.gateway.stream_moves import StreamMover
 from bulrushdrum._internal.gateway.turns import TurnWaiter
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
@@ -45,6 +46,7 @@
 from bulrushdrum._internal.pipelines.path_policies import make_policy
 from bulrushdrum._internal.pipelines.paths import PathChooser
 from bulrushdrum._internal.pipelines.reported_loads import ReportedLoads
+from bulrushdrum._internal.pipelines.silent_upstreams import SilentUpstreams
 from bulrushdrum._internal.pipelines.stall_detection import StallDetector
 from bulrushdrum._internal.platform.engine_calls import EngineCalls
 from bulrushdrum._internal.platform.rows import (
@@ -152,16 +154,29 @@
         stall_detector = StallDetector(
             self.fleet, calls.report, self._path_chooser.set_slowdown
         )
+        path_waiter = PathWaiter(self._path_chooser, turns)
+        self.stream_mover = StreamMover(
+            SilentUpstreams(
+                lambda: self.announcements.messages.last_heard,
+                self.announcements.has_live_peers,
+            ),
+            path_waiter,
+            retry_window,
+            self._router_count,
+            stall_detector.check_path,
+            self.loop_latency.current,
+        )
         generation_proxy = GenerationProxy(
             self.fleet,
             self.reservations,
-            PathWaiter(self._path_chooser, turns),
+            path_waiter,
             self.connection_pool,
             retry_window,
             self._router_count,
             stall_detector.check_path,
             CrashEvidence(self.fleet, self.quarantine, self.part_quarantine),
             self._statements,
+            self.stream_mover,
         )
         self.configuration_follower = TableFollower(
             store,
--- a/src/bulrushdrum/_internal/router_inspection.py
+++ b/src/bulrushdrum/_internal/router_inspection.py
@@ -51,6 +51,7 @@
             "upstreams_avoided": len(components.fleet.avoided_ids()),
             "upstreams_leaving": len(components.fleet.leaving()),
             "upstream_pauses": components.fleet.pauses,
+            "stream_moves": components.stream_mover.moves,
             "upstream_limits": components.upstream_limits.count,
             "upstream_limit_changes": components.upstream_limits.changes,
             "upstream_limit_diversions": components.upstream_limits.diversions,
--- a/tests/unit/gateway_fakes.py
+++ b/tests/unit/gateway_fakes.py
@@ -13,6 +13,7 @@
 from bulrushdrum._internal.gateway.path_waiting import PathWaiter
 from bulrushdrum._internal.gateway.plain_calls import PlainCallProxy
 from bulrushdrum._internal.gateway.statement_recorder import StatementRecorder
+from bulrushdrum._internal.gateway.stream_moves import StreamMover
 from bulrushdrum._internal.gateway.turns import TurnWaiter
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
@@ -21,6 +22,7 @@
 from bulrushdrum._internal.pipelines.memory_reservations import MemoryReservations
 from bulrushdrum._internal.pipelines.part_quarantine import PartQuarantine
 from bulrushdrum._internal.pipelines.paths import PathChooser
+from bulrushdrum._internal.pipelines.silent_upstreams import SilentUpstreams
 from bulrushdrum._internal.pipelines.stall_detection import StallDetector
 from bulrushdrum._internal.platform.engine_calls import EngineCalls
 from bulrushdrum._internal.platform.headers import parse_request_metadata
@@ -70,16 +72,25 @@
         statements = StatementRecorder(self.fleet, self.limits)
         calls = EngineCalls(0.3)
         stall_detector = StallDetector(self.fleet, calls.report, chooser.set_slowdown)
+        path_waiter = PathWaiter(chooser, turns)
+        self.mover = StreamMover(
+            SilentUpstreams(time.monotonic, lambda: False),
+            path_waiter,
+            self.budget,
+            lambda: 1,
+            stall_detector.check_path,
+        )
         self._generation_proxy = GenerationProxy(
             self.fleet,
             self.reservations,
-            PathWaiter(chooser, turns),
+            path_waiter,
             self.pool,
             self.budget,
             lambda: 1,
             stall_detector.check_path,
             CrashEvidence(self.fleet, self.quarantine, self.part_quarantine),
             statements,
+            self.mover,
         )
         self._plain_call_proxy = PlainCallProxy(
             self.fleet,
