Share what one router learns of an upstream with the others at once

A router now claims that an upstream refuses, is gone or is unresponsive; claims reach its peers in small messages, end by themselves, and one router tries the upstream again for all. Streams that fall silent are reported too, and the upstream that most reports have in common is avoided before any engine has reported it.

Two tests recorded the success of another request only with the fleet; they now record it as a served request does.

--- /dev/null
+++ b/src/bulrushdrum/_internal/conditions/__init__.py
@@ -0,0 +1,1 @@
+"""What the routers know of the condition of upstreams beyond their registrations."""
--- /dev/null
+++ b/src/bulrushdrum/_internal/conditions/claim_set.py
@@ -0,0 +1,144 @@
+"""The claims that one router knows, by upstream."""
+
+import random
+import time
+
+from bulrushdrum._internal.conditions.claims import (
+    Claim,
+    Condition,
+    Matter,
+    is_in_force,
+    merge_claim,
+    merge_success,
+    next_claim,
+)
+
+# A claim is remembered for this long after its end, so that the next one lasts longer.
+_MEMORY_SECONDS = 10.0
+# The router that made a claim has this long to try the upstream again.
+_HOLD_SECONDS = 0.2
+# The others follow one after another, in a random order, until one of them tells how it
+# went: each of them sends a request over a given upstream only now and then.
+_HOLD_SECONDS_PER_ROUTER = 0.06
+
+
+class ClaimSet:
+    """Conditions of upstreams by id, and how long this router holds each claim.
+
+    `node` is the name of this router.
+    """
+
+    def __init__(self, node: str = "", clock=time.monotonic, seed=None):
+        self.node = node
+        self.routers = 1
+        # Counted for the metrics.
+        self.made = self.received = self.withdrawn = 0
+        # Changes with what is claimed.
+        self.version = 0
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._conditions: dict[str, Condition] = {}
+        self._holds: dict[str, float] = {}
+
+    def condition(self, upstream_id: str) -> Condition:
+        return self._conditions.get(upstream_id, Condition())
+
+    def is_avoided(self, upstream_id: str, born: int) -> bool:
+        condition = self._conditions.get(upstream_id)
+        if condition is None:
+            return False
+        hold = self._holds.get(upstream_id, 0.0)
+        return is_in_force(condition, born, self._clock(), hold)
+
+    def failures(self, upstream_id: str, born: int) -> int:
+        """Return the claims in a row on an incarnation that is avoided now."""
+        if not self.is_avoided(upstream_id, born):
+            return 0
+        return self._conditions[upstream_id].claim.failures
+
+    def make(
+        self, upstream_id: str, born: int, matter: Matter, reporter: str = ""
+    ) -> Claim | None:
+        """Make a claim, unless one is in force already; return it.
+
+        `reporter` is the router that tries the upstream again, by default this one.
+        """
+        condition = self.condition(upstream_id)
+        now = self._clock()
+        if is_in_force(condition, born, now):
+            return None
+        claim = next_claim(
+            condition, upstream_id, born, matter, reporter or self.node, now
+        )
+        self._merge(claim)
+        self.made += 1
+        return claim
+
+    def receive(self, claim: Claim) -> bool:
+        """Merge the claim of another router; return whether it changed anything."""
+        changed = self._merge(claim)
+        self.received += changed
+        return changed
+
+    def record_success(self, upstream_id: str, born: int, sent_at: float) -> bool:
+        """Record that a request sent at `sent_at` succeeded.
+
+        Returns whether that settles a claim.
+        """
+        condition = self._conditions.get(upstream_id)
+        if condition is None or condition.is_settled:
+            return False
+        merged = merge_success(condition, born, sent_at)
+        if merged == condition:
+            return False
+        self._conditions[upstream_id] = merged
+        if not merged.is_settled:
+            return False
+        self.version += 1
+        self.withdrawn += 1
+        return True
+
+    def in_force(self) -> list[Claim]:
+        """Return the claims that are in force."""
+        return [
+            condition.claim
+            for upstream_id, condition in self._conditions.items()
+            if self.is_avoided(upstream_id, condition.born)
+        ]
+
+    def forget_old(self):
+        """Forget the claims that ended long ago."""
+        oldest = self._clock() - _MEMORY_SECONDS
+        for upstream_id, condition in list(self._conditions.items()):
+            if condition.claim is None or condition.claim.until < oldest:
+                del self._conditions[upstream_id]
+                self._holds.pop(upstream_id, None)
+
+    def dump(self) -> list[dict]:
+        now = self._clock()
+        return [
+            {
+                "upstream": claim.upstream_id,
+                "matter": claim.matter.value,
+                "reporter": claim.reporter,
+                "failures": claim.failures,
+                "seconds_left": round(claim.until - now, 3),
+            }
+            for claim in self.in_force()
+        ]
+
+    def _merge(self, claim):
+        condition = self.condition(claim.upstream_id)
+        merged = merge_claim(condition, claim)
+        if merged == condition:
+            return False
+        self._conditions[claim.upstream_id] = merged
+        self._holds[claim.upstream_id] = self._hold(claim)
+        self.version += 1
+        return True
+
+    def _hold(self, claim):
+        if claim.reporter == self.node:
+            return 0.0
+        spread = _HOLD_SECONDS_PER_ROUTER * self.routers
+        return _HOLD_SECONDS + spread * self._random.random()
--- /dev/null
+++ b/src/bulrushdrum/_internal/conditions/exchange.py
@@ -0,0 +1,254 @@
+"""Shares with the other routers what this one learns of an upstream, at once.
+
+Claims are sent in small messages as they are made, and repeated in announcements while
+they are in force. Ages are sent, not times, because clocks differ.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+
+import gevent
+
+from bulrushdrum._internal.conditions.claim_set import ClaimSet
+from bulrushdrum._internal.conditions.claims import Claim, Matter
+from bulrushdrum._internal.conditions.silence_reports import (
+    SilenceReport,
+    SilenceReports,
+)
+from bulrushdrum._internal.coordination.peer_messages import PeerMessages
+from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.fleet import Fleet
+from bulrushdrum._internal.pipelines.memory_reservations import Hop
+from bulrushdrum._internal.pipelines.silent_upstreams import Silence
+from bulrushdrum._internal.world.engines import PoolUpstream
+
+CONDITIONS_KIND = "conditions"
+SILENCE_KIND = "silence"
+# What gathers in this time is sent together.
+_SEND_INTERVAL_SECONDS = 0.02
+# About 80 bytes each, so that a message stays within its limit.
+_MAX_ENTRIES_PER_MESSAGE = 12
+_MAX_ANNOUNCED = 64
+# No claim lasts longer, whatever another router says.
+_MAX_CLAIM_SECONDS = 5.0
+# A message can be this late without a success counting as one from after a claim.
+_DELAY_MARGIN_SECONDS = 0.02
+# An upstream whose reserved memory is used up to this fraction may refuse a request for
+# lack of memory, which says nothing of the next one.
+_MAX_MEMORY_UTILIZATION = 0.75
+# How long upstreams that may be silent are used only if there are no others: about the
+# time until the reports of engines tell which one it is.
+_SUSPECT_SECONDS = 0.6
+# The longest path that engines accept.
+_MAX_CANDIDATES = 32
+_WORKS = "works"
+
+
+class ConditionExchange:
+    """Makes, sends and receives claims; `fleet` has the resulting conditions.
+
+    `memory_utilization(upstream)` returns the reserved fraction of its memory, and
+    `working_upstreams()` those that have just delivered to this router.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        messages: PeerMessages,
+        memory_utilization: Callable[[PoolUpstream], float],
+        working_upstreams: Callable[[], frozenset[str]],
+        clock=time.monotonic,
+    ):
+        self._fleet = fleet
+        self._claims: ClaimSet = fleet.claims
+        self._messages = messages
+        self._memory_utilization = memory_utilization
+        self._working_upstreams = working_upstreams
+        self._clock = clock
+        self._silence_reports = SilenceReports(clock)
+        self._last_number = 0
+        # The latest entry of each upstream that this router has made.
+        self._own: dict[str, tuple[int, Claim]] = {}
+        self._pending: list[list] = []
+        self._is_send_due = False
+        self._sent_at = float("-inf")
+        # The latest entry that was applied, by router incarnation and upstream.
+        self._applied: dict[tuple[str, str], int] = {}
+        messages.register(CONDITIONS_KIND, self._on_conditions)
+        messages.register(SILENCE_KIND, self._on_silence)
+
+    def report_refusal(self, upstream: PoolUpstream):
+        """Avoid an upstream that refused a request, at all routers if it will again."""
+        if self._memory_utilization(upstream) >= _MAX_MEMORY_UTILIZATION:
+            self._fleet.record_failure(upstream.id)
+            return
+        self._make(upstream, Matter.REFUSING)
+
+    def report_terminated(self, upstream: PoolUpstream):
+        """Avoid an upstream at whose address nothing listens."""
+        self._make(upstream, Matter.TERMINATED)
+
+    def report_unresponsive(self, upstream: PoolUpstream):
+        """Avoid an upstream that does not answer, at all routers if others do."""
+        if self._working_upstreams():
+            self._make(upstream, Matter.UNRESPONSIVE)
+
+    def record_events(self, path: Iterable[Hop], sent_at: float):
+        """Record that a request sent at `sent_at` got events over `path`."""
+        for hop in path:
+            upstream = hop.upstream
+            if self._claims.record_success(upstream.id, upstream.born, sent_at):
+                log_event(Event.CLAIM_WITHDRAWN, upstream=upstream.id)
+                self._own.pop(upstream.id, None)
+                age = self._clock() - sent_at
+                self._send([upstream.id, upstream.born, _WORKS, round(age, 3), 0, 0])
+
+    def report_silence(self, silence: Silence):
+        """Report the upstreams of which one has silenced a stream."""
+        born = self._born_by_id(silence.candidates)
+        report = SilenceReport(
+            self._claims.node, frozenset(silence.candidates), silence.delivers
+        )
+        self._silence_reports.add(report)
+        entries = list(born.items())[:_MAX_CANDIDATES]
+        body = {"candidates": entries, "delivers": silence.delivers}
+        self._messages.broadcast(SILENCE_KIND, body)
+        self._apply_silence_reports()
+
+    def announcement(self) -> list[list]:
+        """Return the claims of this router that are in force."""
+        now = self._clock()
+        for upstream_id, (_, claim) in list(self._own.items()):
+            if claim.until <= now:
+                del self._own[upstream_id]
+        latest = sorted(self._own.values(), reverse=True)[:_MAX_ANNOUNCED]
+        return [[number, *self._encode(claim)] for number, claim in latest]
+
+    def apply_announcement(self, name: str, incarnation: str, raw):
+        """Apply the claims of another router; raises `DECODING_ERRORS`."""
+        entries = [_decode(entry) for entry in raw]
+        for number, upstream_id, born, matter, age, seconds, failures in entries:
+            key = (incarnation, upstream_id)
+            if number <= self._applied.get(key, 0):
+                continue
+            self._applied[key] = number
+            now = self._clock()
+            if matter == _WORKS:
+                sent_at = now - age - _DELAY_MARGIN_SECONDS
+                self._claims.record_success(upstream_id, born, sent_at)
+                continue
+            until = now + min(seconds, _MAX_CLAIM_SECONDS)
+            claim = Claim(
+                upstream_id, born, Matter(matter), name, now - age, until, failures
+            )
+            if self._claims.receive(claim):
+                self._log(Event.CLAIM_RECEIVED, claim)
+
+    def run_maintenance(self, routers: int):
+        """Forget what has ended; `routers` is the number of routers."""
+        self._claims.routers = routers
+        self._claims.forget_old()
+        known = {claim.upstream_id for claim in self._claims.in_force()}
+        self._applied = {
+            key: number for key, number in self._applied.items() if key[1] in known
+        }
+
+    def _make(self, upstream, matter):
+        claim = self._claims.make(upstream.id, upstream.born, matter)
+        if claim is None:
+            return
+        self._log(Event.CLAIM_MADE, claim)
+        number = self._send(self._encode(claim))
+        self._own[upstream.id] = (number, claim)
+
+    def _log(self, event, claim):
+        log_event(
+            event,
+            upstream=claim.upstream_id,
+            matter=claim.matter.value,
+            reporter=claim.reporter,
+            failures=claim.failures,
+            seconds=round(claim.until - self._clock(), 3),
+        )
+
+    def _encode(self, claim):
+        now = self._clock()
+        return [
+            claim.upstream_id,
+            claim.born,
+            claim.matter.value,
+            round(now - claim.made_at, 3),
+            round(claim.until - now, 3),
+            claim.failures,
+        ]
+
+    def _send(self, entry) -> int:
+        self._last_number += 1
+        self._pending.append([self._last_number, *entry])
+        if not self._is_send_due:
+            self._is_send_due = True
+            due_at = self._sent_at + _SEND_INTERVAL_SECONDS
+            gevent.spawn_later(max(due_at - self._clock(), 0.0), self._send_pending)
+        return self._last_number
+
+    def _send_pending(self):
+        self._is_send_due, self._sent_at = False, self._clock()
+        pending, self._pending = self._pending, []
+        for first in range(0, len(pending), _MAX_ENTRIES_PER_MESSAGE):
+            entries = pending[first : first + _MAX_ENTRIES_PER_MESSAGE]
+            self._messages.broadcast(CONDITIONS_KIND, entries)
+
+    def _on_conditions(self, name, incarnation, body):
+        self.apply_announcement(name, incarnation, body)
+
+    def _on_silence(self, name, _incarnation, body):
+        candidates = frozenset(
+            upstream_id
+            for upstream_id, born in body["candidates"]
+            if self._born_by_id([upstream_id]).get(upstream_id) == born
+        )
+        if candidates:
+            report = SilenceReport(name, candidates, bool(body["delivers"]))
+            self._silence_reports.add(report)
+            self._apply_silence_reports()
+
+    def _apply_silence_reports(self):
+        accusation = self._silence_reports.accuse(self._working_upstreams())
+        self._fleet.suspect(accusation.suspects, _SUSPECT_SECONDS)
+        for upstream_id, reporter in accusation.silent.items():
+            upstream = self._fleet.get(upstream_id)
+            if upstream is None:
+                continue
+            # All routers come to the same conclusion, so nothing is sent.
+            claim = self._claims.make(
+                upstream_id, upstream.born, Matter.UNRESPONSIVE, reporter
+            )
+            if claim is not None:
+                self._log(Event.CLAIM_MADE, claim)
+
+    def _born_by_id(self, ids):
+        known = {upstream_id: self._fleet.get(upstream_id) for upstream_id in ids}
+        return {
+            upstream_id: upstream.born
+            for upstream_id, upstream in sorted(known.items())
+            if upstream is not None
+        }
+
+
+def _decode(raw):
+    """Decode an entry of a message; raises `DECODING_ERRORS`."""
+    number, upstream_id, born, matter, age, seconds, failures = raw
+    age, seconds = float(age), float(seconds)
+    if not (0.0 <= age and 0.0 <= seconds):
+        raise ValueError(f"{raw!r} has a negative or undefined time")
+    if matter != _WORKS:
+        Matter(matter)
+    return (
+        int(number),
+        str(upstream_id),
+        int(born),
+        str(matter),
+        age,
+        seconds,
+        max(int(failures), 1),
+    )
--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -88,6 +88,10 @@
     return StoreContact(now - since_age, now - last_age)
 
 
+def _ignore(*_):
+    pass
+
+
 # The default for announcements of releases that do not count crashes.
 _NO_FAILURES = {"crashes": {}, "served": []}
 # The default for announcements of releases that do not know prompt parts.
@@ -122,6 +126,9 @@
         self._limits = limits
         self._configuration_version = configuration_version
         self._store_contact = store_contact
+        # Set by the exchange of conditions, which needs the messages of this object.
+        self.announced_conditions: Callable[[], list] = list
+        self.apply_conditions: Callable[[str, str, object], None] = _ignore
         self._peers: dict[str, _Peer] = {}
         self._is_serving = False
         self._accepts_work = True
@@ -278,6 +285,7 @@
                 "configuration": self._configuration_version(),
                 "store_contact": self._announced_store_contact(),
                 "silent": self._own_unresponsive,
+                "conditions": self.announced_conditions(),
                 "leaving": list(self._fleet.leaving().items()),
                 "layers": [list(update) for update in self._layer_updates],
                 "uses": {
@@ -371,6 +379,7 @@
             )
             self._reservations.set_peer_usage(name, usages)
             self._apply_layer_updates(name, incarnation, updates)
+            self.apply_conditions(name, incarnation, raw.get("conditions", []))
             for upstream_id, born in leaving:
                 self._fleet.mark_leaving(upstream_id, born)
             for upstream_id in unresponsive:
--- a/src/bulrushdrum/_internal/gateway/attempt_failures.py
+++ b/src/bulrushdrum/_internal/gateway/attempt_failures.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from bulrushdrum._internal.conditions.exchange import ConditionExchange
 from bulrushdrum._internal.gateway.crash_evidence import CrashEvidence
 from bulrushdrum._internal.gateway.errors import (
     ConnectionRefused,
@@ -39,7 +40,8 @@
 class AttemptFailures:
     """Logs failed attempts and refusals, and marks the upstreams that caused them.
 
-    `detect_stall(path)` marks the upstreams that stall a path.
+    `detect_stall(path)` marks the upstreams that stall a path, and `conditions` takes
+    what is learned of an upstream.
     """
 
     def __init__(
@@ -48,7 +50,9 @@
         pool: ConnectionPool,
         crash_evidence: CrashEvidence,
         detect_stall: Callable[[tuple[Hop, ...]], None],
+        conditions: ConditionExchange,
     ):
+        self._conditions = conditions
         self._fleet = fleet
         self._pool = pool
         self._crash_evidence = crash_evidence
@@ -82,6 +86,9 @@
             if isinstance(error, ConnectionRefused):
                 first = path[0].upstream
                 self._fleet.mark_terminated(first.id, first.born)
+                self._conditions.report_terminated(first)
+            elif error.unresponsive:
+                self._conditions.report_unresponsive(path[0].upstream)
             self._fleet.record_failure(path[0].upstream.id)
             self._pool.drop_address(path[0].address)
         if error.unresponsive and not isinstance(error, UpstreamSilent):
@@ -118,7 +125,10 @@
             at_fault=refusal.at_fault,
             upstream=None if upstream is None else upstream.id,
         )
-        if upstream is not None:
-            self._fleet.record_failure(upstream.id)
+        if upstream is None:
+            # The next path should share as little as possible with this one.
+            progress.suspects |= {hop.upstream.id for hop in path}
+        else:
+            self._conditions.report_refusal(upstream)
             until = time.monotonic() + _REFUSAL_BACKOFF_SECONDS
             progress.refused_until[upstream.id] = until
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 
+from bulrushdrum._internal.conditions.exchange import ConditionExchange
 from bulrushdrum._internal.gateway.attempt_failures import (
     AttemptFailures,
     PathRefusal,
@@ -79,9 +80,11 @@
         crash_evidence: CrashEvidence,
         statements: StatementRecorder,
         mover: StreamMover,
+        conditions: ConditionExchange,
         seed=None,
     ):
         self._mover = mover
+        self._conditions = conditions
         self._fleet = fleet
         self._reservations = reservations
         self._path_waiter = path_waiter
@@ -90,7 +93,9 @@
         self._count_routers = count_routers
         self._detect_stall = detect_stall
         self._crash_evidence = crash_evidence
-        self._failures = AttemptFailures(fleet, pool, crash_evidence, detect_stall)
+        self._failures = AttemptFailures(
+            fleet, pool, crash_evidence, detect_stall, conditions
+        )
         self._statements = statements
         self._random = random.Random(seed)
 
@@ -304,6 +309,8 @@
                     if self._forward_events(
                         connection, reader, events, progress, proxied_request
                     ):
+                        if not watch.has_events:
+                            self._conditions.record_events(path, progress.sent_at)
                         watch.record_event()
                         watched.record_event()
                 if reader.is_complete:
--- a/src/bulrushdrum/_internal/gateway/stream_watch.py
+++ b/src/bulrushdrum/_internal/gateway/stream_watch.py
@@ -53,6 +53,11 @@
         self._silent_seconds = 0.0
         self._observed_at = self._checked_at = clock()
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the attempt has delivered an event."""
+        return self._has_events
+
     def wait_seconds(self) -> float:
         """Return how long to wait for data before the next check."""
         remaining = self._give_up_at - self._observed_at
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -102,6 +102,9 @@
     UPSTREAM_PAUSED = 8221
     REQUESTS_AT_STOP = 8222
     STREAM_MOVED = 8224
+    CLAIM_MADE = 8227
+    CLAIM_RECEIVED = 8228
+    CLAIM_WITHDRAWN = 8229
 
 
 # Lines of a stop, and those that name the requests which it may cut: at most a few for
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from bulrushdrum._internal.conditions.claim_set import ClaimSet
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.world.engines import PoolUpstream
 from bulrushdrum._internal.world.upstreams import LayerRange, UpstreamState
@@ -81,8 +82,12 @@
 class Fleet:
     """Known upstreams by id, with their health and the layers that they hold."""
 
-    def __init__(self, clock=time.monotonic):
+    def __init__(self, clock=time.monotonic, claims: ClaimSet | None = None):
         self._clock = clock
+        # What this router and its peers claim of upstreams.
+        self.claims = ClaimSet(clock=clock) if claims is None else claims
+        # Upstreams that may be silent, and until when that counts.
+        self._suspects: dict[str, float] = {}
         self._upstreams: dict[str, PoolUpstream] = {}
         self._lapsed: dict[str, float] = {}
         self._backoffs: dict[str, _Backoff] = {}
@@ -104,7 +109,7 @@
     def version(self) -> int:
         """Increases with every change of membership, state or health."""
         self._apply_due_changes()
-        return self._version
+        return self._version + self.claims.version
 
     def replace_all(
         self,
@@ -378,6 +383,11 @@
         """Whether an upstream is unhealthy enough to be left out of the placement."""
         if self.is_unresponsive(upstream_id):
             return True
+        known = self._upstreams.get(upstream_id)
+        if known is not None:
+            failures = self.claims.failures(upstream_id, known.born)
+            if failures >= _FAILING_THRESHOLD:
+                return True
         backoff = self._backoffs.get(upstream_id)
         if backoff is None or backoff.failures < _FAILING_THRESHOLD:
             return False
@@ -389,12 +399,28 @@
 
     def is_avoided(self, upstream_id: str) -> bool:
         backoff = self._backoffs.get(upstream_id)
-        return backoff is not None and backoff.until > self._clock()
+        if backoff is not None and backoff.until > self._clock():
+            return True
+        known = self._upstreams.get(upstream_id)
+        return known is not None and self.claims.is_avoided(upstream_id, known.born)
+
+    def suspect(self, ids: Iterable[str], seconds: float):
+        """Use upstreams that may be silent only if there are no others, for a while."""
+        now = self._clock()
+        self._suspects = {
+            k: until for k, until in self._suspects.items() if until > now
+        }
+        self._suspects.update(dict.fromkeys(ids, now + seconds))
+
+    def suspects(self) -> frozenset[str]:
+        """Return the upstreams that may be silent."""
+        now = self._clock()
+        return frozenset(name for name, until in self._suspects.items() if until > now)
 
     def avoided_ids(self) -> list[str]:
         return [
             upstream_id
-            for upstream_id in self._backoffs
+            for upstream_id in self._upstreams
             if self.is_avoided(upstream_id)
         ]
 
@@ -405,6 +431,8 @@
                 for upstream in self._upstreams.values()
             },
             "avoided": self.avoided_ids(),
+            "claims": self.claims.dump(),
+            "suspects": sorted(self.suspects()),
             "lapsed": sorted(self._lapsed),
             "leaving": sorted(self._leaving),
             "paused": sorted(
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -182,6 +182,7 @@
             and model.can_use(engine)
             and engine.id not in excluded
         ]
+        discouraged = discouraged | self._fleet.suspects()
         if not self._covers(model, engines):
             raise NoPath(f"no available engine holds some layers of {service!r}")
         engines_with_memory = [
@@ -216,7 +217,7 @@
             data_centre: {
                 "missing": len(_missing_layers(model, engines)),
                 "fullest": round(
-                    max(self._memory_utilization(model, e) for e in engines), 2
+                    max(self.memory_utilization(model, e) for e in engines), 2
                 ),
                 "sequences": max(
                     self._reservations.usage(engine.id).sequences for engine in engines
@@ -225,7 +226,10 @@
             for data_centre, engines in groups.items()
         }
 
-    def _memory_utilization(self, model, engine):
+    def memory_utilization(self, model: EngineModel, engine: PoolUpstream) -> float:
+        """Return the fraction of an engine's memory that is reserved."""
+        if engine.layers is None or not model.can_use(engine):
+            return 0.0
         layer_count = engine.layers.end - engine.layers.first
         capacity = model.capacity(model.kinds[engine.kind], layer_count)
         return self._reservations.usage(engine.id).token_layers / max(capacity, 1.0)
--- a/src/bulrushdrum/_internal/pipelines/silent_upstreams.py
+++ b/src/bulrushdrum/_internal/pipelines/silent_upstreams.py
@@ -68,6 +68,17 @@
     def end(self, attempt: ObservedAttempt):
         self._attempts.discard(attempt)
 
+    def working(self, seconds: float) -> frozenset[str]:
+        """Return the upstreams over which an event arrived in the last `seconds`."""
+        oldest = self._clock() - seconds
+        return frozenset().union(
+            *(
+                attempt.ids
+                for attempt in self._attempts
+                if attempt.has_events and attempt.last_event_at > oldest
+            )
+        )
+
     def explain(self, attempt: ObservedAttempt, usual_pause: float) -> Silence | None:
         """Return which upstreams may have silenced an attempt.
 
--- a/src/bulrushdrum/_internal/pipelines/stall_detection.py
+++ b/src/bulrushdrum/_internal/pipelines/stall_detection.py
@@ -19,9 +19,13 @@
 
 
 class StallDetector:
-    """Queries first upstreams; `report(address)` returns an engine's report or None."""
+    """Queries first upstreams; `report(address)` returns an engine's report or None.
 
-    def __init__(self, fleet: Fleet, report, set_slowdown):
+    `report_unresponsive(upstream)` passes on which upstreams stall paths.
+    """
+
+    def __init__(self, fleet: Fleet, report, set_slowdown, report_unresponsive):
+        self._report_unresponsive = report_unresponsive
         self._fleet = fleet
         self._report = report
         self._set_slowdown = set_slowdown
@@ -49,6 +53,7 @@
         if report is None:
             log_event(Event.UPSTREAM_SILENT, upstream=first.id, asked=first.id)
             self._fleet.mark_unresponsive(first.id)
+            self._report_unresponsive(first)
             return
         self._set_slowdown(first.id, report.slowdown)
         for address in report.stalled:
@@ -61,3 +66,4 @@
             )
             if upstream is not None:
                 self._fleet.mark_unresponsive(upstream.id)
+                self._report_unresponsive(upstream)
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -6,6 +6,8 @@
 
 import secrets
 
+from bulrushdrum._internal.conditions.claim_set import ClaimSet
+from bulrushdrum._internal.conditions.exchange import ConditionExchange
 from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
 from bulrushdrum._internal.coordination.configuration_in_force import (
     ConfigurationInForce,
@@ -60,6 +62,9 @@
 from bulrushdrum._internal.world.statements import UpstreamStatements
 
 _ENGINE_CALL_TIMEOUT_SECONDS = 0.5
+# An upstream that delivered within this time counts as working: streams rarely pause
+# for longer.
+_WORKING_SECONDS = 0.05
 # The table of routers rarely changes, and routers also announce themselves.
 _ROUTERS_FEED_WAIT_SECONDS = 8.0
 
@@ -78,7 +83,7 @@
         store = RowStore(
             settings.store_address, settings.store_timeout, settings.feed_wait
         )
-        self.fleet = Fleet()
+        self.fleet = Fleet(claims=ClaimSet(settings.node, seed=self.incarnation))
         self.reservations = MemoryReservations()
         self.upstream_limits = UpstreamLimits(
             lambda upstream_id: self.fleet.get(upstream_id) is not None,
@@ -151,20 +156,33 @@
             self._statements,
             turns,
         )
+        silent_upstreams = SilentUpstreams(
+            lambda: self.announcements.messages.last_heard,
+            self.announcements.has_live_peers,
+        )
+        self.conditions = ConditionExchange(
+            self.fleet,
+            self.announcements.messages,
+            self._memory_utilization,
+            lambda: silent_upstreams.working(_WORKING_SECONDS),
+        )
+        self.announcements.announced_conditions = self.conditions.announcement
+        self.announcements.apply_conditions = self.conditions.apply_announcement
         stall_detector = StallDetector(
-            self.fleet, calls.report, self._path_chooser.set_slowdown
+            self.fleet,
+            calls.report,
+            self._path_chooser.set_slowdown,
+            self.conditions.report_unresponsive,
         )
         path_waiter = PathWaiter(self._path_chooser, turns)
         self.stream_mover = StreamMover(
-            SilentUpstreams(
-                lambda: self.announcements.messages.last_heard,
-                self.announcements.has_live_peers,
-            ),
+            silent_upstreams,
             path_waiter,
             retry_window,
             self._router_count,
             stall_detector.check_path,
             self.loop_latency.current,
+            self.conditions.report_silence,
         )
         generation_proxy = GenerationProxy(
             self.fleet,
@@ -177,6 +195,7 @@
             CrashEvidence(self.fleet, self.quarantine, self.part_quarantine),
             self._statements,
             self.stream_mover,
+            self.conditions,
         )
         self.configuration_follower = TableFollower(
             store,
@@ -239,6 +258,13 @@
     def _router_count(self):
         return self.announcements.router_count()
 
+    def _memory_utilization(self, upstream):
+        configuration = self.configuration.value
+        service = configuration and configuration.services.get(upstream.service)
+        if service is None or service.engine is None:
+            return 0.0
+        return self._path_chooser.memory_utilization(service.engine, upstream)
+
     def _services(self):
         configuration = self.configuration.value
         return [] if configuration is None else list(configuration.services.values())
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -135,6 +135,9 @@
         while True:
             gevent.sleep(_MAINTENANCE_INTERVAL_SECONDS)
             components.connection_pool.close_expired()
+            components.conditions.run_maintenance(
+                components.announcements.router_count()
+            )
             omitted = flush_and_count_omitted()
             if omitted:
                 log_event(Event.LINES_OMITTED, counts=omitted)
--- a/tests/unit/gateway_fakes.py
+++ b/tests/unit/gateway_fakes.py
@@ -6,6 +6,8 @@
 from gevent import socket
 from tests.unit.pool_fakes import make_engine, make_limits, make_model
 
+from bulrushdrum._internal.conditions.exchange import ConditionExchange
+from bulrushdrum._internal.coordination.peer_messages import PeerMessages
 from bulrushdrum._internal.gateway.callers import CallerServer
 from bulrushdrum._internal.gateway.crash_evidence import CrashEvidence
 from bulrushdrum._internal.gateway.exchange import ProxiedRequest
@@ -19,7 +21,10 @@
 from bulrushdrum._internal.limits.retry_window import RetryWindow
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.pipelines.fleet import Fleet
-from bulrushdrum._internal.pipelines.memory_reservations import MemoryReservations
+from bulrushdrum._internal.pipelines.memory_reservations import (
+    Hop,
+    MemoryReservations,
+)
 from bulrushdrum._internal.pipelines.part_quarantine import PartQuarantine
 from bulrushdrum._internal.pipelines.paths import PathChooser
 from bulrushdrum._internal.pipelines.silent_upstreams import SilentUpstreams
@@ -28,6 +33,7 @@
 from bulrushdrum._internal.platform.headers import parse_request_metadata
 from bulrushdrum._internal.settings.router import ResponseLimits
 from bulrushdrum._internal.world.routes import RequestKind, Route, ServiceShare
+from bulrushdrum._internal.world.upstreams import LayerRange
 
 REQUEST = (
     b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nBulrushdrum-Attempt-Id: r1\r\n"
@@ -71,10 +77,22 @@
         turns = TurnWaiter(self.limits)
         statements = StatementRecorder(self.fleet, self.limits)
         calls = EngineCalls(0.3)
-        stall_detector = StallDetector(self.fleet, calls.report, chooser.set_slowdown)
+        silent_upstreams = SilentUpstreams(time.monotonic, lambda: False)
+        self.conditions = ConditionExchange(
+            self.fleet,
+            PeerMessages("r1", "i1", lambda *_: None, dict),
+            lambda upstream: chooser.memory_utilization(self.model, upstream),
+            lambda: silent_upstreams.working(0.05),
+        )
+        stall_detector = StallDetector(
+            self.fleet,
+            calls.report,
+            chooser.set_slowdown,
+            self.conditions.report_unresponsive,
+        )
         path_waiter = PathWaiter(chooser, turns)
         self.mover = StreamMover(
-            SilentUpstreams(time.monotonic, lambda: False),
+            silent_upstreams,
             path_waiter,
             self.budget,
             lambda: 1,
@@ -91,6 +109,7 @@
             CrashEvidence(self.fleet, self.quarantine, self.part_quarantine),
             statements,
             self.mover,
+            self.conditions,
         )
         self._plain_call_proxy = PlainCallProxy(
             self.fleet,
@@ -115,6 +134,12 @@
         self.fleet.put(engine._replace(**changes))
         return server
 
+    def record_other_success(self, name):
+        """Record that a server has just served a request of another caller."""
+        self.fleet.record_success(name)
+        hop = Hop(self.fleet.get(name), LayerRange(0, 40))
+        self.conditions.record_events([hop], time.monotonic())
+
     def _handle(self, connection, request):
         metadata = parse_request_metadata(request.headers)
         deadline = request.read_at + (metadata.seconds_left or self.route.timeout)
--- a/tests/unit/test_generations.py
+++ b/tests/unit/test_generations.py
@@ -176,7 +176,7 @@
         return stream(request)
 
     gateway.add_server("one", with_reports(refuse_once), (0, 40))
-    gateway.fleet.record_failure = lambda upstream_id: None
+    gateway.conditions.report_refusal = lambda upstream: None
     gateway.route = gateway.route._replace(goal=1.0)
     assert gateway.call().status == 200
     assert len(attempt_times) == 2
--- a/tests/unit/test_repeated_refusals.py
+++ b/tests/unit/test_repeated_refusals.py
@@ -21,12 +21,12 @@
     def __init__(self, gateway):
         self.refused_on = None
         self.ran = 0
-        self._fleet = gateway.fleet
+        self._gateway = gateway
 
     def __call__(self, request):
         if self.refused_on is None:
             self.refused_on = request["connection"]
-            gevent.spawn_later(0.05, self._fleet.record_success, "one")
+            gevent.spawn_later(0.05, self._gateway.record_other_success, "one")
             return not_executed(request)
         self.ran += 1
         if request["connection"] == self.refused_on:
@@ -59,7 +59,7 @@
 
     def refuse_once(request):
         later.append(request)
-        gevent.spawn_later(0.12, gateway.fleet.record_success, "two")
+        gevent.spawn_later(0.12, gateway.record_other_success, "two")
         return not_executed(request) if len(later) == 1 else resumed(request)
 
     gateway.add_server("two", refuse_once, layers=(0, 40), data_centre="b")
