--- a/src/bulrushdrum/_internal/gateway/stream_moves.py
+++ b/src/bulrushdrum/_internal/gateway/stream_moves.py
@@ -34,8 +34,9 @@
 class StreamMover:
     """Decides which streams of a router move.
 
-    `detect_stall(path)` marks the upstreams that stall a path, `loop_latency()` returns
-    how many seconds the event loop is late, and `report_silence(silence)` passes on
+    `detect_stall(path)` marks the upstreams that stall a path, `is_avoided(upstream_id)`
+    tells whether one is known to be unusable, `loop_latency()` returns how many seconds
+    the event loop is late, and `report_silence(silence)` passes on
     which upstreams may be silent.
     """
 
@@ -46,6 +47,7 @@
         budget: RetryWindow,
         count_routers: Callable[[], int],
         detect_stall: Callable[[tuple[Hop, ...]], None],
+        is_avoided: Callable[[str], bool],
         loop_latency: Callable[[], float] = lambda: 0.0,
         report_silence: Callable[[object], None] = lambda silence: None,
         clock=time.monotonic,
@@ -58,6 +60,7 @@
         self._budget = budget
         self._count_routers = count_routers
         self._detect_stall = detect_stall
+        self._is_avoided = is_avoided
         self._loop_latency = loop_latency
         self._report_silence = report_silence
         self.clock = clock
@@ -93,6 +96,10 @@
             self, pace, path, progress, service, proxied_request, find_path, can_move
         )
 
+    def avoided(self, ids: frozenset[str]) -> frozenset[str]:
+        """Return those of some upstreams that are known to be unusable."""
+        return frozenset(filter(self._is_avoided, ids))
+
     def may_move(self, candidates: frozenset[str]) -> bool:
         """Whether another stream may move that one of `candidates` has silenced."""
         return self._bound.allows(candidates, self.silent_upstreams.attempts)
@@ -178,7 +185,9 @@
         silence = self._mover.silent_upstreams.explain(self._observed, usual_pause)
         if silence is None or not self._mover.may_move(silence.candidates):
             return
-        path = self._find_path(silence.candidates or self._observed.ids)
+        # What others have found out by now leaves more paths to choose from.
+        avoided = self._mover.avoided(self._observed.ids)
+        path = self._find_path(avoided or silence.candidates or self._observed.ids)
         if path is None:
             return
         if not self._mover.reserve_retry(self._progress, self._service):
--- a/src/bulrushdrum/_internal/gateway/stream_pace.py
+++ b/src/bulrushdrum/_internal/gateway/stream_pace.py
@@ -20,7 +20,7 @@
 _UNUSUAL_START_FACTOR = 2.0
 # No stream moves within this fraction of its gap goal, or of its goal before its first
 # event: it would gain nothing that its caller notices.
-_MIN_GOAL_FRACTION = 0.4
+_MIN_GOAL_FRACTION = 0.3
 # The pauses of a stream that count as recent.
 _RECENT_PAUSES = 16
 # Finished attempts and streams that the expectations of a router are taken from.
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -181,6 +181,7 @@
             retry_window,
             self._router_count,
             stall_detector.check_path,
+            self.fleet.is_avoided,
             self.loop_latency.current,
             self.conditions.report_silence,
         )
--- a/tests/unit/gateway_fakes.py
+++ b/tests/unit/gateway_fakes.py
@@ -97,6 +97,7 @@
             self.budget,
             lambda: 1,
             stall_detector.check_path,
+            self.fleet.is_avoided,
         )
         self._generation_proxy = GenerationProxy(
             self.fleet,
