Begin no path at an engine that answers with errors in a row

Errors in a row are now a claim of their own, shared as the others. It concerns the first hop only: such an engine may run layers for other paths.

--- a/src/bulrushdrum/_internal/conditions/claims.py
+++ b/src/bulrushdrum/_internal/conditions/claims.py
@@ -24,6 +24,8 @@
     REFUSING = "refusing"
     TERMINATED = "terminated"
     UNRESPONSIVE = "unresponsive"
+    # It answers requests with errors, although its health checks are good.
+    FAILING = "failing"
 
 
 class Claim(NamedTuple):
@@ -68,6 +70,9 @@
     if condition.born == born and not condition.is_settled:
         failures = condition.claim.failures + 1
     seconds = min(_INITIAL_SECONDS * 2 ** (failures - 1), _MAX_SECONDS)
+    if matter is Matter.FAILING and failures == 1:
+        # One error is more often chance than a broken upstream.
+        seconds = 0.0
     return Claim(upstream_id, born, matter, reporter, now, now + seconds, failures)
 
 
--- a/src/bulrushdrum/_internal/conditions/exchange.py
+++ b/src/bulrushdrum/_internal/conditions/exchange.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import gevent
 
@@ -41,7 +41,9 @@
 _SUSPECT_SECONDS = 0.6
 # The longest path that engines accept.
 _MAX_CANDIDATES = 32
+# What a success says of an upstream: of any hop, and of the first one of a path.
 _WORKS = "works"
+_WORKS_FIRST = "works first"
 
 
 class ConditionExchange:
@@ -61,6 +63,7 @@
     ):
         self._fleet = fleet
         self._claims: ClaimSet = fleet.claims
+        self._first_hop_claims: ClaimSet = fleet.first_hop_claims
         self._messages = messages
         self._memory_utilization = memory_utilization
         self._working_upstreams = working_upstreams
@@ -68,7 +71,7 @@
         self._silence_reports = SilenceReports(clock)
         self._last_number = 0
         # The latest entry of each upstream that this router has made.
-        self._own: dict[str, tuple[int, Claim]] = {}
+        self._own: dict[tuple[ClaimSet, str], tuple[int, Claim]] = {}
         self._pending: list[list] = []
         self._is_send_due = False
         self._sent_at = float("-inf")
@@ -93,15 +96,26 @@
         if self._working_upstreams():
             self._make(upstream, Matter.UNRESPONSIVE)
 
-    def record_events(self, path: Iterable[Hop], sent_at: float):
+    def report_error(self, upstream: PoolUpstream):
+        """Begin no path at an upstream that has answered with errors in a row.
+
+        It may still run layers for paths that begin elsewhere.
+        """
+        self._make(upstream, Matter.FAILING)
+
+    def record_events(self, path: tuple[Hop, ...], sent_at: float):
         """Record that a request sent at `sent_at` got events over `path`."""
         for hop in path:
-            upstream = hop.upstream
-            if self._claims.record_success(upstream.id, upstream.born, sent_at):
-                log_event(Event.CLAIM_WITHDRAWN, upstream=upstream.id)
-                self._own.pop(upstream.id, None)
-                age = self._clock() - sent_at
-                self._send([upstream.id, upstream.born, _WORKS, round(age, 3), 0, 0])
+            self._record_success(self._claims, _WORKS, hop.upstream, sent_at)
+        first = path[0].upstream
+        self._record_success(self._first_hop_claims, _WORKS_FIRST, first, sent_at)
+
+    def _record_success(self, claims, word, upstream, sent_at):
+        if claims.record_success(upstream.id, upstream.born, sent_at):
+            log_event(Event.CLAIM_WITHDRAWN, upstream=upstream.id)
+            self._own.pop((claims, upstream.id), None)
+            age = self._clock() - sent_at
+            self._send([upstream.id, upstream.born, word, round(age, 3), 0, 0])
 
     def report_silence(self, silence: Silence):
         """Report the upstreams of which one has silenced a stream."""
@@ -118,9 +132,9 @@
     def announcement(self) -> list[list]:
         """Return the claims of this router that are in force."""
         now = self._clock()
-        for upstream_id, (_, claim) in list(self._own.items()):
+        for key, (_, claim) in list(self._own.items()):
             if claim.until <= now:
-                del self._own[upstream_id]
+                del self._own[key]
         latest = sorted(self._own.values(), reverse=True)[:_MAX_ANNOUNCED]
         return [[number, *self._encode(claim)] for number, claim in latest]
 
@@ -133,33 +147,44 @@
                 continue
             self._applied[key] = number
             now = self._clock()
-            if matter == _WORKS:
+            if matter in (_WORKS, _WORKS_FIRST):
+                claims = self._claims if matter == _WORKS else self._first_hop_claims
                 sent_at = now - age - _DELAY_MARGIN_SECONDS
-                self._claims.record_success(upstream_id, born, sent_at)
+                claims.record_success(upstream_id, born, sent_at)
                 continue
             until = now + min(seconds, _MAX_CLAIM_SECONDS)
             claim = Claim(
                 upstream_id, born, Matter(matter), name, now - age, until, failures
             )
-            if self._claims.receive(claim):
+            if self._claims_for(claim.matter).receive(claim):
                 self._log(Event.CLAIM_RECEIVED, claim)
 
     def run_maintenance(self, routers: int):
         """Forget what has ended; `routers` is the number of routers."""
-        self._claims.routers = routers
-        self._claims.forget_old()
-        known = {claim.upstream_id for claim in self._claims.in_force()}
+        known = set()
+        for claims in (self._claims, self._first_hop_claims):
+            claims.routers = routers
+            claims.forget_old()
+            known |= {claim.upstream_id for claim in claims.in_force()}
         self._applied = {
             key: number for key, number in self._applied.items() if key[1] in known
         }
 
     def _make(self, upstream, matter):
-        claim = self._claims.make(upstream.id, upstream.born, matter)
+        claims = self._claims_for(matter)
+        claim = claims.make(upstream.id, upstream.born, matter)
         if claim is None:
             return
         self._log(Event.CLAIM_MADE, claim)
         number = self._send(self._encode(claim))
-        self._own[upstream.id] = (number, claim)
+        self._own[claims, upstream.id] = (number, claim)
+
+    def _claims_for(self, matter):
+        match matter:
+            case Matter.FAILING:
+                return self._first_hop_claims
+            case _:
+                return self._claims
 
     def _log(self, event, claim):
         log_event(
@@ -241,7 +266,7 @@
     age, seconds = float(age), float(seconds)
     if not (0.0 <= age and 0.0 <= seconds):
         raise ValueError(f"{raw!r} has a negative or undefined time")
-    if matter != _WORKS:
+    if matter not in (_WORKS, _WORKS_FIRST):
         Matter(matter)
     return (
         int(number),
--- a/src/bulrushdrum/_internal/gateway/attempt_failures.py
+++ b/src/bulrushdrum/_internal/gateway/attempt_failures.py
@@ -9,6 +9,7 @@
 from bulrushdrum._internal.gateway.errors import (
     ConnectionRefused,
     ResponseTooLarge,
+    UpstreamError,
     UpstreamFailed,
     UpstreamRestarted,
     UpstreamSilent,
@@ -80,6 +81,8 @@
         if isinstance(error, ResponseTooLarge):
             self._pool.oversized_responses += 1
             self._fleet.record_failure(path[0].upstream.id)
+        if isinstance(error, UpstreamError):
+            self._conditions.report_error(path[0].upstream)
         if error.may_have_run:
             self._crash_evidence.record_failure(proxied_request, path, error, progress)
         else:
--- a/src/bulrushdrum/_internal/gateway/errors.py
+++ b/src/bulrushdrum/_internal/gateway/errors.py
@@ -30,6 +30,13 @@
         self.unresponsive = unresponsive
 
 
+class UpstreamError(UpstreamFailed):
+    """An upstream returned a status that says that it failed to run the request."""
+
+    def __init__(self, status: int):
+        super().__init__(f"the upstream returned status {status}", True)
+
+
 class ResponseTooLarge(UpstreamFailed):
     """An upstream sent a head, an event or a body larger than the limit, in bytes."""
 
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -25,6 +25,7 @@
 from bulrushdrum._internal.gateway.errors import (
     ConnectionRefused,
     DeadlinePassed,
+    UpstreamError,
     UpstreamFailed,
     UpstreamRestarted,
 )
@@ -280,7 +281,7 @@
             pending.connection.refused_ids.append(proxied_request.metadata.request_id)
             return PathRefusal(reader.status, response_metadata.at_fault)
         if connection.response_started or reader.status >= 500:
-            raise UpstreamFailed(f"the upstream returned status {reader.status}", True)
+            raise UpstreamError(reader.status)
         headers = end_to_end(reader.headers)
         if reader.status in (408, 429):
             headers = strip_signature(headers)
--- a/src/bulrushdrum/_internal/gateway/stream_moves.py
+++ b/src/bulrushdrum/_internal/gateway/stream_moves.py
@@ -34,10 +34,10 @@
 class StreamMover:
     """Decides which streams of a router move.
 
-    `detect_stall(path)` marks the upstreams that stall a path, `is_avoided(upstream_id)`
-    tells whether one is known to be unusable, `loop_latency()` returns how many seconds
-    the event loop is late, and `report_silence(silence)` passes on
-    which upstreams may be silent.
+    `detect_stall(path)` marks the upstreams that stall a path, `is_avoided(id)` tells
+    whether an upstream is known to be unusable, `loop_latency()` returns by how many
+    seconds the event loop is late, and `report_silence(silence)` passes on which
+    upstreams may be silent.
     """
 
     def __init__(
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -82,10 +82,12 @@
 class Fleet:
     """Known upstreams by id, with their health and the layers that they hold."""
 
-    def __init__(self, clock=time.monotonic, claims: ClaimSet | None = None):
+    def __init__(self, clock=time.monotonic, node: str = "", seed=None):
         self._clock = clock
         # What this router and its peers claim of upstreams.
-        self.claims = ClaimSet(clock=clock) if claims is None else claims
+        self.claims = ClaimSet(node, clock, seed)
+        # Those that concern an upstream only as the first one of a path.
+        self.first_hop_claims = ClaimSet(node, clock, seed)
         # Upstreams that may be silent, and until when that counts.
         self._suspects: dict[str, float] = {}
         self._upstreams: dict[str, PoolUpstream] = {}
@@ -109,7 +111,7 @@
     def version(self) -> int:
         """Increases with every change of membership, state or health."""
         self._apply_due_changes()
-        return self._version + self.claims.version
+        return self._version + self.claims.version + self.first_hop_claims.version
 
     def replace_all(
         self,
@@ -404,6 +406,10 @@
         known = self._upstreams.get(upstream_id)
         return known is not None and self.claims.is_avoided(upstream_id, known.born)
 
+    def is_avoided_as_first(self, upstream: PoolUpstream) -> bool:
+        """Whether no path should begin at an upstream, if another one can."""
+        return self.first_hop_claims.is_avoided(upstream.id, upstream.born)
+
     def suspect(self, ids: Iterable[str], seconds: float):
         """Use upstreams that may be silent only if there are no others, for a while."""
         now = self._clock()
@@ -432,6 +438,7 @@
             },
             "avoided": self.avoided_ids(),
             "claims": self.claims.dump(),
+            "first_hop_claims": self.first_hop_claims.dump(),
             "suspects": sorted(self.suspects()),
             "lapsed": sorted(self._lapsed),
             "leaving": sorted(self._leaving),
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -190,8 +190,16 @@
             for engine in engines
             if self._has_memory(model, engine, demand.tokens)
         ]
+        failing = self._failing_first_hops(engines)
         costs = [
-            _EngineCosts(self, model, engine, demand, engine.id in discouraged)
+            _EngineCosts(
+                self,
+                model,
+                engine,
+                demand,
+                is_discouraged=engine.id in discouraged,
+                is_failing_first=engine.id in failing,
+            )
             for engine in engines_with_memory
         ]
         local_path = self._cheapest_within_data_centre(model, costs, demand)
@@ -202,6 +210,12 @@
             return path
         raise _insufficient_memory(service, demand)
 
+    def _failing_first_hops(self, engines):
+        """Return the engines at which no path should begin, if others can begin one."""
+        holders = [engine for engine in engines if engine.layers.first == 0]
+        failing = {e.id for e in holders if self._fleet.is_avoided_as_first(e)}
+        return failing if len(failing) < len(holders) else set()
+
     def describe_memory(self, service: str, model: EngineModel) -> dict:
         """Return the state of each data centre that explains a lack of memory.
 
@@ -313,7 +327,7 @@
                 engine = engine_costs.engine
                 if not engine.layers.first <= layer < engine.layers.end:
                     continue
-                if layer == 0 and engine_costs.is_first_hop_full:
+                if layer == 0 and not engine_costs.can_begin:
                     continue
                 arrival = engine_costs.cheapest_arrival(best[layer])
                 ends = [min(engine.layers.end, model.layers)]
@@ -373,14 +387,24 @@
 class _EngineCosts:
     """Costs of running one request on one engine, in seconds under `LeastTime`."""
 
-    def __init__(self, chooser, model, engine: PoolUpstream, demand, is_discouraged):
+    def __init__(
+        self,
+        chooser,
+        model,
+        engine: PoolUpstream,
+        demand,
+        is_discouraged,
+        is_failing_first,
+    ):
         kind = model.kinds[engine.kind]
         usage = chooser._reservations.usage(engine.id)
         slowdown = chooser._slowdowns.get(engine.id, 1.0)
         layer_count = engine.layers.end - engine.layers.first
         capacity = model.capacity(kind, layer_count)
         self.engine = engine
-        self.is_first_hop_full = usage.first_sequences >= model.max_sequences
+        self.can_begin = (
+            usage.first_sequences < model.max_sequences and not is_failing_first
+        )
         self._model = model
         self._demand = demand
         self._free_token_layers = (
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -6,7 +6,6 @@
 
 import secrets
 
-from bulrushdrum._internal.conditions.claim_set import ClaimSet
 from bulrushdrum._internal.conditions.exchange import ConditionExchange
 from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
 from bulrushdrum._internal.coordination.configuration_in_force import (
@@ -83,7 +82,7 @@
         store = RowStore(
             settings.store_address, settings.store_timeout, settings.feed_wait
         )
-        self.fleet = Fleet(claims=ClaimSet(settings.node, seed=self.incarnation))
+        self.fleet = Fleet(node=settings.node, seed=self.incarnation)
         self.reservations = MemoryReservations()
         self.upstream_limits = UpstreamLimits(
             lambda upstream_id: self.fleet.get(upstream_id) is not None,
