Bound the number of failures that a claim counts

The time of a claim doubles with each failure in a row. After 1,024 of them, about 70 minutes of refusals without a success, or at once for a number sent by a peer, the power was no float, and OverflowError ended the request that met the refusal.

--- a/src/bulrushdrum/_internal/conditions/claims.py
+++ b/src/bulrushdrum/_internal/conditions/claims.py
@@ -16,6 +16,8 @@
 # a success doubles it.
 _INITIAL_SECONDS = 0.5
 _MAX_SECONDS = 4.0
+# More are not counted: the time no longer doubles, and a large power is no float.
+MAX_FAILURES = 100
 
 
 class Matter(StrEnum):
@@ -66,7 +68,7 @@
     """Return the claim of a router that has found an upstream unusable."""
     failures = 1
     if condition.born == born and not condition.is_settled:
-        failures = condition.claim.failures + 1
+        failures = min(condition.claim.failures + 1, MAX_FAILURES)
     seconds = min(_INITIAL_SECONDS * 2 ** (failures - 1), _MAX_SECONDS)
     return Claim(upstream_id, born, matter, reporter, now, now + seconds, failures)
 
--- a/src/bulrushdrum/_internal/conditions/exchange.py
+++ b/src/bulrushdrum/_internal/conditions/exchange.py
@@ -10,7 +10,7 @@
 import gevent
 
 from bulrushdrum._internal.conditions.claim_set import ClaimSet
-from bulrushdrum._internal.conditions.claims import Claim, Matter
+from bulrushdrum._internal.conditions.claims import MAX_FAILURES, Claim, Matter
 from bulrushdrum._internal.conditions.silence_reports import (
     SilenceReport,
     SilenceReports,
@@ -58,6 +58,7 @@
         memory_utilization: Callable[[PoolUpstream], float],
         working_upstreams: Callable[[], frozenset[str]],
         clock=time.monotonic,
+        call_later=gevent.spawn_later,
     ):
         self._fleet = fleet
         self._claims: ClaimSet = fleet.claims
@@ -65,6 +66,7 @@
         self._memory_utilization = memory_utilization
         self._working_upstreams = working_upstreams
         self._clock = clock
+        self._call_later = call_later
         self._silence_reports = SilenceReports(clock)
         self._last_number = 0
         # The latest entry of each upstream that this router has made.
@@ -188,7 +190,7 @@
         if not self._is_send_due:
             self._is_send_due = True
             due_at = self._sent_at + _SEND_INTERVAL_SECONDS
-            gevent.spawn_later(max(due_at - self._clock(), 0.0), self._send_pending)
+            self._call_later(max(due_at - self._clock(), 0.0), self._send_pending)
         return self._last_number
 
     def _send_pending(self):
@@ -250,5 +252,5 @@
         str(matter),
         age,
         seconds,
-        max(int(failures), 1),
+        min(max(int(failures), 1), MAX_FAILURES),
     )
