Accuse upstreams by reports that can tell

A router that hears its peers but no upstream reports all of its streams. As soon as another router reported any silence, all of its reports counted; now only candidates that another router reports as well do. Two upstreams that fell silent at once under the same number of streams were only suspects, as if each could explain the reports of the other; now ties count only between candidates of the same report. A candidate that is alone in a report is found first, as it explains others with certainty.

--- a/src/bulrushdrum/_internal/conditions/silence_reports.py
+++ b/src/bulrushdrum/_internal/conditions/silence_reports.py
@@ -25,7 +25,10 @@
 
 
 class Accusation(NamedTuple):
-    """Upstreams that are silent, and those that cannot be told apart."""
+    """Upstreams that are silent, and those that cannot be told apart.
+
+    `silent` names for each upstream the first router that reported it.
+    """
 
     silent: dict[str, str]
     suspects: frozenset[str]
@@ -34,40 +37,71 @@
 def accuse(reports: list[SilenceReport]) -> Accusation:
     """Return the fewest upstreams that explain the reports, found greedily.
 
-    `silent` names for each upstream the first router that reported it. A router behind
-    a cut reports all of its streams, so it counts only if it still gets events or if
-    another router reports something as well.
+    Several that explain the same report equally well are suspects.
 
     >>> reports = [SilenceReport("r1", frozenset("ab"), True),
     ...            SilenceReport("r2", frozenset("bc"), True),
     ...            SilenceReport("r2", frozenset("de"), True)]
     >>> accusation = accuse(reports)
-    >>> accusation.silent, sorted(accusation.suspects)
-    ({'b': 'r1'}, ['d', 'e'])
+    >>> list(accusation.silent), sorted(accusation.suspects)
+    (['b'], ['d', 'e'])
     """
-    several_routers = len({report.reporter for report in reports}) > 1
-    left = [report for report in reports if report.delivers or several_routers]
+    left = _without_cut_routers(reports)
     silent: dict[str, str] = {}
     suspects: set[str] = set()
     while left:
-        counts = Counter(name for report in left for name in report.candidates)
-        if not counts:
-            break
-        most = max(counts.values())
-        names = {name for name, count in counts.items() if count == most}
-        explained = [report for report in left if report.candidates & names]
-        if len(names) == 1:
-            (name,) = names
-            if most > 1 or any(report.candidates == names for report in explained):
-                silent[name] = min(report.reporter for report in explained)
-            else:
-                suspects |= names
-        else:
-            suspects |= names
+        certain = {
+            name
+            for report in left
+            if report.delivers and len(report.candidates) == 1
+            for name in report.candidates
+        }
+        names, ambiguous = certain, set()
+        if not certain:
+            names, ambiguous = _most_common(left)
+        for name in names - ambiguous:
+            explained = [report for report in left if name in report.candidates]
+            silent[name] = min(report.reporter for report in explained)
+        suspects |= ambiguous
         left = [report for report in left if not report.candidates & names]
     return Accusation(silent, frozenset(suspects))
 
 
+def _without_cut_routers(reports):
+    """Return the reports with the candidates that count.
+
+    A router behind a cut reports all of its streams. If none of them delivers, only
+    candidates that another router reports as well count.
+    """
+    routers: dict[str, set[str]] = {}
+    for report in reports:
+        for name in report.candidates:
+            routers.setdefault(name, set()).add(report.reporter)
+    agreed = frozenset(name for name, found in routers.items() if len(found) > 1)
+    counted = [
+        report
+        if report.delivers
+        else report._replace(candidates=report.candidates & agreed)
+        for report in reports
+    ]
+    return [report for report in counted if report.candidates]
+
+
+def _most_common(reports):
+    """Return the most common candidates, and those that only may be silent."""
+    counts = Counter(name for report in reports for name in report.candidates)
+    most = max(counts.values())
+    names = {name for name, count in counts.items() if count == most}
+    if most == 1:
+        return names, names
+    ambiguous = set()
+    for report in reports:
+        tied = report.candidates & names
+        if len(tied) > 1:
+            ambiguous |= tied
+    return names, ambiguous
+
+
 class SilenceReports:
     """The reports of the last second, of this router and its peers."""
 
