Judge reports of silence by incarnation and by when they arrived

Reports named upstreams by id, with the incarnation that is registered now: streams over an upstream that has since restarted accused the new one. They now name the incarnations of the stream's path, also those that have ended, so that the rest of the path is not accused instead. A suspect is forgotten with its next start.

Reports stay for a second and are looked at with each new one. Old ones renewed a claim that had ended, or that a success had settled; a claim now needs a report that arrived since. An upstream that delivers clears itself of later reports as it did of earlier ones, which left the other candidate of its report as the only one, although it was itself silent before.

--- a/src/bulrushdrum/_internal/conditions/claim_set.py
+++ b/src/bulrushdrum/_internal/conditions/claim_set.py
@@ -1,5 +1,6 @@
 """The claims that one router knows, by upstream."""
 
+import math
 import random
 import time
 
@@ -7,6 +8,7 @@
     Claim,
     Condition,
     Matter,
+    answered_until,
     is_in_force,
     merge_claim,
     merge_success,
@@ -57,15 +59,23 @@
         return self._conditions[upstream_id].claim.failures
 
     def make(
-        self, upstream_id: str, born: int, matter: Matter, reporter: str = ""
+        self,
+        upstream_id: str,
+        born: int,
+        matter: Matter,
+        reporter: str = "",
+        found_at: float = math.inf,
     ) -> Claim | None:
         """Make a claim, unless one is in force already; return it.
 
         `reporter` is the router that tries the upstream again, by default this one.
+        What was found before the last claim ended or a success was sent counts no more.
         """
         condition = self.condition(upstream_id)
         now = self._clock()
-        if is_in_force(condition, born, now):
+        if born < condition.born or is_in_force(condition, born, now):
+            return None
+        if born == condition.born and found_at <= answered_until(condition):
             return None
         claim = next_claim(
             condition, upstream_id, born, matter, reporter or self.node, now
--- a/src/bulrushdrum/_internal/conditions/claims.py
+++ b/src/bulrushdrum/_internal/conditions/claims.py
@@ -94,6 +94,13 @@
     return condition._replace(works_since=max(condition.works_since, sent_at))
 
 
+def answered_until(condition: Condition) -> float:
+    """Return until when faults that were found are no reason for another claim."""
+    if condition.is_settled:
+        return condition.works_since
+    return condition.claim.until
+
+
 def _rank(claim):
     return (claim.made_at, claim.until, claim.failures, claim.reporter, claim.matter)
 
--- a/src/bulrushdrum/_internal/conditions/exchange.py
+++ b/src/bulrushdrum/_internal/conditions/exchange.py
@@ -11,10 +11,7 @@
 
 from bulrushdrum._internal.conditions.claim_set import ClaimSet
 from bulrushdrum._internal.conditions.claims import MAX_FAILURES, Claim, Matter
-from bulrushdrum._internal.conditions.silence_reports import (
-    SilenceReport,
-    SilenceReports,
-)
+from bulrushdrum._internal.conditions.silence_reports import SilenceReports
 from bulrushdrum._internal.coordination.peer_messages import PeerMessages
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.fleet import Fleet
@@ -105,17 +102,16 @@
                 age = self._clock() - sent_at
                 self._send([upstream.id, upstream.born, _WORKS, round(age, 3), 0, 0])
 
-    def report_silence(self, silence: Silence):
-        """Report the upstreams of which one has silenced a stream."""
-        born = self._born_by_id(silence.candidates)
-        report = SilenceReport(
-            self._claims.node, frozenset(silence.candidates), silence.delivers
+    def report_silence(self, path: Iterable[Hop], silence: Silence):
+        """Report the upstreams of a path of which one has silenced its stream."""
+        candidates = sorted(
+            (hop.upstream.id, hop.upstream.born)
+            for hop in path
+            if hop.upstream.id in silence.candidates
         )
-        self._silence_reports.add(report)
-        entries = list(born.items())[:_MAX_CANDIDATES]
-        body = {"candidates": entries, "delivers": silence.delivers}
+        self._add_silence_report(self._claims.node, candidates, silence.delivers)
+        body = {"candidates": candidates, "delivers": silence.delivers}
         self._messages.broadcast(SILENCE_KIND, body)
-        self._apply_silence_reports()
 
     def announcement(self) -> list[list]:
         """Return the claims of this router that are in force."""
@@ -204,37 +200,46 @@
         self.apply_announcement(name, incarnation, body)
 
     def _on_silence(self, name, _incarnation, body):
-        candidates = frozenset(
-            upstream_id
-            for upstream_id, born in body["candidates"]
-            if self._born_by_id([upstream_id]).get(upstream_id) == born
-        )
-        if candidates:
-            report = SilenceReport(name, candidates, bool(body["delivers"]))
-            self._silence_reports.add(report)
-            self._apply_silence_reports()
+        candidates = [
+            (str(upstream_id), int(born)) for upstream_id, born in body["candidates"]
+        ]
+        if len(candidates) > _MAX_CANDIDATES:
+            raise ValueError(f"{len(candidates)} candidates are more than a path has")
+        self._add_silence_report(name, candidates, bool(body["delivers"]))
 
-    def _apply_silence_reports(self):
-        accusation = self._silence_reports.accuse(self._working_upstreams())
-        self._fleet.suspect(accusation.suspects, _SUSPECT_SECONDS)
-        for upstream_id, reporter in accusation.silent.items():
-            upstream = self._fleet.get(upstream_id)
-            if upstream is None:
+    def _add_silence_report(self, name, candidates, delivers):
+        working = self._working_incarnations()
+        self._silence_reports.add(name, frozenset(candidates), delivers, working)
+        accusation = self._silence_reports.accuse()
+        self._fleet.suspect(
+            [
+                upstream_id
+                for upstream_id, born in accusation.suspects - working
+                if not self._has_ended(upstream_id, born)
+            ],
+            _SUSPECT_SECONDS,
+        )
+        for (upstream_id, born), accused in accusation.silent.items():
+            if (upstream_id, born) in working or self._has_ended(upstream_id, born):
                 continue
             # All routers come to the same conclusion, so nothing is sent.
             claim = self._claims.make(
-                upstream_id, upstream.born, Matter.UNRESPONSIVE, reporter
+                upstream_id,
+                born,
+                Matter.UNRESPONSIVE,
+                accused.reporter,
+                accused.reported_at,
             )
             if claim is not None:
                 self._log(Event.CLAIM_MADE, claim)
 
-    def _born_by_id(self, ids):
-        known = {upstream_id: self._fleet.get(upstream_id) for upstream_id in ids}
-        return {
-            upstream_id: upstream.born
-            for upstream_id, upstream in sorted(known.items())
-            if upstream is not None
-        }
+    def _working_incarnations(self):
+        known = map(self._fleet.get, self._working_upstreams())
+        return frozenset((u.id, u.born) for u in known if u is not None)
+
+    def _has_ended(self, upstream_id, born):
+        known = self._fleet.get(upstream_id)
+        return known is None or known.born != born
 
 
 def _decode(raw):
--- a/src/bulrushdrum/_internal/conditions/silence_reports.py
+++ b/src/bulrushdrum/_internal/conditions/silence_reports.py
@@ -13,6 +13,10 @@
 _WINDOW_SECONDS = 1.0
 
 
+# An upstream's id and when it started.
+_Incarnation = tuple[str, int]
+
+
 class SilenceReport(NamedTuple):
     """Upstreams of which one has silenced a stream of a router.
 
@@ -20,18 +24,23 @@
     """
 
     reporter: str
-    candidates: frozenset[str]
+    candidates: frozenset[_Incarnation]
     delivers: bool
+    received_at: float = 0.0
 
 
-class Accusation(NamedTuple):
-    """Upstreams that are silent, and those that cannot be told apart.
+class Accused(NamedTuple):
+    """Who first reported an upstream, by name, and when the latest report arrived."""
 
-    `silent` names for each upstream the first router that reported it.
-    """
+    reporter: str
+    reported_at: float
 
-    silent: dict[str, str]
-    suspects: frozenset[str]
+
+class Accusation(NamedTuple):
+    """Upstreams that are silent, and those that cannot be told apart."""
+
+    silent: dict[_Incarnation, Accused]
+    suspects: frozenset[_Incarnation]
 
 
 def accuse(reports: list[SilenceReport]) -> Accusation:
@@ -47,8 +56,8 @@
     (['b'], ['d', 'e'])
     """
     left = _without_cut_routers(reports)
-    silent: dict[str, str] = {}
-    suspects: set[str] = set()
+    silent: dict[_Incarnation, Accused] = {}
+    suspects: set[_Incarnation] = set()
     while left:
         certain = {
             name
@@ -61,7 +70,10 @@
             names, ambiguous = _most_common(left)
         for name in names - ambiguous:
             explained = [report for report in left if name in report.candidates]
-            silent[name] = min(report.reporter for report in explained)
+            silent[name] = Accused(
+                min(report.reporter for report in explained),
+                max(report.received_at for report in explained),
+            )
         suspects |= ambiguous
         left = [report for report in left if not report.candidates & names]
     return Accusation(silent, frozenset(suspects))
@@ -73,7 +85,7 @@
     A router behind a cut reports all of its streams. If none of them delivers, only
     candidates that another router reports as well count.
     """
-    routers: dict[str, set[str]] = {}
+    routers: dict[_Incarnation, set[str]] = {}
     for report in reports:
         for name in report.candidates:
             routers.setdefault(name, set()).add(report.reporter)
@@ -107,18 +119,26 @@
 
     def __init__(self, clock=time.monotonic):
         self._clock = clock
-        self._reports: deque[tuple[float, SilenceReport]] = deque()
-
-    def add(self, report: SilenceReport):
-        self._reports.append((self._clock(), report))
-
-    def accuse(self, working: frozenset[str] = frozenset()) -> Accusation:
-        """Return what the reports accuse, without the upstreams that are `working`."""
+        self._reports: deque[SilenceReport] = deque()
+
+    def add(
+        self,
+        reporter: str,
+        candidates: frozenset[_Incarnation],
+        delivers: bool,
+        working: frozenset[_Incarnation] = frozenset(),
+    ):
+        """Add a report; `working` are upstreams that have delivered to this router.
+
+        One that delivers only later clears itself, and not at the expense of the other
+        candidates: it may have been silent before.
+        """
+        report = SilenceReport(reporter, candidates - working, delivers, self._clock())
+        if report.candidates:
+            self._reports.append(report)
+
+    def accuse(self) -> Accusation:
         oldest = self._clock() - _WINDOW_SECONDS
-        while self._reports and self._reports[0][0] < oldest:
+        while self._reports and self._reports[0].received_at < oldest:
             self._reports.popleft()
-        reports = [
-            report._replace(candidates=report.candidates - working)
-            for _, report in self._reports
-        ]
-        return accuse([report for report in reports if report.candidates])
+        return accuse(list(self._reports))
--- a/src/bulrushdrum/_internal/gateway/stream_moves.py
+++ b/src/bulrushdrum/_internal/gateway/stream_moves.py
@@ -20,7 +20,7 @@
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.memory_reservations import Hop
 from bulrushdrum._internal.pipelines.paths import Demand
-from bulrushdrum._internal.pipelines.silent_upstreams import SilentUpstreams
+from bulrushdrum._internal.pipelines.silent_upstreams import Silence, SilentUpstreams
 from bulrushdrum._internal.world.engines import EngineModel
 from bulrushdrum._internal.world.routes import Route
 
@@ -35,8 +35,8 @@
     """Decides which streams of a router move.
 
     `detect_stall(path)` marks the upstreams that stall a path, `loop_latency()` returns
-    how many seconds the event loop is late, and `report_silence(silence)` passes on
-    which upstreams may be silent.
+    how many seconds the event loop is late, and `report_silence(path, silence)` passes
+    on which upstreams may be silent.
     """
 
     def __init__(
@@ -47,7 +47,7 @@
         count_routers: Callable[[], int],
         detect_stall: Callable[[tuple[Hop, ...]], None],
         loop_latency: Callable[[], float] = lambda: 0.0,
-        report_silence: Callable[[object], None] = lambda silence: None,
+        report_silence: Callable[[tuple[Hop, ...], Silence], None] = lambda *_: None,
         clock=time.monotonic,
     ):
         self.silent_upstreams = silent_upstreams
@@ -109,7 +109,7 @@
     def record_move(self, path, silence):
         self._bound.record(silence.candidates)
         self.moves += 1
-        self._report_silence(silence)
+        self._report_silence(path, silence)
         gevent.spawn(self._detect_stall, path)
 
 
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -161,6 +161,7 @@
             return
         if known is not None and known.born != upstream.born:
             self._backoffs.pop(upstream.id, None)
+            self._suspects.pop(upstream.id, None)
             self._unresponsive.pop(upstream.id, None)
             self._terminated.pop(upstream.id, None)
             self._leaving.pop(upstream.id, None)
