Send no message between routers that is too large

With ids of 36 bytes a silence report of 32 candidates has 1,760 bytes, and with ids of 64 bytes twelve claims exceed 1,400. The error of the first ended the request that moved; that of the second lost all claims of the message. Claims are now spread over more messages; a report that does not fit is not sent.

--- a/src/bulrushdrum/_internal/conditions/exchange.py
+++ b/src/bulrushdrum/_internal/conditions/exchange.py
@@ -23,7 +23,7 @@
 SILENCE_KIND = "silence"
 # What gathers in this time is sent together.
 _SEND_INTERVAL_SECONDS = 0.02
-# About 80 bytes each, so that a message stays within its limit.
+# About 80 bytes each, so that a message usually stays within its limit.
 _MAX_ENTRIES_PER_MESSAGE = 12
 _MAX_ANNOUNCED = 64
 # No claim lasts longer, whatever another router says.
@@ -111,7 +111,12 @@
         )
         self._add_silence_report(self._claims.node, candidates, silence.delivers)
         body = {"candidates": candidates, "delivers": silence.delivers}
-        self._messages.broadcast(SILENCE_KIND, body)
+        try:
+            self._messages.broadcast(SILENCE_KIND, body)
+        except ValueError:
+            # One that is cut to the size of a message could name only upstreams that
+            # work, so the peers get none.
+            pass
 
     def announcement(self) -> list[list]:
         """Return the claims of this router that are in force."""
@@ -193,8 +198,20 @@
         self._is_send_due, self._sent_at = False, self._clock()
         pending, self._pending = self._pending, []
         for first in range(0, len(pending), _MAX_ENTRIES_PER_MESSAGE):
-            entries = pending[first : first + _MAX_ENTRIES_PER_MESSAGE]
+            self._broadcast(pending[first : first + _MAX_ENTRIES_PER_MESSAGE])
+
+    def _broadcast(self, entries):
+        """Send entries in as many messages as they need.
+
+        One that exceeds a message alone is left to the announcements.
+        """
+        try:
             self._messages.broadcast(CONDITIONS_KIND, entries)
+        except ValueError:
+            if len(entries) > 1:
+                middle = len(entries) // 2
+                self._broadcast(entries[:middle])
+                self._broadcast(entries[middle:])
 
     def _on_conditions(self, name, incarnation, body):
         self.apply_announcement(name, incarnation, body)
--- a/tests/unit/test_condition_exchange.py
+++ b/tests/unit/test_condition_exchange.py
@@ -7,6 +7,8 @@
 import pytest
 from tests.unit.condition_fakes import Network
 
+from bulrushdrum._internal.coordination.peer_messages import MAX_MESSAGE_BYTES
+
 
 @pytest.fixture
 def network():
@@ -53,3 +55,27 @@
     network.advance(1.0)
     routers[0].refuse("a")
     assert routers[0].avoids("a")
+
+
+def test_ids_of_any_length_fit_or_are_left_out(network):
+    # Guards against a message over 1,400 bytes, whose error ended the request that
+    # moved, or lost all claims that were sent with it.
+    long = [f"{n:02}{'x' * 60}" for n in range(32)]
+    network = Network("r1", "r2", upstreams=[*long, "b", "y" * 2000])
+    first, second = network.routers.values()
+    first.report_silence(long)
+    for upstream_id in (*long, "y" * 2000, "b"):
+        first.refuse(upstream_id)
+    network.advance(0.1)
+    assert max(network.sizes) <= MAX_MESSAGE_BYTES
+    assert all(second.avoids(upstream_id) for upstream_id in (*long, "b"))
+
+
+def test_a_silence_report_of_the_longest_path_fits(network):
+    # Guards against reports that are never sent.
+    path = [f"i-{n:08x}" for n in range(32)]
+    network = Network("r1", "r2", upstreams=path)
+    first, second = network.routers.values()
+    first.report_silence(path, born=1_765_000_000_000)
+    network.advance(0.1)
+    assert network.sizes and max(network.sizes) <= MAX_MESSAGE_BYTES
