Keep withdrawals whatever the order of messages

A success was recorded only if its claim was known, so a claim that arrived later was in force although an upstream had served a request since. Numbers of applied entries were forgotten as soon as a claim was settled, so that a late copy revived it. A router went on announcing its claim after another one had withdrawn it, and a withdrawal whose message was lost was never repeated. Successes and numbers are now kept for ten seconds, and announcements have withdrawals and leave out what is settled.

An entry with a field or a matter of a newer release cost its whole message; the field is now ignored, and an entry of an unknown matter passed over.

--- a/src/bulrushdrum/_internal/conditions/claim_set.py
+++ b/src/bulrushdrum/_internal/conditions/claim_set.py
@@ -15,8 +15,9 @@
     next_claim,
 )
 
-# A claim is remembered for this long after its end, so that the next one lasts longer.
-_MEMORY_SECONDS = 10.0
+# A claim is remembered for this long after its end, so that the next one lasts longer;
+# a success, so that a claim from before it changes nothing when it arrives.
+MEMORY_SECONDS = 10.0
 # The router that made a claim has this long to try the upstream again.
 _HOLD_SECONDS = 0.2
 # The others follow one after another, in a random order, until one of them tells how it
@@ -90,23 +91,26 @@
         self.received += changed
         return changed
 
-    def record_success(self, upstream_id: str, born: int, sent_at: float) -> bool:
-        """Record that a request sent at `sent_at` succeeded.
+    def record_success(
+        self, upstream_id: str, born: int, sent_at: float
+    ) -> Claim | None:
+        """Record that a request sent at `sent_at` succeeded; return a claim that ends.
 
-        Returns whether that settles a claim.
+        A success also counts if the claim that it settles arrives later.
         """
-        condition = self._conditions.get(upstream_id)
-        if condition is None or condition.is_settled:
-            return False
+        condition = self.condition(upstream_id)
         merged = merge_success(condition, born, sent_at)
-        if merged == condition:
-            return False
         self._conditions[upstream_id] = merged
-        if not merged.is_settled:
-            return False
+        if condition.is_settled or not merged.is_settled:
+            return None
         self.version += 1
         self.withdrawn += 1
-        return True
+        return condition.claim
+
+    def is_settled(self, claim: Claim) -> bool:
+        """Whether a claim was withdrawn, or concerns an incarnation that has ended."""
+        condition = self.condition(claim.upstream_id)
+        return condition.born > claim.born or condition.works_since > claim.made_at
 
     def in_force(self) -> list[Claim]:
         """Return the claims that are in force."""
@@ -117,10 +121,11 @@
         ]
 
     def forget_old(self):
-        """Forget the claims that ended long ago."""
-        oldest = self._clock() - _MEMORY_SECONDS
+        """Forget the claims and successes of long ago."""
+        oldest = self._clock() - MEMORY_SECONDS
         for upstream_id, condition in list(self._conditions.items()):
-            if condition.claim is None or condition.claim.until < oldest:
+            until = -math.inf if condition.claim is None else condition.claim.until
+            if max(until, condition.works_since) < oldest:
                 del self._conditions[upstream_id]
                 self._holds.pop(upstream_id, None)
 
--- a/src/bulrushdrum/_internal/conditions/exchange.py
+++ b/src/bulrushdrum/_internal/conditions/exchange.py
@@ -6,10 +6,11 @@
 
 import time
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import gevent
 
-from bulrushdrum._internal.conditions.claim_set import ClaimSet
+from bulrushdrum._internal.conditions.claim_set import MEMORY_SECONDS, ClaimSet
 from bulrushdrum._internal.conditions.claims import MAX_FAILURES, Claim, Matter
 from bulrushdrum._internal.conditions.silence_reports import SilenceReports
 from bulrushdrum._internal.coordination.peer_messages import PeerMessages
@@ -39,6 +40,16 @@
 # The longest path that engines accept.
 _MAX_CANDIDATES = 32
 _WORKS = "works"
+_MATTERS = frozenset(matter.value for matter in Matter)
+
+
+class _Withdrawal(NamedTuple):
+    """A request sent at `sent_at` was served; the claim had lasted `until`."""
+
+    upstream_id: str
+    born: int
+    sent_at: float
+    until: float
 
 
 class ConditionExchange:
@@ -66,13 +77,14 @@
         self._call_later = call_later
         self._silence_reports = SilenceReports(clock)
         self._last_number = 0
-        # The latest entry of each upstream that this router has made.
-        self._own: dict[str, tuple[int, Claim]] = {}
+        # The latest entry on each upstream that this router has sent.
+        self._own: dict[str, tuple[int, Claim | _Withdrawal]] = {}
         self._pending: list[list] = []
         self._is_send_due = False
         self._sent_at = float("-inf")
-        # The latest entry that was applied, by router incarnation and upstream.
-        self._applied: dict[tuple[str, str], int] = {}
+        # The latest entry that was applied, by router incarnation and upstream, and
+        # when.
+        self._applied: dict[tuple[str, str], tuple[int, float]] = {}
         messages.register(CONDITIONS_KIND, self._on_conditions)
         messages.register(SILENCE_KIND, self._on_silence)
 
@@ -96,11 +108,12 @@
         """Record that a request sent at `sent_at` got events over `path`."""
         for hop in path:
             upstream = hop.upstream
-            if self._claims.record_success(upstream.id, upstream.born, sent_at):
+            claim = self._claims.record_success(upstream.id, upstream.born, sent_at)
+            if claim is not None:
                 log_event(Event.CLAIM_WITHDRAWN, upstream=upstream.id)
-                self._own.pop(upstream.id, None)
-                age = self._clock() - sent_at
-                self._send([upstream.id, upstream.born, _WORKS, round(age, 3), 0, 0])
+                self._send(
+                    _Withdrawal(upstream.id, upstream.born, sent_at, claim.until)
+                )
 
     def report_silence(self, path: Iterable[Hop], silence: Silence):
         """Report the upstreams of a path of which one has silenced its stream."""
@@ -119,27 +132,29 @@
             pass
 
     def announcement(self) -> list[list]:
-        """Return the claims of this router that are in force."""
+        """Return what this router has claimed or withdrawn and is still of use."""
         now = self._clock()
-        for upstream_id, (_, claim) in list(self._own.items()):
-            if claim.until <= now:
+        for upstream_id, (_, entry) in list(self._own.items()):
+            is_claim = isinstance(entry, Claim)
+            if entry.until <= now or (is_claim and self._claims.is_settled(entry)):
                 del self._own[upstream_id]
         latest = sorted(self._own.values(), reverse=True)[:_MAX_ANNOUNCED]
-        return [[number, *self._encode(claim)] for number, claim in latest]
+        return [[number, *self._encode(entry)] for number, entry in latest]
 
     def apply_announcement(self, name: str, incarnation: str, raw):
         """Apply the claims of another router; raises `DECODING_ERRORS`."""
-        entries = [_decode(entry) for entry in raw]
+        entries = [_decode(entry) for entry in raw[:_MAX_ANNOUNCED]]
         for number, upstream_id, born, matter, age, seconds, failures in entries:
-            key = (incarnation, upstream_id)
-            if number <= self._applied.get(key, 0):
+            now, key = self._clock(), (incarnation, upstream_id)
+            if number <= self._applied.get(key, (0, 0.0))[0]:
                 continue
-            self._applied[key] = number
-            now = self._clock()
+            self._applied[key] = (number, now)
             if matter == _WORKS:
                 sent_at = now - age - _DELAY_MARGIN_SECONDS
                 self._claims.record_success(upstream_id, born, sent_at)
                 continue
+            if matter not in _MATTERS:
+                continue
             until = now + min(seconds, _MAX_CLAIM_SECONDS)
             claim = Claim(
                 upstream_id, born, Matter(matter), name, now - age, until, failures
@@ -151,18 +166,19 @@
         """Forget what has ended; `routers` is the number of routers."""
         self._claims.routers = routers
         self._claims.forget_old()
-        known = {claim.upstream_id for claim in self._claims.in_force()}
+        # Later than a copy of an entry can arrive: none is announced for so long.
+        oldest = self._clock() - MEMORY_SECONDS
         self._applied = {
-            key: number for key, number in self._applied.items() if key[1] in known
+            key: (number, applied_at)
+            for key, (number, applied_at) in self._applied.items()
+            if applied_at >= oldest
         }
 
     def _make(self, upstream, matter):
         claim = self._claims.make(upstream.id, upstream.born, matter)
-        if claim is None:
-            return
-        self._log(Event.CLAIM_MADE, claim)
-        number = self._send(self._encode(claim))
-        self._own[upstream.id] = (number, claim)
+        if claim is not None:
+            self._log(Event.CLAIM_MADE, claim)
+            self._send(claim)
 
     def _log(self, event, claim):
         log_event(
@@ -174,25 +190,35 @@
             seconds=round(claim.until - self._clock(), 3),
         )
 
-    def _encode(self, claim):
+    def _encode(self, entry):
         now = self._clock()
+        match entry:
+            case Claim():
+                matter, since, failures = (
+                    entry.matter.value,
+                    entry.made_at,
+                    entry.failures,
+                )
+            case _Withdrawal():
+                matter, since, failures = _WORKS, entry.sent_at, 0
+        seconds = max(entry.until - now, 0.0)
         return [
-            claim.upstream_id,
-            claim.born,
-            claim.matter.value,
-            round(now - claim.made_at, 3),
-            round(claim.until - now, 3),
-            claim.failures,
+            entry.upstream_id,
+            entry.born,
+            matter,
+            round(now - since, 3),
+            round(seconds, 3),
+            failures,
         ]
 
-    def _send(self, entry) -> int:
+    def _send(self, entry):
         self._last_number += 1
-        self._pending.append([self._last_number, *entry])
+        self._own[entry.upstream_id] = (self._last_number, entry)
+        self._pending.append([self._last_number, *self._encode(entry)])
         if not self._is_send_due:
             self._is_send_due = True
             due_at = self._sent_at + _SEND_INTERVAL_SECONDS
             self._call_later(max(due_at - self._clock(), 0.0), self._send_pending)
-        return self._last_number
 
     def _send_pending(self):
         self._is_send_due, self._sent_at = False, self._clock()
@@ -260,18 +286,21 @@
 
 
 def _decode(raw):
-    """Decode an entry of a message; raises `DECODING_ERRORS`."""
-    number, upstream_id, born, matter, age, seconds, failures = raw
+    """Decode an entry of a message; raises `DECODING_ERRORS`.
+
+    A newer release may add fields and matters.
+    """
+    number, upstream_id, born, matter, age, seconds, failures, *_ = raw
     age, seconds = float(age), float(seconds)
     if not (0.0 <= age and 0.0 <= seconds):
         raise ValueError(f"{raw!r} has a negative or undefined time")
-    if matter != _WORKS:
-        Matter(matter)
+    if not isinstance(matter, str):
+        raise ValueError(f"{matter!r} is not a string")
     return (
         int(number),
         str(upstream_id),
         int(born),
-        str(matter),
+        matter,
         age,
         seconds,
         min(max(int(failures), 1), MAX_FAILURES),
--- a/tests/unit/test_condition_exchange.py
+++ b/tests/unit/test_condition_exchange.py
@@ -8,6 +8,7 @@
 from tests.unit.condition_fakes import Network
 
 from bulrushdrum._internal.coordination.peer_messages import MAX_MESSAGE_BYTES
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 
 
 @pytest.fixture
@@ -79,3 +80,145 @@
     first.report_silence(path, born=1_765_000_000_000)
     network.advance(0.1)
     assert network.sizes and max(network.sizes) <= MAX_MESSAGE_BYTES
+
+
+def test_a_withdrawn_claim_is_not_revived_by_a_late_copy(network, routers):
+    # Guards against numbers that are forgotten as soon as a claim is settled.
+    routers[0].refuse("a")
+    network.delay = lambda: 0.6
+    routers[0].announce()
+    network.delay = lambda: 0.001
+    network.advance(0.1)
+    routers[1].succeed("a")
+    network.advance(0.1)
+    for router in routers:
+        router.exchange.run_maintenance(3)
+    assert not any(router.avoids("a") for router in routers)
+    network.advance(0.5)
+    assert not any(router.avoids("a") for router in routers)
+
+
+def test_a_claim_that_another_router_withdrew_is_announced_no_more(network, routers):
+    # Guards against a router that starts, and learns of a claim that has ended.
+    network.advance(1.0)
+    routers[0].refuse("a")
+    network.advance(0.1)
+    routers[1].succeed("a")
+    network.advance(0.1)
+    starting = network.start("r3")
+    routers[0].announce()
+    network.advance(0.1)
+    assert not starting.avoids("a")
+
+
+def test_a_success_counts_if_its_claim_arrives_later(network, routers):
+    # Guards against a merge that depends on the order of messages.
+    network.delay = lambda: None
+    routers[0].refuse("a")
+    network.advance(0.1)
+    routers[2].succeed("a")
+    routers[1].exchange.apply_announcement(
+        "r4", "r4#0", [[1, "a", 1, "works", 0.0, 0.4, 0]]
+    )
+    network.advance(0.1)
+    network.delay = lambda: 0.001
+    routers[0].announce()
+    network.advance(0.1)
+    assert [router.avoids("a") for router in routers] == [True, False, False]
+
+
+def test_a_withdrawal_whose_message_is_lost_is_announced(network, routers):
+    # Guards against routers that avoid an upstream until the claim ends.
+    for _ in range(4):
+        routers[0].refuse("a")
+        network.advance(0.01)
+        network.advance(routers[0].claims.dump()[0]["seconds_left"] + 0.01)
+    routers[0].refuse("a")
+    network.advance(0.1)
+    network.delay = lambda: None
+    routers[0].succeed("a")
+    network.advance(0.1)
+    network.delay = lambda: 0.001
+    assert routers[1].avoids("a")
+    routers[0].announce()
+    network.advance(0.01)
+    assert not routers[1].avoids("a")
+
+
+def test_an_entry_of_a_newer_release_is_passed_over(routers):
+    # Guards against a field or a matter of a newer release that costs a whole message.
+    entries = [
+        [1, "a", 1, "refusing", 0.0, 0.5, 1, "more"],
+        [2, "b", 1, "overheating", 0.0, 0.5, 1],
+        [3, "c", 1, "refusing", 0.0, 0.5, 1],
+    ]
+    routers[0].exchange.apply_announcement("r9", "r9#0", entries)
+    assert routers[0].fleet.avoided_ids() == ["a", "c"]
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        None,
+        [],
+        [2, "b", 1, "refusing", 0.0],
+        [2, "b", 1, "refusing", -1.0, 0.5, 1],
+        [2, "b", 1, "refusing", 0.0, float("nan"), 1],
+        [2, "b", float("inf"), "refusing", 0.0, 0.5, 1],
+        [2, "b", 1, [], 0.0, 0.5, 1],
+        [2, "b", 1, "refusing", 0.0, 0.5, float("inf")],
+    ],
+)
+def test_a_malformed_entry_applies_nothing_of_its_message(routers, entry):
+    # Guards against a message of which one part is in force.
+    good = [1, "a", 1, "refusing", 0.0, 0.5, 1]
+    with pytest.raises(DECODING_ERRORS):
+        routers[0].exchange.apply_announcement("r9", "r9#0", [good, entry])
+    assert routers[0].fleet.avoided_ids() == []
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        None,
+        {"candidates": [["a", 1]]},
+        {"candidates": [["a"]], "delivers": True},
+        {"candidates": [[["a"], float("nan")]], "delivers": True},
+        {"candidates": [["a", 1]] * 33, "delivers": True},
+    ],
+)
+def test_a_malformed_report_of_silence_accuses_nobody(routers, body):
+    raw = {"kind": "silence", "node": "r9", "incarnation": "r9#0", "body": body}
+    with pytest.raises(DECODING_ERRORS):
+        routers[0].messages.receive(raw)
+    assert not routers[0].fleet.suspects() and not routers[0].avoids("a")
+
+
+def test_a_claim_always_ends(network, routers):
+    # Guards against an upstream that is never used again, whatever a peer says.
+    for seconds in (1e9, float("inf")):
+        entry = [1, "a", 1, "refusing", float("inf"), seconds, 99]
+        routers[0].exchange.apply_announcement("r9", f"r9#{seconds}", [entry])
+        assert routers[0].avoids("a")
+        network.advance(10.0)
+        assert not routers[0].avoids("a")
+
+
+def test_nothing_is_kept_of_claims_that_ended_long_ago(network, routers):
+    # Guards against memory that grows with each claim, success and router incarnation.
+    first, second, _ = routers
+    for _ in range(20):
+        first = network.start("r1")
+        for upstream_id in "abc":
+            first.refuse(upstream_id)
+        first.report_silence("de")
+        first.succeed("f")
+        network.advance(1.0)
+        second.succeed("a")
+    network.advance(30.0)
+    for router in (first, second):
+        router.exchange.announcement()
+        router.exchange.run_maintenance(3)
+        exchange = router.exchange
+        kept = (exchange._applied, exchange._own, router.claims._conditions)
+        assert not any(kept) and not exchange._pending
