Refuse an announcement whose conditions are malformed

They were applied outside of the handling of malformed announcements, so that their error ended the task that listens to peers, until it was started again 0.5 s later.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -354,6 +354,8 @@
                 )
                 # Releases without this field know no limits of upstreams.
                 self._limits.apply_announcement(name, raw.get("limits", []))
+                # Releases without this field share no conditions.
+                self.apply_conditions(name, incarnation, raw.get("conditions", []))
             except DECODING_ERRORS as error:
                 log_event(Event.PEER_REFUSED, peer=str(address), reason=repr(error))
                 continue
@@ -379,7 +381,6 @@
             )
             self._reservations.set_peer_usage(name, usages)
             self._apply_layer_updates(name, incarnation, updates)
-            self.apply_conditions(name, incarnation, raw.get("conditions", []))
             for upstream_id, born in leaving:
                 self._fleet.mark_leaving(upstream_id, born)
             for upstream_id in unresponsive:
--- a/tests/unit/test_peer_messages.py
+++ b/tests/unit/test_peer_messages.py
@@ -66,3 +66,19 @@
 def test_a_message_that_is_too_large_is_not_sent(routers):
     with pytest.raises(ValueError, match="exceeds"):
         routers[0].messages.broadcast("retries", "x" * MAX_MESSAGE_BYTES)
+
+
+def test_an_announcement_with_malformed_conditions_does_not_end_the_listener(routers):
+    # Guards against a listener that ends, and hears no peer until it is started again.
+    first, second, _ = routers
+
+    def fail(*_):
+        raise ValueError("malformed")
+
+    second.apply_conditions = fail
+    send_announcements(first)
+    second.apply_conditions = lambda *_: None
+    received = register(second, "known")
+    first.messages.broadcast("known", "body")
+    gevent.sleep(0.05)
+    assert received == [("r1", "i1", "body")]
