--- a/tests/unit/test_condition_exchange.py
+++ b/tests/unit/test_condition_exchange.py
@@ -4,6 +4,8 @@
 of routers meet each of them. Datagrams are lost, repeated, delayed and reordered.
 """
 
+import random
+
 import pytest
 from tests.unit.condition_fakes import Network
 
@@ -222,3 +224,140 @@
         exchange = router.exchange
         kept = (exchange._applied, exchange._own, router.claims._conditions)
         assert not any(kept) and not exchange._pending
+
+
+def test_a_restarted_upstream_is_used_at_once(network, routers):
+    # Guards against a claim on the old incarnation that keeps the new one unused, and
+    # against a late refusal of the old one.
+    routers[0].refuse("a")
+    network.advance(0.01)
+    for router in routers:
+        router.fleet.put(router.upstream("a", born=2))
+    assert not any(router.avoids("a") for router in routers)
+    routers[0].refuse("a", born=1)
+    routers[0].announce()
+    network.advance(0.01)
+    assert not any(router.avoids("a") for router in routers)
+    routers[0].refuse("a", born=2)
+    network.advance(0.01)
+    assert all(router.avoids("a") for router in routers)
+
+
+def test_another_upstream_at_the_same_address_is_not_avoided(network, routers):
+    # Guards against claims that follow an address: it may be used again after 2 s.
+    routers[0].refuse("a")
+    network.advance(0.01)
+    address = routers[1].upstream("a").address
+    routers[1].fleet.put(routers[1].upstream("new")._replace(address=address))
+    assert not routers[1].avoids("new")
+    # The old upstream's connections end, and its routers say that it is gone.
+    routers[0].exchange.report_terminated(routers[0].upstream("a"))
+    network.advance(0.01)
+    assert not routers[1].avoids("new")
+
+
+def test_claims_of_a_restarted_router_are_applied(network, routers):
+    # Guards against a new incarnation whose numbers begin again and count as applied.
+    for upstream_id in "abc":
+        routers[0].refuse(upstream_id)
+        network.advance(0.03)
+    restarted = network.start("r1")
+    restarted.refuse("d")
+    network.advance(0.03)
+    assert routers[1].avoids("d")
+
+
+def test_a_router_killed_before_it_tells_leaves_nothing(network, routers):
+    # Guards against a part that needs the router which learned first.
+    routers[0].refuse("a")
+    routers[0].is_running = False
+    network.advance(0.1)
+    assert not routers[1].avoids("a")
+    routers[1].refuse("a")
+    network.advance(0.1)
+    assert routers[2].avoids("a")
+
+
+def test_a_router_killed_after_it_told_delays_the_others_only(network, routers):
+    # Guards against others that wait for a router which tries no upstream any more.
+    routers[0].refuse("a")
+    network.advance(0.01)
+    network.cut_off.add("r1")
+    network.advance(2.0)
+    assert not any(router.avoids("a") for router in routers[1:])
+
+
+def test_a_router_that_was_cut_off_accuses_nobody(network, routers):
+    # Guards against a router behind a cut that makes all routers avoid all upstreams,
+    # at once or when it is heard again.
+    network.cut_off.add("r1")
+    for upstream_id in "abcd":
+        routers[0].exchange.report_unresponsive(routers[0].upstream(upstream_id))
+        routers[0].report_silence(upstream_id + "h", delivers=False)
+    network.cut_off.clear()
+    routers[0].announce()
+    network.advance(0.1)
+    assert not any(router.fleet.avoided_ids() for router in routers)
+
+
+def test_a_cut_router_learns_and_forgets_like_the_others(network, routers):
+    network.cut_off.add("r3")
+    routers[0].refuse("a")
+    network.advance(0.1)
+    assert not routers[2].avoids("a")
+    network.cut_off.clear()
+    routers[0].announce()
+    network.advance(0.01)
+    assert routers[2].avoids("a")
+    network.cut_off.add("r3")
+    network.advance(3.0)
+    assert not routers[2].avoids("a")
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_lost_repeated_late_and_reordered_messages(seed):
+    # Guards against routers that disagree for long, and against a claim on a working
+    # upstream, whatever happens to messages.
+    network = Network("r1", "r2", "r3")
+    network.make_unreliable(seed)
+    draw = random.Random(seed)
+    born, refusing_until = 1, 0.0
+    for _ in range(300):
+        network.advance(0.03)
+        router = draw.choice(list(network.routers.values()))
+        if draw.random() < 0.03:
+            refusing_until = network.now + draw.uniform(0.0, 3.0)
+        if draw.random() < 0.01:
+            born, refusing_until = born + 1, 0.0
+            for other in network.routers.values():
+                other.fleet.put(other.upstream("a", born=born))
+            assert not any(r.avoids("a") for r in network.routers.values())
+        if draw.random() < 0.01:
+            router = network.start(router.name)
+            router.fleet.put(router.upstream("a", born=born))
+        if draw.random() < 0.3:
+            router.announce()
+        if not router.avoids("a"):
+            if network.now < refusing_until:
+                router.refuse("a", born)
+            else:
+                router.succeed("a", born=born)
+        router.exchange.run_maintenance(3)
+        assert not router.avoids("b")
+    # The longest claim, the longest hold and the longest delay.
+    network.advance(4.0 + 0.4 + 0.3)
+    assert not any(router.avoids("a") for router in network.routers.values())
+
+
+def test_what_all_routers_heard_they_agree_on(network, routers):
+    # Guards against a result that depends on the order in which messages arrive.
+    network.make_unreliable(seed=1, max_delay=0.01)
+    network.copies = 8
+    for step in range(40):
+        network.advance(0.05)
+        routers[step % 3].refuse("abc"[step % 2])
+        network.advance(0.05)
+        for upstream_id in "ab":
+            known = [router.claims.condition(upstream_id).claim for router in routers]
+            told = {claim and (claim.reporter, claim.failures) for claim in known}
+            assert len(told) == 1
