Fix the form of the conditions in announcements

Announcements have a new field, which routers of the earlier release ignore; the test expected no such field. It now compares all fields again, the new one with a claim and a withdrawal as they are sent, and a new test reads the same entries: the next release has to read what this one writes. The sample of the earlier release is unchanged.

--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -21,6 +21,7 @@
 from tests.fakes import FakeHub, FakeTable
 from tests.unit.pool_fakes import make_engine, make_limits
 
+from bulrushdrum._internal.conditions.exchange import ConditionExchange
 from bulrushdrum._internal.configuration.log import (
     edit_writes,
     encode_value,
@@ -313,6 +314,11 @@
         make_limits(),
         lambda: 0,
     )
+    router.conditions = ConditionExchange(
+        fleet, router.announcements.messages, lambda upstream: 0.0, frozenset, clock
+    )
+    router.announcements.announced_conditions = router.conditions.announcement
+    router.announcements.apply_conditions = router.conditions.apply_announcement
     router.announcements.set_serving(True)
     # Past the time that a router waits before it becomes leader.
     clock.now += 10.0
@@ -352,6 +358,25 @@
     assert router.reservations.usage("e2") == EngineUsage(162.0, 2, 1)
 
 
+# Added since: number, upstream, start time, matter, age, seconds left and failures. The
+# next releases read what this one writes.
+CONDITIONS = [
+    [3, "e2", 1, "works", 0.1, 0.375, 0],
+    [1, "e1", 1, "refusing", 0.125, 0.375, 1],
+]
+
+
+def test_conditions_are_applied(clock):
+    router = make_router("r2", "r2#1", clock)
+    router.conditions.apply_announcement("r1", "r1#5", CONDITIONS)
+    assert router.fleet.avoided_ids() == ["e1"]
+    claim = router.fleet.claims.condition("e1").claim
+    assert (claim.reporter, claim.failures) == ("r1", 1)
+    assert (claim.made_at, claim.until) == (clock.now - 0.125, clock.now + 0.375)
+    works_since = router.fleet.claims.condition("e2").works_since
+    assert clock.now - 0.2 < works_since <= clock.now - 0.1
+
+
 def test_announcement_is_sent(clock, peer_socket):
     router = make_router("r1", "r1#5", clock)
     address = {"ip": "127.0.0.1", "port": peer_socket.getsockname()[1]}
@@ -373,6 +398,12 @@
     assert router.quarantine.dump() == {"f-crashed": 2, "f-served": 1}
     router.quarantine.record_success("f-served")
 
+    router.conditions.report_refusal(first)
+    router.conditions.report_refusal(second)
+    hop = Hop(second, LayerRange(0, 20))
+    router.conditions.record_events([hop], clock.now + 0.025)
+    clock.now += 0.125
+
     router.announcements._announce()
     # These fields were added since; routers of the earlier release ignore them.
     added = {
@@ -382,6 +413,7 @@
         "leaving": [],
         "configuration": 0,
         "store_contact": None,
+        "conditions": CONDITIONS,
     }
     expected = {**SAMPLES["announcement"], **added}
     assert json.loads(peer_socket.recv(65000)) == expected
