Let the soak refuse and silence engines behind the first hop

Two faults: an engine refuses all requests over it, named in At-Server, or the streams over it stop without an end. They are drawn like the others, so that the seeds of test_soak.py play other faults than before; the guarantees are the same.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -173,6 +173,8 @@
                     self._server_link,
                     self._server_trouble,
                     self._server_trouble,
+                    self._engine_refuses,
+                    self._engine_silent,
                     self._crash,
                     self._drain,
                     self._change_key,
@@ -288,6 +290,19 @@
         gevent.sleep(self._random.uniform(0.5, 2.0))
         server.trouble = None
 
+    def _engine_refuses(self):
+        engine = self._random.choice(self.environment.engines)
+        engine.refuses = True
+        gevent.sleep(self._random.uniform(0.2, 3.0))
+        engine.refuses = False
+
+    def _engine_silent(self):
+        """Let streams over an engine stop without an end; some callers leave."""
+        engine = self._random.choice(self.environment.engines)
+        engine.is_silent = True
+        gevent.sleep(self._random.uniform(0.2, 3.0))
+        engine.is_silent = False
+
     def _crash(self):
         server = self._random.choice(
             [*self.environment.engines, *self.environment.plain_servers]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -63,6 +63,13 @@
     return itertools.chain(steps[:1], itertools.cycle([b"2\r\n:\n\r\n", 0.05]))
 
 
+def _stop_while_silent(steps, path):
+    for step in steps:
+        while any(engine.is_silent for engine in path):
+            yield _EVENT_SECONDS
+        yield step
+
+
 TROUBLES = (
     _cut,
     _send_copy_late,
@@ -87,6 +94,8 @@
         self.layers = None
         self.orders = 0
         self.trouble = None
+        # Concern requests over an engine, wherever it is on the path.
+        self.refuses = self.is_silent = False
         self._service, self._data_centre = service, data_centre
         self._path_server = PathServer(name, self._answer)
         self.link = Link(name, self._path_server.address)
@@ -146,6 +155,10 @@
             fault = self.environment.check_path(headers["bulrushdrum-hop-count"])
             if fault is not None:
                 return not_executed(request, 421, fault)
+            path = self.environment.engines_on(headers["bulrushdrum-hop-count"])
+            for engine in path:
+                if engine.refuses:
+                    return not_executed(request, 503, engine.address)
         self.runs.append(headers["bulrushdrum-attempt-id"])
         self.environment.record_run(self, headers)
         if self.kind:
@@ -155,7 +168,7 @@
             steps = complete_response(request)
         if self.trouble is not None:
             return self.trouble(steps, self.environment.random)
-        return steps if self.kind else [0.02, *steps]
+        return _stop_while_silent(steps, path) if self.kind else [0.02, *steps]
 
     def _order(self, headers, order):
         matches = headers.get("bulrushdrum-expect-instance") == self.identity
@@ -231,6 +244,10 @@
             self.violations.append(f"path {path} ends at layer {layer}")
         return None
 
+    def engines_on(self, path):
+        addresses = {entry.partition("=")[0] for entry in path.split(",")}
+        return [engine for engine in self.engines if engine.address in addresses]
+
     def record_run(self, server, headers):
         if not server.kind and headers["bulrushdrum-attempt-id"].startswith("w"):
             request = headers["bulrushdrum-attempt-id"]
