Keep the condition of upstreams apart from their registrations

Backoffs, marks of unresponsive, terminated and leaving incarnations, pauses and suspects move from Fleet into conditions/upstream_conditions.py, beside the claims. Fleet keeps membership, registrations and layers, and asks it for the rest. Behaviour is unchanged, but for suspects that are also forgotten when an upstream is removed.

--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -1,12 +1,12 @@
-"""The upstreams that this router knows, and the health of each.
+"""The upstreams that this router knows.
 
 Registrations come from the platform's store. While the store is unavailable, or has
 just recovered, registrations that disappeared may only have lapsed, so they are kept
 for a grace period. A store that was restored from a copy names upstreams as they were
 then; what is known to be newer stays in force.
 
-Health follows from the outcome of requests: an upstream that failed one is avoided for
-a backoff time that doubles with each further failure.
+What is known of the condition of an upstream is in `conditions/`, and ends with its
+incarnation.
 """
 
 import math
@@ -15,27 +15,17 @@
 from typing import NamedTuple
 
 from bulrushdrum._internal.conditions.claim_set import ClaimSet
+from bulrushdrum._internal.conditions.upstream_conditions import UpstreamConditions
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.world.engines import PoolUpstream
 from bulrushdrum._internal.world.upstreams import LayerRange, UpstreamState
 
-# How long an upstream is avoided after its first failure, and at most: about one
-# heartbeat, and about the duration of a restart.
-_INITIAL_BACKOFF_SECONDS = 1.0
-_MAX_BACKOFF_SECONDS = 5.0
 # Registrations that lapsed during an outage are renewed within two seconds of its end;
 # one that is still missing this long after the end is gone.
 LAPSED_GRACE_SECONDS = 2.2
 # How long layers that an engine reported stay valid without a registration: about the
 # longest outage of the store during which layers are reassigned.
 LAYER_OVERRIDE_SECONDS = 15.0
-# How long an upstream that stalls paths counts as unresponsive: about the time after
-# which its registration is removed.
-_UNRESPONSIVE_SECONDS = 5.0
-# An upstream with this many consecutive failures is left out of the placement.
-_FAILING_THRESHOLD = 3
-
-
 # A registration in a copy whose upstream was known to have left is used after this time
 # if it is still there: registrations without heartbeats have expired by then.
 _COPY_CONFIRMATION_SECONDS = 6.0
@@ -43,18 +33,6 @@
 _DEPARTURE_SECONDS = 120.0
 
 
-class _Backoff(NamedTuple):
-    until: float
-    failures: int
-
-
-class _Pause(NamedTuple):
-    """Until when an incarnation wants no request from this router."""
-
-    born: int
-    until: float
-
-
 class _LayerOverride(NamedTuple):
     layers: LayerRange | None
     until: float
@@ -80,36 +58,34 @@
 
 
 class Fleet:
-    """Known upstreams by id, with their health and the layers that they hold."""
+    """Known upstreams by id, with their condition and the layers that they hold."""
 
     def __init__(self, clock=time.monotonic, claims: ClaimSet | None = None):
         self._clock = clock
-        # What this router and its peers claim of upstreams.
-        self.claims = ClaimSet(clock=clock) if claims is None else claims
-        # Upstreams that may be silent, and until when that counts.
-        self._suspects: dict[str, float] = {}
+        self.conditions = UpstreamConditions(clock, claims)
         self._upstreams: dict[str, PoolUpstream] = {}
         self._lapsed: dict[str, float] = {}
-        self._backoffs: dict[str, _Backoff] = {}
-        self._unresponsive: dict[str, float] = {}
         self._layer_overrides: dict[str, _LayerOverride] = {}
-        # Incarnations that no longer run although they are still registered.
-        self._terminated: dict[str, int] = {}
         self._departures: dict[str, _Departure] = {}
         self._unconfirmed: dict[str, _Unconfirmed] = {}
-        # Incarnations that said that they are leaving, ahead of their registration.
-        self._leaving: dict[str, int] = {}
-        self._pauses: dict[str, _Pause] = {}
-        # Counted for the metrics.
-        self.pauses = 0
         self._version = 0
         self._ids_by_address: dict[str, str] = {}
 
+    @property
+    def claims(self) -> ClaimSet:
+        """What this router and its peers claim of upstreams."""
+        return self.conditions.claims
+
+    @property
+    def pauses(self) -> int:
+        """How often an upstream asked for a pause, for the metrics."""
+        return self.conditions.pauses
+
     @property
     def version(self) -> int:
         """Increases with every change of membership, state or health."""
         self._apply_due_changes()
-        return self._version + self.claims.version
+        return self._version + self.conditions.version
 
     def replace_all(
         self,
@@ -160,12 +136,7 @@
             self._upstreams[upstream.id] = upstream
             return
         if known is not None and known.born != upstream.born:
-            self._backoffs.pop(upstream.id, None)
-            self._suspects.pop(upstream.id, None)
-            self._unresponsive.pop(upstream.id, None)
-            self._terminated.pop(upstream.id, None)
-            self._leaving.pop(upstream.id, None)
-            self._pauses.pop(upstream.id, None)
+            self.conditions.forget(upstream.id)
         self._layer_overrides.pop(upstream.id, None)
         self._upstreams[upstream.id] = upstream
         self._ids_by_address[upstream.address] = upstream.id
@@ -193,25 +164,22 @@
     def mark_leaving(self, upstream_id: str, born: int):
         """Record that an incarnation is leaving; its registration may say so later."""
         known = self._upstreams.get(upstream_id)
-        if (
-            known is None
-            or known.born != born
-            or self._leaving.get(upstream_id) == born
-        ):
+        if known is None or known.born != born:
             return
-        self._leaving[upstream_id] = born
-        self._version += 1
+        if self.conditions.is_leaving(upstream_id, born):
+            return
+        self.conditions.mark_leaving(upstream_id, born)
         log_event(
             Event.UPSTREAM_LEAVING, upstream=upstream_id, registered=known.state.value
         )
 
     def leaving(self) -> dict[str, int]:
         """Return the start times of the incarnations that said they are leaving."""
-        return dict(self._leaving)
+        return self.conditions.leaving()
 
     def _with_own_statements(self, upstream):
         """Return a registration with what its upstream has said since."""
-        if self._leaving.get(upstream.id) == upstream.born:
+        if self.conditions.is_leaving(upstream.id, upstream.born):
             upstream = upstream._replace(state=UpstreamState.DRAINING)
         return self._with_layer_override(upstream)
 
@@ -240,12 +208,8 @@
         upstream = self._upstreams.pop(upstream_id)
         self._departures[upstream_id] = _Departure(upstream, self._clock())
         self._lapsed.pop(upstream_id, None)
-        self._backoffs.pop(upstream_id, None)
-        self._unresponsive.pop(upstream_id, None)
         self._layer_overrides.pop(upstream_id, None)
-        self._terminated.pop(upstream_id, None)
-        self._leaving.pop(upstream_id, None)
-        self._pauses.pop(upstream_id, None)
+        self.conditions.forget(upstream_id)
         if self._ids_by_address.get(upstream.address) == upstream_id:
             del self._ids_by_address[upstream.address]
         self._version += 1
@@ -267,7 +231,7 @@
         known = self._upstreams.get(upstream_id)
         if known is None or known.born != born:
             return True
-        return self._terminated.get(upstream_id) == born
+        return self.conditions.has_terminated(upstream_id, born)
 
     def mark_terminated(self, upstream_id: str, born: int):
         """Record that nothing listens at the address of an incarnation, and avoid it.
@@ -276,8 +240,7 @@
         """
         known = self._upstreams.get(upstream_id)
         if known is not None and known.born == born:
-            self._terminated[upstream_id] = born
-            self.record_failure(upstream_id)
+            self.conditions.mark_terminated(upstream_id, born)
 
     def software_versions(self) -> set[str]:
         """Return the software versions of all registered upstreams."""
@@ -306,25 +269,13 @@
         ]
 
     def pause(self, upstream_id: str, born: int, seconds: float):
-        """Use an incarnation no more for some seconds, because it asked for that.
-
-        Unlike a backoff, a pause does not end with a request that succeeds. It ends
-        early with the next start of the upstream, or with a shorter one that it names.
-        """
-        until = self._clock() + seconds
+        """Use an incarnation no more for some seconds, because it asked for that."""
         known = self._upstreams.get(upstream_id)
-        if known is None or known.born != born or seconds <= 0.0:
-            return
-        self._pauses[upstream_id] = _Pause(born, until)
-        self._version += 1
-        self.pauses += 1
-        log_event(Event.UPSTREAM_PAUSED, upstream=upstream_id, seconds=seconds)
+        if known is not None and known.born == born and seconds > 0.0:
+            self.conditions.pause(upstream_id, born, seconds)
 
     def is_paused(self, upstream: PoolUpstream) -> bool:
-        pause = self._pauses.get(upstream.id)
-        return pause is not None and (
-            pause.born == upstream.born and pause.until > self._clock()
-        )
+        return self.conditions.seconds_paused(upstream.id, upstream.born) > 0.0
 
     def seconds_until_pause_ends(self, service: str) -> float:
         """Return the time until some upstream that is paused may be used again.
@@ -333,90 +284,52 @@
         """
         if self.available(service):
             return 0.0
-        now = self._clock()
-        ends = [
-            self._pauses[upstream.id].until - now
+        waits = [
+            self.conditions.seconds_paused(upstream.id, upstream.born)
             for upstream in self.registered(service)
             if upstream.is_serving and self.is_paused(upstream)
         ]
-        return min(ends, default=0.0)
+        return min(waits, default=0.0)
 
     def record_failure(self, upstream_id: str, seconds: float | None = None):
         """Avoid an upstream for a backoff time that doubles with each failure.
 
         `seconds` replaces the computed backoff time, up to the same maximum.
         """
-        if upstream_id not in self._upstreams:
-            return
-        now = self._clock()
-        known = self._backoffs.get(upstream_id)
-        if known is not None and known.until > now:
-            return
-        failures = 1 if known is None else known.failures + 1
-        if seconds is None:
-            seconds = _INITIAL_BACKOFF_SECONDS * 2 ** (failures - 1)
-        until = now + min(seconds, _MAX_BACKOFF_SECONDS)
-        self._backoffs[upstream_id] = _Backoff(until, failures)
-        self._version += 1
+        if upstream_id in self._upstreams:
+            self.conditions.record_failure(upstream_id, seconds)
 
     def record_success(self, upstream_id: str):
-        """Record that an upstream served a request, and end its backoff.
-
-        The request may have been sent before the last failure. Waiting for one that was
-        sent later would avoid engines for longer than they refuse requests, and fewer
-        requests would be served.
-        """
-        self._unresponsive.pop(upstream_id, None)
-        self._terminated.pop(upstream_id, None)
-        if self._backoffs.pop(upstream_id, None) is not None:
-            self._version += 1
+        """Record that an upstream served a request, and end its backoff."""
+        self.conditions.record_success(upstream_id)
 
     def mark_unresponsive(self, upstream_id: str):
         """Mark an upstream that stalls paths as unresponsive, and avoid it."""
         if upstream_id in self._upstreams:
-            self._unresponsive[upstream_id] = self._clock() + _UNRESPONSIVE_SECONDS
-            self.record_failure(upstream_id)
+            self.conditions.mark_unresponsive(upstream_id)
 
     def is_unresponsive(self, upstream_id: str) -> bool:
-        return self._unresponsive.get(upstream_id, 0.0) > self._clock()
+        return self.conditions.is_unresponsive(upstream_id)
 
     def is_failing(self, upstream_id: str) -> bool:
         """Whether an upstream is unhealthy enough to be left out of the placement."""
-        if self.is_unresponsive(upstream_id):
-            return True
         known = self._upstreams.get(upstream_id)
-        if known is not None:
-            failures = self.claims.failures(upstream_id, known.born)
-            if failures >= _FAILING_THRESHOLD:
-                return True
-        backoff = self._backoffs.get(upstream_id)
-        if backoff is None or backoff.failures < _FAILING_THRESHOLD:
-            return False
-        return backoff.until > self._clock()
+        return known is not None and self.conditions.is_failing(upstream_id, known.born)
 
     def unresponsive_ids(self) -> list[str]:
-        now = self._clock()
-        return [name for name, until in self._unresponsive.items() if until > now]
+        return self.conditions.unresponsive_ids()
 
     def is_avoided(self, upstream_id: str) -> bool:
-        backoff = self._backoffs.get(upstream_id)
-        if backoff is not None and backoff.until > self._clock():
-            return True
         known = self._upstreams.get(upstream_id)
-        return known is not None and self.claims.is_avoided(upstream_id, known.born)
+        return known is not None and self.conditions.is_avoided(upstream_id, known.born)
 
     def suspect(self, ids: Iterable[str], seconds: float):
         """Use upstreams that may be silent only if there are no others, for a while."""
-        now = self._clock()
-        self._suspects = {
-            k: until for k, until in self._suspects.items() if until > now
-        }
-        self._suspects.update(dict.fromkeys(ids, now + seconds))
+        self.conditions.suspect(ids, seconds)
 
     def suspects(self) -> frozenset[str]:
         """Return the upstreams that may be silent."""
-        now = self._clock()
-        return frozenset(name for name, until in self._suspects.items() if until > now)
+        return self.conditions.suspects()
 
     def avoided_ids(self) -> list[str]:
         return [
@@ -435,7 +348,7 @@
             "claims": self.claims.dump(),
             "suspects": sorted(self.suspects()),
             "lapsed": sorted(self._lapsed),
-            "leaving": sorted(self._leaving),
+            "leaving": sorted(self.leaving()),
             "paused": sorted(
                 upstream.id
                 for upstream in self._upstreams.values()
