--- a/src/bulrushdrum/_internal/conditions/claims.py
+++ b/src/bulrushdrum/_internal/conditions/claims.py
@@ -16,6 +16,8 @@
 # a success doubles it.
 _INITIAL_SECONDS = 0.5
 _MAX_SECONDS = 4.0
+# More are not counted: the time no longer doubles, and a large power is no float.
+MAX_FAILURES = 100
 
 
 class Matter(StrEnum):
@@ -68,7 +70,7 @@
     """Return the claim of a router that has found an upstream unusable."""
     failures = 1
     if condition.born == born and not condition.is_settled:
-        failures = condition.claim.failures + 1
+        failures = min(condition.claim.failures + 1, MAX_FAILURES)
     seconds = min(_INITIAL_SECONDS * 2 ** (failures - 1), _MAX_SECONDS)
     if matter is Matter.FAILING and failures == 1:
         # One error is more often chance than a broken upstream.
@@ -97,6 +99,13 @@
     return condition._replace(works_since=max(condition.works_since, sent_at))
 
 
+def answered_until(condition: Condition) -> float:
+    """Return until when faults that were found are no reason for another claim."""
+    if condition.is_settled:
+        return condition.works_since
+    return condition.claim.until
+
+
 def _rank(claim):
     return (claim.made_at, claim.until, claim.failures, claim.reporter, claim.matter)
 
--- a/src/bulrushdrum/_internal/conditions/exchange.py
+++ b/src/bulrushdrum/_internal/conditions/exchange.py
@@ -5,16 +5,14 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import gevent
 
-from bulrushdrum._internal.conditions.claim_set import ClaimSet
-from bulrushdrum._internal.conditions.claims import Claim, Matter
-from bulrushdrum._internal.conditions.silence_reports import (
-    SilenceReport,
-    SilenceReports,
-)
+from bulrushdrum._internal.conditions.claim_set import MEMORY_SECONDS, ClaimSet
+from bulrushdrum._internal.conditions.claims import MAX_FAILURES, Claim, Matter
+from bulrushdrum._internal.conditions.silence_reports import SilenceReports
 from bulrushdrum._internal.coordination.peer_messages import PeerMessages
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.fleet import Fleet
@@ -26,7 +24,7 @@
 SILENCE_KIND = "silence"
 # What gathers in this time is sent together.
 _SEND_INTERVAL_SECONDS = 0.02
-# About 80 bytes each, so that a message stays within its limit.
+# About 80 bytes each, so that a message usually stays within its limit.
 _MAX_ENTRIES_PER_MESSAGE = 12
 _MAX_ANNOUNCED = 64
 # No claim lasts longer, whatever another router says.
@@ -44,6 +42,17 @@
 # What a success says of an upstream: of any hop, and of the first one of a path.
 _WORKS = "works"
 _WORKS_FIRST = "works first"
+_MATTERS = frozenset(matter.value for matter in Matter)
+
+
+class _Withdrawal(NamedTuple):
+    """A request sent at `sent_at` was served; the claim had lasted `until`."""
+
+    upstream_id: str
+    born: int
+    sent_at: float
+    until: float
+    word: str
 
 
 class ConditionExchange:
@@ -60,6 +69,7 @@
         memory_utilization: Callable[[PoolUpstream], float],
         working_upstreams: Callable[[], frozenset[str]],
         clock=time.monotonic,
+        call_later=gevent.spawn_later,
     ):
         self._fleet = fleet
         self._claims: ClaimSet = fleet.claims
@@ -68,15 +78,18 @@
         self._memory_utilization = memory_utilization
         self._working_upstreams = working_upstreams
         self._clock = clock
+        self._call_later = call_later
         self._silence_reports = SilenceReports(clock)
         self._last_number = 0
-        # The latest entry of each upstream that this router has made.
-        self._own: dict[tuple[ClaimSet, str], tuple[int, Claim]] = {}
+        # The latest entry on each upstream that this router has sent, of those that
+        # concern only the first hop of a path and of the others.
+        self._own: dict[tuple[bool, str], tuple[int, Claim | _Withdrawal]] = {}
         self._pending: list[list] = []
         self._is_send_due = False
         self._sent_at = float("-inf")
-        # The latest entry that was applied, by router incarnation and upstream.
-        self._applied: dict[tuple[str, str], int] = {}
+        # The latest entry that was applied, by router incarnation and upstream, and
+        # when.
+        self._applied: dict[tuple[str, bool, str], tuple[int, float]] = {}
         messages.register(CONDITIONS_KIND, self._on_conditions)
         messages.register(SILENCE_KIND, self._on_silence)
 
@@ -111,47 +124,57 @@
         self._record_success(self._first_hop_claims, _WORKS_FIRST, first, sent_at)
 
     def _record_success(self, claims, word, upstream, sent_at):
-        if claims.record_success(upstream.id, upstream.born, sent_at):
+        claim = claims.record_success(upstream.id, upstream.born, sent_at)
+        if claim is not None:
             log_event(Event.CLAIM_WITHDRAWN, upstream=upstream.id)
-            self._own.pop((claims, upstream.id), None)
-            age = self._clock() - sent_at
-            self._send([upstream.id, upstream.born, word, round(age, 3), 0, 0])
-
-    def report_silence(self, silence: Silence):
-        """Report the upstreams of which one has silenced a stream."""
-        born = self._born_by_id(silence.candidates)
-        report = SilenceReport(
-            self._claims.node, frozenset(silence.candidates), silence.delivers
+            self._send(
+                _Withdrawal(upstream.id, upstream.born, sent_at, claim.until, word)
+            )
+
+    def report_silence(self, path: Iterable[Hop], silence: Silence):
+        """Report the upstreams of a path of which one has silenced its stream."""
+        candidates = sorted(
+            (hop.upstream.id, hop.upstream.born)
+            for hop in path
+            if hop.upstream.id in silence.candidates
         )
-        self._silence_reports.add(report)
-        entries = list(born.items())[:_MAX_CANDIDATES]
-        body = {"candidates": entries, "delivers": silence.delivers}
-        self._messages.broadcast(SILENCE_KIND, body)
-        self._apply_silence_reports()
+        self._add_silence_report(self._claims.node, candidates, silence.delivers)
+        body = {"candidates": candidates, "delivers": silence.delivers}
+        try:
+            self._messages.broadcast(SILENCE_KIND, body)
+        except ValueError:
+            # One that is cut to the size of a message could name only upstreams that
+            # work, so the peers get none.
+            pass
 
     def announcement(self) -> list[list]:
-        """Return the claims of this router that are in force."""
+        """Return what this router has claimed or withdrawn and is still of use."""
         now = self._clock()
-        for key, (_, claim) in list(self._own.items()):
-            if claim.until <= now:
+        for key, (_, entry) in list(self._own.items()):
+            is_settled = isinstance(entry, Claim) and self._claims_for(
+                entry.matter
+            ).is_settled(entry)
+            if entry.until <= now or is_settled:
                 del self._own[key]
         latest = sorted(self._own.values(), reverse=True)[:_MAX_ANNOUNCED]
-        return [[number, *self._encode(claim)] for number, claim in latest]
+        return [[number, *self._encode(entry)] for number, entry in latest]
 
     def apply_announcement(self, name: str, incarnation: str, raw):
         """Apply the claims of another router; raises `DECODING_ERRORS`."""
-        entries = [_decode(entry) for entry in raw]
+        entries = [_decode(entry) for entry in raw[:_MAX_ANNOUNCED]]
         for number, upstream_id, born, matter, age, seconds, failures in entries:
-            key = (incarnation, upstream_id)
-            if number <= self._applied.get(key, 0):
-                continue
-            self._applied[key] = number
             now = self._clock()
+            key = (incarnation, _concerns_first_hop(matter), upstream_id)
+            if number <= self._applied.get(key, (0, 0.0))[0]:
+                continue
+            self._applied[key] = (number, now)
             if matter in (_WORKS, _WORKS_FIRST):
                 claims = self._claims if matter == _WORKS else self._first_hop_claims
                 sent_at = now - age - _DELAY_MARGIN_SECONDS
                 claims.record_success(upstream_id, born, sent_at)
                 continue
+            if matter not in _MATTERS:
+                continue
             until = now + min(seconds, _MAX_CLAIM_SECONDS)
             claim = Claim(
                 upstream_id, born, Matter(matter), name, now - age, until, failures
@@ -161,23 +184,23 @@
 
     def run_maintenance(self, routers: int):
         """Forget what has ended; `routers` is the number of routers."""
-        known = set()
         for claims in (self._claims, self._first_hop_claims):
             claims.routers = routers
             claims.forget_old()
-            known |= {claim.upstream_id for claim in claims.in_force()}
+        # Later than a copy of an entry can arrive: none is announced for so long.
+        oldest = self._clock() - MEMORY_SECONDS
         self._applied = {
-            key: number for key, number in self._applied.items() if key[1] in known
+            key: (number, applied_at)
+            for key, (number, applied_at) in self._applied.items()
+            if applied_at >= oldest
         }
 
     def _make(self, upstream, matter):
         claims = self._claims_for(matter)
         claim = claims.make(upstream.id, upstream.born, matter)
-        if claim is None:
-            return
-        self._log(Event.CLAIM_MADE, claim)
-        number = self._send(self._encode(claim))
-        self._own[claims, upstream.id] = (number, claim)
+        if claim is not None:
+            self._log(Event.CLAIM_MADE, claim)
+            self._send(claim)
 
     def _claims_for(self, matter):
         match matter:
@@ -196,84 +219,124 @@
             seconds=round(claim.until - self._clock(), 3),
         )
 
-    def _encode(self, claim):
+    def _encode(self, entry):
         now = self._clock()
+        match entry:
+            case Claim():
+                matter, since, failures = (
+                    entry.matter.value,
+                    entry.made_at,
+                    entry.failures,
+                )
+            case _Withdrawal():
+                matter, since, failures = entry.word, entry.sent_at, 0
+        seconds = max(entry.until - now, 0.0)
         return [
-            claim.upstream_id,
-            claim.born,
-            claim.matter.value,
-            round(now - claim.made_at, 3),
-            round(claim.until - now, 3),
-            claim.failures,
+            entry.upstream_id,
+            entry.born,
+            matter,
+            round(now - since, 3),
+            round(seconds, 3),
+            failures,
         ]
 
-    def _send(self, entry) -> int:
+    def _send(self, entry):
         self._last_number += 1
-        self._pending.append([self._last_number, *entry])
+        encoded = self._encode(entry)
+        key = (_concerns_first_hop(encoded[2]), entry.upstream_id)
+        self._own[key] = (self._last_number, entry)
+        self._pending.append([self._last_number, *encoded])
         if not self._is_send_due:
             self._is_send_due = True
             due_at = self._sent_at + _SEND_INTERVAL_SECONDS
-            gevent.spawn_later(max(due_at - self._clock(), 0.0), self._send_pending)
-        return self._last_number
+            self._call_later(max(due_at - self._clock(), 0.0), self._send_pending)
 
     def _send_pending(self):
         self._is_send_due, self._sent_at = False, self._clock()
         pending, self._pending = self._pending, []
         for first in range(0, len(pending), _MAX_ENTRIES_PER_MESSAGE):
-            entries = pending[first : first + _MAX_ENTRIES_PER_MESSAGE]
+            self._broadcast(pending[first : first + _MAX_ENTRIES_PER_MESSAGE])
+
+    def _broadcast(self, entries):
+        """Send entries in as many messages as they need.
+
+        One that exceeds a message alone is left to the announcements.
+        """
+        try:
             self._messages.broadcast(CONDITIONS_KIND, entries)
+        except ValueError:
+            if len(entries) > 1:
+                middle = len(entries) // 2
+                self._broadcast(entries[:middle])
+                self._broadcast(entries[middle:])
 
     def _on_conditions(self, name, incarnation, body):
         self.apply_announcement(name, incarnation, body)
 
     def _on_silence(self, name, _incarnation, body):
-        candidates = frozenset(
-            upstream_id
-            for upstream_id, born in body["candidates"]
-            if self._born_by_id([upstream_id]).get(upstream_id) == born
+        candidates = [
+            (str(upstream_id), int(born)) for upstream_id, born in body["candidates"]
+        ]
+        if len(candidates) > _MAX_CANDIDATES:
+            raise ValueError(f"{len(candidates)} candidates are more than a path has")
+        self._add_silence_report(name, candidates, bool(body["delivers"]))
+
+    def _add_silence_report(self, name, candidates, delivers):
+        working = self._working_incarnations()
+        self._silence_reports.add(name, frozenset(candidates), delivers, working)
+        accusation = self._silence_reports.accuse()
+        self._fleet.suspect(
+            [
+                upstream_id
+                for upstream_id, born in accusation.suspects - working
+                if not self._has_ended(upstream_id, born)
+            ],
+            _SUSPECT_SECONDS,
         )
-        if candidates:
-            report = SilenceReport(name, candidates, bool(body["delivers"]))
-            self._silence_reports.add(report)
-            self._apply_silence_reports()
-
-    def _apply_silence_reports(self):
-        accusation = self._silence_reports.accuse(self._working_upstreams())
-        self._fleet.suspect(accusation.suspects, _SUSPECT_SECONDS)
-        for upstream_id, reporter in accusation.silent.items():
-            upstream = self._fleet.get(upstream_id)
-            if upstream is None:
+        for (upstream_id, born), accused in accusation.silent.items():
+            if (upstream_id, born) in working or self._has_ended(upstream_id, born):
                 continue
             # All routers come to the same conclusion, so nothing is sent.
             claim = self._claims.make(
-                upstream_id, upstream.born, Matter.UNRESPONSIVE, reporter
+                upstream_id,
+                born,
+                Matter.UNRESPONSIVE,
+                accused.reporter,
+                accused.reported_at,
             )
             if claim is not None:
                 self._log(Event.CLAIM_MADE, claim)
 
-    def _born_by_id(self, ids):
-        known = {upstream_id: self._fleet.get(upstream_id) for upstream_id in ids}
-        return {
-            upstream_id: upstream.born
-            for upstream_id, upstream in sorted(known.items())
-            if upstream is not None
-        }
+    def _working_incarnations(self):
+        known = map(self._fleet.get, self._working_upstreams())
+        return frozenset((u.id, u.born) for u in known if u is not None)
+
+    def _has_ended(self, upstream_id, born):
+        known = self._fleet.get(upstream_id)
+        return known is None or known.born != born
+
+
+def _concerns_first_hop(matter: str) -> bool:
+    return matter in (Matter.FAILING, _WORKS_FIRST)
 
 
 def _decode(raw):
-    """Decode an entry of a message; raises `DECODING_ERRORS`."""
-    number, upstream_id, born, matter, age, seconds, failures = raw
+    """Decode an entry of a message; raises `DECODING_ERRORS`.
+
+    A newer release may add fields and matters.
+    """
+    number, upstream_id, born, matter, age, seconds, failures, *_ = raw
     age, seconds = float(age), float(seconds)
     if not (0.0 <= age and 0.0 <= seconds):
         raise ValueError(f"{raw!r} has a negative or undefined time")
-    if matter not in (_WORKS, _WORKS_FIRST):
-        Matter(matter)
+    if not isinstance(matter, str):
+        raise ValueError(f"{matter!r} is not a string")
     return (
         int(number),
         str(upstream_id),
         int(born),
-        str(matter),
+        matter,
         age,
         seconds,
-        max(int(failures), 1),
+        min(max(int(failures), 1), MAX_FAILURES),
     )
--- a/src/bulrushdrum/_internal/gateway/stream_moves.py
+++ b/src/bulrushdrum/_internal/gateway/stream_moves.py
@@ -20,7 +20,7 @@
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.memory_reservations import Hop
 from bulrushdrum._internal.pipelines.paths import Demand
-from bulrushdrum._internal.pipelines.silent_upstreams import SilentUpstreams
+from bulrushdrum._internal.pipelines.silent_upstreams import Silence, SilentUpstreams
 from bulrushdrum._internal.world.engines import EngineModel
 from bulrushdrum._internal.world.routes import Route
 
@@ -36,8 +36,8 @@
 
     `detect_stall(path)` marks the upstreams that stall a path, `is_avoided(id)` tells
     whether an upstream is known to be unusable, `loop_latency()` returns by how many
-    seconds the event loop is late, `report_silence(silence)` passes on which upstreams
-    may be silent, and `check_pace(path)` looks for slow ones.
+    seconds the event loop is late, `report_silence(path, silence)` passes on which
+    upstreams may be silent, and `check_pace(path)` looks for slow ones.
     """
 
     def __init__(
@@ -49,7 +49,7 @@
         detect_stall: Callable[[tuple[Hop, ...]], None],
         is_avoided: Callable[[str], bool],
         loop_latency: Callable[[], float] = lambda: 0.0,
-        report_silence: Callable[[object], None] = lambda silence: None,
+        report_silence: Callable[[tuple[Hop, ...], Silence], None] = lambda *_: None,
         check_pace: Callable[[tuple[Hop, ...]], None] = lambda path: None,
         clock=time.monotonic,
     ):
@@ -123,7 +123,7 @@
     def record_move(self, path, silence):
         self._bound.record(silence.candidates)
         self.moves += 1
-        self._report_silence(silence)
+        self._report_silence(path, silence)
         gevent.spawn(self._detect_stall, path)
 
 
