--- a/src/bulrushdrum/_internal/gateway/stream_pace.py
+++ b/src/bulrushdrum/_internal/gateway/stream_pace.py
@@ -13,8 +13,8 @@
 
 from bulrushdrum._internal.world.routes import Route
 
-# A stream is unusually silent after this multiple of its longest recent pause.
-_UNUSUAL_PAUSE_FACTOR = 1.5
+# A stream is unusually silent after this multiple of the longest pause that is usual.
+_UNUSUAL_PAUSE_FACTOR = 1.25
 # The first event of an attempt is overdue after this multiple of the time within which
 # most attempts deliver it.
 _UNUSUAL_START_FACTOR = 2.0
@@ -28,6 +28,9 @@
 # An expectation from fewer samples is none.
 _MIN_SAMPLES = 5
 _MOST_ATTEMPTS = 0.9
+# All streams over an engine pause together when it reads many prompts at once. Pauses
+# that one in twenty streams has had are therefore usual.
+_MOST_STREAMS = 0.95
 
 
 class PaceHistory:
@@ -62,10 +65,12 @@
             return None
         return starts[int(len(starts) * _MOST_ATTEMPTS)]
 
-    def typical_longest_pause(self, service: str) -> float | None:
-        """Return the median of the longest pauses, or None without enough samples."""
-        pauses = self._longest_pauses.get(service, ())
-        return median(pauses) if len(pauses) >= _MIN_SAMPLES else None
+    def usual_longest_pause(self, service: str) -> float | None:
+        """Return the pause that few streams exceed, or None without enough samples."""
+        pauses = sorted(self._longest_pauses.get(service, ()))
+        if len(pauses) < _MIN_SAMPLES:
+            return None
+        return pauses[int(len(pauses) * _MOST_STREAMS)]
 
 
 class StreamPace:
@@ -96,7 +101,7 @@
         >>> pace.record_event(0.06)
         >>> pace.record_event(0.08)
         >>> round(pace.overdue_after(loop_latency=0.0), 2)
-        0.12
+        0.1
         """
         if self._has_events:
             self._pauses.append(seconds)
@@ -123,10 +128,10 @@
         """Return the longest silence that is usual for this stream, if it is known."""
         if not self._has_events:
             return self._history.slow_start(self._service)
-        typical = self._history.typical_longest_pause(self._service)
-        if typical is None and len(self._pauses) < _MIN_SAMPLES:
+        usual = self._history.usual_longest_pause(self._service)
+        if usual is None and len(self._pauses) < _MIN_SAMPLES:
             return None
-        return max([*self._pauses, typical or 0.0])
+        return max([*self._pauses, usual or 0.0])
 
     def overdue_after(self, loop_latency: float) -> float | None:
         """Return after how much silence the stream should move.
