Bound the number of failures that a backoff counts

The backoff of a router doubled without a bound before its maximum was applied: after 1,024 failures in a row, about 85 minutes, the power was no float, and OverflowError ended the request that failed.

--- a/src/bulrushdrum/_internal/conditions/upstream_conditions.py
+++ b/src/bulrushdrum/_internal/conditions/upstream_conditions.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from bulrushdrum._internal.conditions.claim_set import ClaimSet
+from bulrushdrum._internal.conditions.claims import MAX_FAILURES
 from bulrushdrum._internal.observability.events import Event, log_event
 
 # How long an upstream is avoided after its first failure, and at most: about one
@@ -116,7 +117,7 @@
         known = self._backoffs.get(upstream_id)
         if known is not None and known.until > now:
             return
-        failures = 1 if known is None else known.failures + 1
+        failures = 1 if known is None else min(known.failures + 1, MAX_FAILURES)
         if seconds is None:
             seconds = _INITIAL_BACKOFF_SECONDS * 2 ** (failures - 1)
         until = now + min(seconds, _MAX_BACKOFF_SECONDS)
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -180,3 +180,15 @@
     fleet.replace_all([], from_copy=[make_engine("x")])
     now[0] += LAPSED_GRACE_SECONDS + 0.1
     assert names(fleet) == ["x"]
+
+
+def test_an_upstream_that_fails_for_hours_raises_no_error():
+    # Guards against a backoff that doubles until it is no number, which ended requests.
+    fleet, now = make_fleet("x")
+    for _ in range(1200):
+        fleet.record_failure("x")
+        now[0] += 5.1
+    fleet.record_failure("x")
+    assert fleet.is_avoided("x") and fleet.is_failing("x")
+    now[0] += 5.1
+    assert not fleet.is_avoided("x")
