Announce a withdrawal for as long as others may hold its claim

A router withdraws a claim mostly after it has ended, by the request that tries the upstream again, while the others still hold it. Announcements left the withdrawal out once the claim had ended, so that one lost message kept the upstream unused for up to 2 s in a system of 32 routers. The sample of the announcement has the longer time.

--- a/src/bulrushdrum/_internal/conditions/claim_set.py
+++ b/src/bulrushdrum/_internal/conditions/claim_set.py
@@ -43,6 +43,11 @@
         self._conditions: dict[str, Condition] = {}
         self._holds: dict[str, float] = {}
 
+    @property
+    def longest_hold(self) -> float:
+        """How long a router may hold a claim of another one after it has ended."""
+        return _HOLD_SECONDS + _HOLD_SECONDS_PER_ROUTER * self.routers
+
     def condition(self, upstream_id: str) -> Condition:
         return self._conditions.get(upstream_id, Condition())
 
--- a/src/bulrushdrum/_internal/conditions/exchange.py
+++ b/src/bulrushdrum/_internal/conditions/exchange.py
@@ -44,7 +44,7 @@
 
 
 class _Withdrawal(NamedTuple):
-    """A request sent at `sent_at` was served; the claim had lasted `until`."""
+    """A request sent at `sent_at` was served; others would hold the claim `until`."""
 
     upstream_id: str
     born: int
@@ -111,9 +111,8 @@
             claim = self._claims.record_success(upstream.id, upstream.born, sent_at)
             if claim is not None:
                 log_event(Event.CLAIM_WITHDRAWN, upstream=upstream.id)
-                self._send(
-                    _Withdrawal(upstream.id, upstream.born, sent_at, claim.until)
-                )
+                until = claim.until + self._claims.longest_hold
+                self._send(_Withdrawal(upstream.id, upstream.born, sent_at, until))
 
     def report_silence(self, path: Iterable[Hop], silence: Silence):
         """Report the upstreams of a path of which one has silenced its stream."""
--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -361,7 +361,7 @@
 # Added since: number, upstream, start time, matter, age, seconds left and failures. The
 # next releases read what this one writes.
 CONDITIONS = [
-    [3, "e2", 1, "works", 0.1, 0.375, 0],
+    [3, "e2", 1, "works", 0.1, 0.635, 0],
     [1, "e1", 1, "refusing", 0.125, 0.375, 1],
 ]
 
--- a/tests/unit/test_condition_exchange.py
+++ b/tests/unit/test_condition_exchange.py
@@ -361,3 +361,17 @@
             known = [router.claims.condition(upstream_id).claim for router in routers]
             told = {claim and (claim.reporter, claim.failures) for claim in known}
             assert len(told) == 1
+
+
+def test_a_withdrawal_is_announced_while_others_hold_the_claim(network, routers):
+    # Guards against routers that avoid an upstream that their prober found working.
+    routers[0].refuse("a")
+    network.advance(0.51)
+    assert not routers[0].avoids("a") and routers[1].avoids("a")
+    network.delay = lambda: None
+    routers[0].succeed("a")
+    network.advance(0.03)
+    network.delay = lambda: 0.001
+    routers[0].announce()
+    network.advance(0.01)
+    assert not routers[1].avoids("a")
