Let routers lend unused retries, as rules without a network

The limit now counts loans: the lender from the grant on for the window and the lifetime of the loan, the borrower uses each loan once and until 2 s after it asked. Only the fixed part is lent, by a router that has run for longer than that, and never what it has just needed itself. With no loans the limit is what it was.

--- a/src/bulrushdrum/_internal/limits/retry_window.py
+++ b/src/bulrushdrum/_internal/limits/retry_window.py
@@ -3,7 +3,8 @@
 Over any window, the retries of all routers together are at most `ratio` times the
 number of requests plus `extra`. Each router applies the ratio to its own requests and
 uses an equal share of `extra`. The last part of the limit is left to requests that have
-delivered a part of their answer, which would be lost.
+delivered a part of their answer, which would be lost. What a router leaves unused, it
+may lend to another one (`retry_loans.py`).
 
 >>> window = RetryWindow(ratio=0.5, extra=3, seconds=10.0, clock=lambda: 0.0)
 >>> window.record_request("ledger")
@@ -15,14 +16,27 @@
 
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from bulrushdrum._internal.limits.retry_loans import (
+    LOAN_SECONDS,
+    BorrowedRetries,
+    LentRetries,
+    lendable_retries,
+)
+
 # Fraction of `extra` that is used, because routers may discover each other late, and a
 # restarted router does not know how many retries it has sent.
 _USABLE_EXTRA_FRACTION = 0.6
 # Fraction of the limit that requests may use whose failure loses nothing: what an
 # answer has delivered is lost if the request is not sent again.
 _UNDELIVERED_FRACTION = 0.8
+# A router asks for loans when less is left than it has used in this time: asking takes
+# a few milliseconds, and failures of one upstream come close together.
+_NEED_SECONDS = 0.5
+# A stream that could not count a retry ahead asks again within this time.
+_AHEAD_SECONDS = 0.025
 
 
 @dataclass
@@ -41,6 +55,17 @@
         return self.sent > self.counted
 
 
+@dataclass(eq=False)
+class WaitingRetry:
+    """A retry that the limit refused and that waits for a loan."""
+
+    service: str
+    has_delivered: bool
+    arrived_at: float
+    on_counted: Callable[[], None]
+    is_counted: bool = False
+
+
 class RetryWindow:
     """Counts the requests and retries of each service in the last `seconds`."""
 
@@ -50,23 +75,31 @@
         self._seconds = seconds
         self._clock = clock
         self._requests: dict[str, deque[float]] = {}
+        # The retries that count here; borrowed ones count at their lender.
         self._retries: dict[str, deque[float]] = {}
+        # All retries, and those that could not be counted ahead.
+        self._used: dict[str, deque[float]] = {}
+        self._refused_ahead: dict[str, deque[float]] = {}
+        self._waiting: dict[str, list[WaitingRetry]] = {}
+        self.lent = LentRetries(seconds, clock)
+        self.borrowed = BorrowedRetries(clock)
+        # An earlier incarnation may have lent or spent what this one does not know of.
+        self._lends_from = clock() + seconds + LOAN_SECONDS
+        # Set by the exchange of loans: called when little is left of a service, and to
+        # wait for a retry that was refused.
+        self.on_shortage: Callable[[str], None] = lambda service: None
+        self.wait_for_loan: Callable[[str, bool, float], bool] = lambda *_: False
 
     def record_request(self, service: str):
         self._requests.setdefault(service, deque()).append(self._clock())
 
     def try_spend(self, service: str, routers: int, has_delivered: bool = True) -> bool:
         """Count one retry if the limit allows it; return whether it does."""
-        requests = self._recent(self._requests, service)
-        retries = self._recent(self._retries, service)
-        extra_share = self._extra * _USABLE_EXTRA_FRACTION / max(routers, 1)
-        limit = self._ratio * len(requests) + extra_share
-        if not has_delivered:
-            limit *= _UNDELIVERED_FRACTION
-        if len(retries) + 1 > limit:
-            return False
-        retries.append(self._clock())
-        return True
+        self.serve_waiting(service, routers)
+        is_counted = self._try_spend(service, routers, has_delivered)
+        if self.shortage(service, routers) > 0:
+            self.on_shortage(service)
+        return is_counted
 
     def try_count(
         self, costs: RetryCosts, service: str, routers: int, has_delivered: bool
@@ -81,30 +114,134 @@
             costs.counted += 1
         return True
 
+    def wait_to_count(
+        self,
+        costs: RetryCosts,
+        service: str,
+        routers: int,
+        has_delivered: bool,
+        arrived_at: float,
+    ) -> bool:
+        """Count the next sending as `try_count` does, but wait shortly for a loan.
+
+        Of those that wait, requests that have delivered come first, and then the ones
+        that arrived first.
+        """
+        if self.try_count(costs, service, routers, has_delivered):
+            return True
+        if not self.wait_for_loan(service, has_delivered, arrived_at):
+            return False
+        costs.counted += 1
+        return True
+
     def try_count_ahead(self, costs: RetryCosts, service: str, routers: int) -> bool:
         """Count the sending that follows the one in progress, if the limit allows it.
 
-        The last part of the limit is left to requests that must be sent again.
+        The last part of the limit is left to requests that must be sent again. One that
+        is refused counts as a need for loans, and may be asked for again soon.
         """
         if costs.sent < costs.counted:
             return True
         if not self.try_spend(service, routers, has_delivered=False):
+            self._refused_ahead.setdefault(service, deque()).append(self._clock())
+            self.on_shortage(service)
             return False
         costs.counted += 1
         return True
 
-    def _recent(self, times, service):
-        recent = times.setdefault(service, deque())
-        oldest = self._clock() - self._seconds
-        while recent and recent[0] < oldest:
-            recent.popleft()
-        return recent
+    def join(self, waiting: WaitingRetry):
+        """Let a refused retry wait; `leave` must follow."""
+        queue = self._waiting.setdefault(waiting.service, [])
+        queue.append(waiting)
+        queue.sort(key=lambda other: (not other.has_delivered, other.arrived_at))
+        self.on_shortage(waiting.service)
+
+    def leave(self, waiting: WaitingRetry):
+        queue = self._waiting[waiting.service]
+        if waiting in queue:
+            queue.remove(waiting)
+
+    def serve_waiting(self, service: str, routers: int):
+        """Count the retries that wait, in their order, as far as the limit allows."""
+        for waiting in list(self._waiting.get(service, ())):
+            if self._try_spend(service, routers, waiting.has_delivered):
+                self.leave(waiting)
+                waiting.is_counted = True
+                waiting.on_counted()
+
+    def urgent_need(self, service: str) -> int:
+        """Return how many requests wait for a retry, or ask again soon."""
+        refused_ahead = self._recent(self._refused_ahead, service, _AHEAD_SECONDS)
+        return len(self._waiting.get(service, ())) + len(refused_ahead)
+
+    def shortage(self, service: str, routers: int) -> int:
+        """Return how many retries this router should borrow."""
+        limit = self._limit(service, routers, has_delivered=False)
+        left = max(int(limit) - self._spent(service), 0)
+        usual_need = max(self._count_used(service, _NEED_SECONDS), 1)
+        need = usual_need + self.urgent_need(service)
+        return max(need - left - self.borrowed.usable(service), 0)
+
+    def lendable(self, service: str, routers: int) -> int:
+        """Return how many retries this router may lend and does not need itself."""
+        if self._clock() < self._lends_from:
+            return 0
+        limit = self._limit(service, routers, has_delivered=False)
+        return lendable_retries(
+            self._fixed_share(routers),
+            self.lent.total(service),
+            limit - self._spent(service),
+            self._count_used(service, LOAN_SECONDS),
+        )
+
+    def lend(self, service: str, routers: int, amount: int) -> int:
+        """Lend up to `amount` retries; return how many, which count from now on."""
+        amount = min(amount, self.lendable(service, routers))
+        if amount > 0:
+            self.lent.record(service, amount)
+        return amount
 
     def dump(self) -> dict:
         return {
             service: {
-                "requests": len(self._recent(self._requests, service)),
-                "repeats": len(self._recent(self._retries, service)),
+                "requests": len(self._recent(self._requests, service, self._seconds)),
+                "repeats": len(self._recent(self._retries, service, self._seconds)),
+                "lent": self.lent.total(service),
+                "borrowed": self.borrowed.usable(service),
             }
             for service in list(self._requests)
         }
+
+    def _try_spend(self, service, routers, has_delivered):
+        # Borrowed retries end soon, so they are used first.
+        if not self.borrowed.try_use(service):
+            limit = self._limit(service, routers, has_delivered)
+            if self._spent(service) + 1 > limit:
+                return False
+            self._retries.setdefault(service, deque()).append(self._clock())
+        self._recent(self._used, service, LOAN_SECONDS).append(self._clock())
+        return True
+
+    def _limit(self, service, routers, has_delivered):
+        requests = self._recent(self._requests, service, self._seconds)
+        limit = self._ratio * len(requests) + self._fixed_share(routers)
+        return limit if has_delivered else limit * _UNDELIVERED_FRACTION
+
+    def _fixed_share(self, routers):
+        return self._extra * _USABLE_EXTRA_FRACTION / max(routers, 1)
+
+    def _spent(self, service):
+        """Return the retries of this router and the lent ones that still count."""
+        retries = self._recent(self._retries, service, self._seconds)
+        return len(retries) + self.lent.total(service)
+
+    def _count_used(self, service, seconds):
+        oldest = self._clock() - seconds
+        return sum(used_at >= oldest for used_at in self._used.get(service, ()))
+
+    def _recent(self, times, service, seconds):
+        recent = times.setdefault(service, deque())
+        oldest = self._clock() - seconds
+        while recent and recent[0] < oldest:
+            recent.popleft()
+        return recent
