Exchange loans of retries between routers

A router whose share of the limit on retries is nearly used asks one or two peers for a loan; a request that the limit refuses waits 30 ms at most. One request in 50 ms for each service, to peers that said they have some left or in random order. Streams that may move do not wait and ask again.

Without live peers nothing is asked and nobody waits.

--- a/src/bulrushdrum/_internal/coordination/peer_messages.py
+++ b/src/bulrushdrum/_internal/coordination/peer_messages.py
@@ -35,7 +35,7 @@
         clock=time.monotonic,
     ):
         self._node = node
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._send_datagram = send_datagram
         self._peer_addresses = peer_addresses
         self._clock = clock
@@ -47,6 +47,11 @@
         """When a datagram of any peer was last received, a time of the clock."""
         return self._last_heard
 
+    @property
+    def peers(self) -> list[str]:
+        """The names of the live peers."""
+        return list(self._peer_addresses())
+
     def register(self, kind: str, handler: _Handler):
         """Call `handler(name, incarnation, body)` for each message of a kind.
 
@@ -85,7 +90,7 @@
         message = {
             "kind": kind,
             "node": self._node,
-            "incarnation": self._incarnation,
+            "incarnation": self.incarnation,
             "body": body,
         }
         data = json.dumps(message, separators=(",", ":")).encode()
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -189,11 +189,12 @@
             return False
         if progress.refusals > _MAX_REFUSALS:
             return False
-        if self._budget.try_count(
+        if self._budget.wait_to_count(
             progress.retry_costs,
             service,
             self._count_routers(),
             has_delivered=progress.started,
+            arrived_at=proxied_request.request.read_at,
         ):
             return True
         log_event(
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -120,8 +120,12 @@
             except PipelineError as error:
                 problem = error
                 break
-            if not self._budget.try_count(
-                tried.retry_costs, service, self._count_routers(), has_delivered=False
+            if not self._budget.wait_to_count(
+                tried.retry_costs,
+                service,
+                self._count_routers(),
+                has_delivered=False,
+                arrived_at=proxied_request.request.read_at,
             ):
                 log_event(
                     Event.RETRY_NOT_ALLOWED,
--- a/src/bulrushdrum/_internal/gateway/stream_moves.py
+++ b/src/bulrushdrum/_internal/gateway/stream_moves.py
@@ -100,7 +100,8 @@
     def reserve_retry(self, progress: GenerationProgress, service: str) -> bool:
         """Count the retry of a move ahead, if the limit allows it.
 
-        The last part of the limit is left to streams that have lost their path.
+        The last part of the limit is left to streams that have lost their path. This
+        does not wait for a loan: the stream asks again after `_RETRY_SECONDS`.
         """
         return self._budget.try_count_ahead(
             progress.retry_costs, service, self._count_routers()
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -105,6 +105,8 @@
     CLAIM_MADE = 8227
     CLAIM_RECEIVED = 8228
     CLAIM_WITHDRAWN = 8229
+    RETRIES_LENT = 8230
+    RETRIES_BORROWED = 8231
 
 
 # Lines of a stop, and those that name the requests which it may cut: at most a few for
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -13,6 +13,7 @@
     ConfigurationInForce,
 )
 from bulrushdrum._internal.coordination.placement_controller import PlacementController
+from bulrushdrum._internal.coordination.retry_exchange import RetryExchange
 from bulrushdrum._internal.coordination.router_registry import (
     ROUTERS_TABLE,
     RouterRegistry,
@@ -141,14 +142,20 @@
             self._services,
             self.announcements.announce_layers,
         )
-        retry_window = RetryWindow(
+        self.retry_window = RetryWindow(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_seconds
         )
+        self.retry_exchange = RetryExchange(
+            self.retry_window,
+            self.announcements.messages,
+            self._router_count,
+            self.is_ready,
+        )
         turns = TurnWaiter(self.upstream_limits)
         plain_call_proxy = PlainCallProxy(
             self.fleet,
             self.connection_pool,
-            retry_window,
+            self.retry_window,
             settings.data_centre,
             self._router_count,
             self.quarantine,
@@ -178,7 +185,7 @@
         self.stream_mover = StreamMover(
             silent_upstreams,
             path_waiter,
-            retry_window,
+            self.retry_window,
             self._router_count,
             stall_detector.check_path,
             self.loop_latency.current,
@@ -189,7 +196,7 @@
             self.reservations,
             path_waiter,
             self.connection_pool,
-            retry_window,
+            self.retry_window,
             self._router_count,
             stall_detector.check_path,
             CrashEvidence(self.fleet, self.quarantine, self.part_quarantine),
