--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -129,6 +129,9 @@
         # Set by the exchange of conditions, which needs the messages of this object.
         self.announced_conditions: Callable[[], list] = list
         self.apply_conditions: Callable[[str, str, object], None] = _ignore
+        # Set by the exchange of loans of retries.
+        self.announced_retries: Callable[[], dict[str, int]] = dict
+        self.apply_retries: Callable[[str, object], None] = _ignore
         self._peers: dict[str, _Peer] = {}
         self._is_serving = False
         self._accepts_work = True
@@ -286,6 +289,7 @@
                 "store_contact": self._announced_store_contact(),
                 "silent": self._own_unresponsive,
                 "conditions": self.announced_conditions(),
+                "lendable_retries": self.announced_retries(),
                 "leaving": list(self._fleet.leaving().items()),
                 "layers": [list(update) for update in self._layer_updates],
                 "uses": {
@@ -354,6 +358,7 @@
                 )
                 # Releases without this field know no limits of upstreams.
                 self._limits.apply_announcement(name, raw.get("limits", []))
+                self.apply_retries(name, raw.get("lendable_retries", {}))
             except DECODING_ERRORS as error:
                 log_event(Event.PEER_REFUSED, peer=str(address), reason=repr(error))
                 continue
--- a/src/bulrushdrum/_internal/coordination/retry_exchange.py
+++ b/src/bulrushdrum/_internal/coordination/retry_exchange.py
@@ -26,6 +26,7 @@
 _BURST = 3
 # A peer that had nothing left, or that did not answer, is not asked for this time.
 _HINT_SECONDS = 1.0
+_MAX_ANNOUNCED = 64
 # Bounds what one request takes from a lender.
 _MAX_AMOUNT = 16
 
@@ -69,6 +70,22 @@
         window.wait_for_loan = self._wait
         messages.register(RETRIES_KIND, self._on_message)
 
+    def announcement(self) -> dict[str, int]:
+        """Return how many retries this router may lend, by service."""
+        if not self._may_lend():
+            return {}
+        routers = self._count_routers()
+        return {
+            service: self._window.lendable(service, routers)
+            for service in self._window.services[:_MAX_ANNOUNCED]
+        }
+
+    def apply_announcement(self, name: str, raw):
+        """Record how many retries a peer may lend; raises `DECODING_ERRORS`."""
+        now = self._clock()
+        for service, left in raw.items():
+            self._hints[service, name] = _Hint(int(left), now)
+
     def _wait(self, service, has_delivered, arrived_at):
         """Wait for a retry, and return whether it was counted."""
         if not self._messages.peers:
@@ -94,7 +111,7 @@
 
     def _request(self, service):
         self._due.discard(service)
-        shortage = self._window.shortage(service, self._count_routers())
+        shortage = self._window.shortage(service)
         amount = shortage - self._window.borrowed.expected(service)
         if amount <= 0:
             return
@@ -110,22 +127,21 @@
             self._paced_until[service] = paced_until + _REQUEST_INTERVAL_SECONDS
 
     def _choose_lenders(self, service, amount):
-        """Return the peer that has enough, or two if none is known to."""
+        """Return a peer that has enough, or two if none is known to."""
         peers = self._messages.peers
+        # A random order keeps the borrowers from all asking the same peer.
         self._random.shuffle(peers)
         oldest = self._clock() - _HINT_SECONDS
-        unknown, known = [], []
+        some, unknown = [], []
         for name in peers:
             hint = self._hints.get((service, name))
             if hint is None or hint.known_at < oldest:
                 unknown.append(name)
+            elif hint.left >= amount:
+                return [name]
             elif hint.left > 0:
-                known.append((hint.left, name))
-        known.sort(key=lambda item: item[0], reverse=True)
-        if known and known[0][0] >= amount:
-            return [known[0][1]]
-        lenders = [name for _, name in known] + unknown
-        return lenders[: 2 if self._window.urgent_need(service) else 1]
+                some.append(name)
+        return [*some, *unknown][:2]
 
     def _on_message(self, name, incarnation, body):
         if "lent" in body:
--- a/src/bulrushdrum/_internal/limits/retry_window.py
+++ b/src/bulrushdrum/_internal/limits/retry_window.py
@@ -32,9 +32,6 @@
 # Fraction of the limit that requests may use whose failure loses nothing: what an
 # answer has delivered is lost if the request is not sent again.
 _UNDELIVERED_FRACTION = 0.8
-# A router asks for loans when less is left than it has used in this time: asking takes
-# a few milliseconds, and failures of one upstream come close together.
-_NEED_SECONDS = 0.5
 # A stream that could not count a retry ahead asks again within this time.
 _AHEAD_SECONDS = 0.025
 
@@ -85,8 +82,8 @@
         self.borrowed = BorrowedRetries(clock)
         # An earlier incarnation may have lent or spent what this one does not know of.
         self._lends_from = clock() + seconds + LOAN_SECONDS
-        # Set by the exchange of loans: called when little is left of a service, and to
-        # wait for a retry that was refused.
+        # Set by the exchange of loans: called when a retry was refused, and to wait for
+        # its loan.
         self.on_shortage: Callable[[str], None] = lambda service: None
         self.wait_for_loan: Callable[[str, bool, float], bool] = lambda *_: False
 
@@ -95,11 +92,9 @@
 
     def try_spend(self, service: str, routers: int, has_delivered: bool = True) -> bool:
         """Count one retry if the limit allows it; return whether it does."""
+        # Requests that wait come before one that asks now.
         self.serve_waiting(service, routers)
-        is_counted = self._try_spend(service, routers, has_delivered)
-        if self.shortage(service, routers) > 0:
-            self.on_shortage(service)
-        return is_counted
+        return self._try_spend(service, routers, has_delivered)
 
     def try_count(
         self, costs: RetryCosts, service: str, routers: int, has_delivered: bool
@@ -174,13 +169,14 @@
         refused_ahead = self._recent(self._refused_ahead, service, _AHEAD_SECONDS)
         return len(self._waiting.get(service, ())) + len(refused_ahead)
 
-    def shortage(self, service: str, routers: int) -> int:
+    def shortage(self, service: str) -> int:
         """Return how many retries this router should borrow."""
-        limit = self._limit(service, routers, has_delivered=False)
-        left = max(int(limit) - self._spent(service), 0)
-        usual_need = max(self._count_used(service, _NEED_SECONDS), 1)
-        need = usual_need + self.urgent_need(service)
-        return max(need - left - self.borrowed.usable(service), 0)
+        return max(self.urgent_need(service) - self.borrowed.usable(service), 0)
+
+    @property
+    def services(self) -> list[str]:
+        """The services that had a request."""
+        return list(self._requests)
 
     def lendable(self, service: str, routers: int) -> int:
         """Return how many retries this router may lend and does not need itself."""
@@ -191,7 +187,7 @@
             self._fixed_share(routers),
             self.lent.total(service),
             limit - self._spent(service),
-            self._count_used(service, LOAN_SECONDS),
+            len(self._recent(self._used, service, LOAN_SECONDS)),
         )
 
     def lend(self, service: str, routers: int, amount: int) -> int:
@@ -209,7 +205,7 @@
                 "lent": self.lent.total(service),
                 "borrowed": self.borrowed.usable(service),
             }
-            for service in list(self._requests)
+            for service in self.services
         }
 
     def _try_spend(self, service, routers, has_delivered):
@@ -235,10 +231,6 @@
         retries = self._recent(self._retries, service, self._seconds)
         return len(retries) + self.lent.total(service)
 
-    def _count_used(self, service, seconds):
-        oldest = self._clock() - seconds
-        return sum(used_at >= oldest for used_at in self._used.get(service, ()))
-
     def _recent(self, times, service, seconds):
         recent = times.setdefault(service, deque())
         oldest = self._clock() - seconds
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -151,6 +151,8 @@
             self._router_count,
             self.is_ready,
         )
+        self.announcements.announced_retries = self.retry_exchange.announcement
+        self.announcements.apply_retries = self.retry_exchange.apply_announcement
         turns = TurnWaiter(self.upstream_limits)
         plain_call_proxy = PlainCallProxy(
             self.fleet,
