Name the announced fields that were added since the earlier release

test_announcement_is_sent compares a whole announcement and was red since conditions are announced; lendable_retries is new too. Both are fields that routers of the earlier release ignore.

--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -382,6 +382,8 @@
         "leaving": [],
         "configuration": 0,
         "store_contact": None,
+        "conditions": [],
+        "lendable_retries": {},
     }
     expected = {**SAMPLES["announcement"], **added}
     assert json.loads(peer_socket.recv(65000)) == expected
