Lend the last part of the limit to streams of other routers that have delivered

The last fifth of each router's limit was lent to nobody, while streams that had delivered were given up elsewhere. A request for loans says how many of those that wait have delivered. Five messages may be sent at once instead of three, still one in 50 ms on average.

--- a/src/bulrushdrum/_internal/coordination/retry_exchange.py
+++ b/src/bulrushdrum/_internal/coordination/retry_exchange.py
@@ -23,7 +23,7 @@
 # Requests of one service are sent at this interval on average. A few may be sent at
 # once, so that a loan that a request waits for need not wait for the interval.
 _REQUEST_INTERVAL_SECONDS = 0.05
-_BURST = 3
+_BURST = 5
 # A peer that had nothing left, or that did not answer, is not asked for this time.
 _HINT_SECONDS = 1.0
 _MAX_ANNOUNCED = 64
@@ -121,7 +121,12 @@
             self._hints[service, name] = _Hint(0, self._clock())
             part = min(-(-amount // len(lenders)), _MAX_AMOUNT)
             number = self._window.borrowed.request(name, service, part)
-            body = {"number": number, "service": service, "amount": part}
+            body = {
+                "number": number,
+                "service": service,
+                "amount": part,
+                "delivered": min(self._window.waiting_delivered(service), part),
+            }
             self._messages.send(name, RETRIES_KIND, body)
             paced_until = max(self._paced_until.get(service, 0.0), self._clock())
             self._paced_until[service] = paced_until + _REQUEST_INTERVAL_SECONDS
@@ -141,7 +146,11 @@
                 return [name]
             elif hint.left > 0:
                 some.append(name)
-        return [*some, *unknown][:2]
+        lenders = [*some, *unknown]
+        if not lenders and self._window.waiting_delivered(service):
+            # Peers that have nothing left for others may have some for these.
+            lenders = peers
+        return lenders[:2]
 
     def _on_message(self, name, incarnation, body):
         if "lent" in body:
@@ -151,14 +160,15 @@
 
     def _on_request(self, name, incarnation, body):
         number, amount = int(body["number"]), int(body["amount"])
-        service = body["service"]
+        service, delivered = body["service"], int(body["delivered"])
         if not isinstance(service, str) or amount < 1:
             raise ValueError(f"{body!r} asks for no retries")
         if not self._window.lent.is_first_request(incarnation, number):
             return
         routers, lent, left = self._count_routers(), 0, 0
         if self._may_lend():
-            lent = self._window.lend(service, routers, min(amount, _MAX_AMOUNT))
+            amount = min(amount, _MAX_AMOUNT)
+            lent = self._window.lend(service, routers, amount, delivered)
             left = self._window.lendable(service, routers)
         # A peer that borrows has nothing to lend.
         self._hints[service, name] = _Hint(0, self._clock())
--- a/src/bulrushdrum/_internal/limits/retry_window.py
+++ b/src/bulrushdrum/_internal/limits/retry_window.py
@@ -169,6 +169,10 @@
         refused_ahead = self._recent(self._refused_ahead, service, _AHEAD_SECONDS)
         return len(self._waiting.get(service, ())) + len(refused_ahead)
 
+    def waiting_delivered(self, service: str) -> int:
+        """Return how many of the requests that wait have delivered."""
+        return sum(waiting.has_delivered for waiting in self._waiting.get(service, ()))
+
     def shortage(self, service: str) -> int:
         """Return how many retries this router should borrow."""
         return max(self.urgent_need(service) - self.borrowed.usable(service), 0)
@@ -178,11 +182,15 @@
         """The services that had a request."""
         return list(self._requests)
 
-    def lendable(self, service: str, routers: int) -> int:
-        """Return how many retries this router may lend and does not need itself."""
+    def lendable(self, service: str, routers: int, to_delivered: bool = False) -> int:
+        """Return how many retries this router may lend and does not need itself.
+
+        The last part of the limit is lent `to_delivered` only, to requests that have
+        delivered a part of their answer.
+        """
         if self._clock() < self._lends_from:
             return 0
-        limit = self._limit(service, routers, has_delivered=False)
+        limit = self._limit(service, routers, has_delivered=to_delivered)
         return lendable_retries(
             self._fixed_share(routers),
             self.lent.total(service),
@@ -190,9 +198,15 @@
             len(self._recent(self._used, service, LOAN_SECONDS)),
         )
 
-    def lend(self, service: str, routers: int, amount: int) -> int:
-        """Lend up to `amount` retries; return how many, which count from now on."""
-        amount = min(amount, self.lendable(service, routers))
+    def lend(self, service: str, routers: int, amount: int, delivered: int = 0) -> int:
+        """Lend up to `amount` retries; return how many, which count from now on.
+
+        `delivered` of them are for requests that have delivered.
+        """
+        to_delivered = self.lendable(service, routers, to_delivered=True)
+        amount = min(
+            amount, max(self.lendable(service, routers), min(delivered, to_delivered))
+        )
         if amount > 0:
             self.lent.record(service, amount)
         return amount
--- a/tests/unit/test_retry_loans.py
+++ b/tests/unit/test_retry_loans.py
@@ -176,6 +176,14 @@
     assert window.lendable("s", 1) == 12 - 3
 
 
+def test_the_last_part_is_lent_for_requests_that_have_delivered(window):
+    assert window.lend("s", 1, 12) == 12
+    assert window.lend("s", 1, 5) == 0
+    assert window.lend("s", 1, 5, delivered=2) == 2
+    assert window.lend("s", 1, 5, delivered=5) == 1
+    assert not window.try_spend("s", 1)
+
+
 def test_only_the_fixed_part_is_lent(window):
     # Guards against a loan from the requests of a window that end before its use.
     for _ in range(500):
--- a/tests/unit/test_stream_moves.py
+++ b/tests/unit/test_stream_moves.py
@@ -41,6 +41,25 @@
     assert one.closed_early == 1
 
 
+def test_a_move_that_the_limit_refuses_asks_again_when_a_loan_may_have_come(gateway):
+    # Guards against late streams while other routers have retries left, and against
+    # streams that wait for a loan instead of their events.
+    add_pair(gateway, falls_silent, resumed)
+    budget = gateway.budget
+    while budget.try_spend("llm", routers=1):
+        pass
+
+    def borrow(service):
+        number = budget.borrowed.request("r2", service, 1)
+        gevent.spawn_later(0.01, budget.borrowed.receive, "r2", number, 1)
+
+    budget.on_shortage = borrow
+    response = gateway.call()
+    assert (response.body, response.is_complete) == (EVENTS, True)
+    assert gateway.mover.moves == 1 and gateway.seconds < SILENT_SECONDS
+    assert budget.borrowed.used == 1
+
+
 def test_a_request_without_a_first_event_goes_on_elsewhere(gateway):
     _, two = add_pair(gateway, lambda r: [SILENT_SECONDS], resumed)
     response = gateway.call()
