--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -414,6 +414,7 @@
         "configuration": 0,
         "store_contact": None,
         "conditions": CONDITIONS,
+        "lendable_retries": {},
     }
     expected = {**SAMPLES["announcement"], **added}
     assert json.loads(peer_socket.recv(65000)) == expected
