--- a/tests/integration/router_system.py
+++ b/tests/integration/router_system.py
@@ -104,23 +104,28 @@
     def __init__(self, folder, store, node="r1", **bounds):
         self.port, self.ready_port, metrics = free_port(), free_port(), free_port()
         self.metrics_port = metrics
-        settings = {
-            "node-name": node,
+        self._node, self._store, self._bounds = node, store, bounds
+        self._peer_port = free_port(socket.SOCK_DGRAM)
+        path = folder / f"{node}.json"
+        path.write_text(json.dumps(self.settings()))
+        self.log = folder / f"{node}.log"
+        self._settings_path = path
+        self.start()
+
+    def settings(self):
+        """Return the platform's settings of this router."""
+        return {
+            "node-name": self._node,
             "zone": "a",
             "ip": "127.0.0.1",
             "listen": {
                 "front": f"127.0.0.1:{self.port}",
                 "ready-addr": f"127.0.0.1:{self.ready_port}",
             },
-            "internal-ports": [free_port(socket.SOCK_DGRAM), metrics],
-            "bounds": {"grace-s": 6, **bounds},
-            "platform": {"address": store.address},
+            "internal-ports": [self._peer_port, self.metrics_port],
+            "bounds": {"grace-s": 6, **self._bounds},
+            "platform": {"address": self._store.address},
         }
-        path = folder / f"{node}.json"
-        path.write_text(json.dumps(settings))
-        self.log = folder / f"{node}.log"
-        self._settings_path = path
-        self.start()
 
     def start(self):
         with self.log.open("a") as output:
