Count the bytes of heads and of framing when they are received

The parser passes on a header line when it is complete, so a line without an end was kept whole, at any size: 100 callers with 2.5 MB each took a router to 302 MB. Bytes that complete nothing (a request, a head or a part of a body) now count as they arrive, and 1 KB over the limit on headers ends them with 431; reads are of 16 KB, so little arrives beyond that. Ruled out: limiting only header lines, since trailers, empty lines and chunk extensions have no callback of the parser either.

--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -25,7 +25,7 @@
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.world.routes import CallerLimits
 
-_RECEIVE_BYTES = 65536
+_RECEIVE_BYTES = 16_384
 # Timeout of a write, after which a caller that does not read is disconnected.
 _WRITE_TIMEOUT_SECONDS = 5.0
 _BACKLOG = 1024
--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -16,6 +16,9 @@
 from bulrushdrum._internal.world.routes import CallerLimits
 
 _DEFAULT_RESPONSE_LIMITS = ResponseLimits()
+# The first line of a request and the blanks around values, which do not count as bytes
+# of headers, may take this much.
+_HEAD_ALLOWANCE_BYTES = 1024
 
 
 class RequestReader:
@@ -23,6 +26,10 @@
 
     `limits()` returns the limits in force. A request may be as large as those at its
     begin or the current ones allow.
+
+    The parser passes on a header when it is complete, so bytes count as soon as they
+    are received: those of a head that has not ended, and those between two parts of a
+    body.
     """
 
     def __init__(self, limits: Callable[[], CallerLimits]):
@@ -31,6 +38,10 @@
         self._limits_at_begin = limits()
         self._parser = httptools.HttpRequestParser(self)
         self._started = False
+        # Bytes of whole pieces since the parser last passed on something that had
+        # ended: a request, a head or a part of a body.
+        self._unended_bytes = 0
+        self._has_progressed = False
         self._reset()
 
     @property
@@ -40,6 +51,7 @@
 
     def feed(self, data: bytes):
         """Parse `data`; raises `BadRequest`."""
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except BadRequest:
@@ -51,6 +63,18 @@
             if isinstance(cause, BadRequest):
                 raise cause from None
             raise BadRequest(400, f"malformed request: {error}") from error
+        if self._has_progressed:
+            self._unended_bytes = 0
+            return
+        self._unended_bytes += len(data)
+        if self._unended_bytes > self._limits_at_begin.header_bytes:
+            self._check_unended_bytes()
+
+    def _check_unended_bytes(self):
+        max_bytes = self._limits().header_bytes
+        if self._unended_bytes > max_bytes + _HEAD_ALLOWANCE_BYTES:
+            part = "framing of the body" if self._has_head else "headers"
+            raise BadRequest(431, f"{part} exceed {max_bytes} bytes")
 
     def _reset(self):
         self._target = b""
@@ -58,6 +82,7 @@
         self._header_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._has_head = False
 
     def on_message_begin(self):
         self._started = True
@@ -78,7 +103,11 @@
             if self._header_bytes > max_bytes:
                 raise BadRequest(431, f"headers exceed {max_bytes} bytes")
 
+    def on_headers_complete(self):
+        self._has_head = self._has_progressed = True
+
     def on_body(self, body):
+        self._has_progressed = True
         self._body_bytes += len(body)
         if self._body_bytes > self._limits_at_begin.body_bytes:
             max_bytes = self._limits().body_bytes
@@ -87,6 +116,7 @@
         self._body.append(body)
 
     def on_message_complete(self):
+        self._has_progressed = True
         self.requests.append(
             Request(
                 self._parser.get_method(),
