Keep the body of a caller's request in one buffer

Each chunk was an object of its own, so 4 MB in chunks of two bytes took 120 MB. Now a body takes its bytes and the spare room of a bytearray, and one that arrives at once is not copied.

--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -80,8 +80,7 @@
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body: bytes | bytearray = b""
         self._has_head = False
 
     def on_message_begin(self):
@@ -108,12 +107,17 @@
 
     def on_body(self, body):
         self._has_progressed = True
-        self._body_bytes += len(body)
-        if self._body_bytes > self._limits_at_begin.body_bytes:
+        if not self._body:
+            self._body = body
+        else:
+            # One buffer, because an object for each chunk costs a multiple of its size.
+            if isinstance(self._body, bytes):
+                self._body = bytearray(self._body)
+            self._body += body
+        if len(self._body) > self._limits_at_begin.body_bytes:
             max_bytes = self._limits().body_bytes
-            if self._body_bytes > max_bytes:
+            if len(self._body) > max_bytes:
                 raise BadRequest(413, f"the body exceeds {max_bytes} bytes")
-        self._body.append(body)
 
     def on_message_complete(self):
         self._has_progressed = True
@@ -122,7 +126,7 @@
                 self._parser.get_method(),
                 self._target,
                 self._headers,
-                b"".join(self._body),
+                bytes(self._body),
                 self._parser.should_keep_alive(),
                 time.monotonic(),
             )
