Refuse a body that is announced over the limit before it arrives

A declared length was compared with the limit only after so much had been received: 120 callers that announced 10 GB took a router to 213 MB. The length is now checked when the head is complete (413).

tests/integration/test_abusive_callers.py, -k "announced and over": 213 MB before, 39 MB now.

--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -104,6 +104,9 @@
 
     def on_headers_complete(self):
         self._has_head = self._has_progressed = True
+        for name, value in self._headers:
+            if name == b"content-length" and value.isdigit():
+                self._check_body_bytes(int(value))
 
     def on_body(self, body):
         self._has_progressed = True
@@ -114,9 +117,12 @@
             if isinstance(self._body, bytes):
                 self._body = bytearray(self._body)
             self._body += body
-        if len(self._body) > self._limits_at_begin.body_bytes:
+        self._check_body_bytes(len(self._body))
+
+    def _check_body_bytes(self, count):
+        if count > self._limits_at_begin.body_bytes:
             max_bytes = self._limits().body_bytes
-            if len(self._body) > max_bytes:
+            if count > max_bytes:
                 raise BadRequest(413, f"the body exceeds {max_bytes} bytes")
 
     def on_message_complete(self):
