Parse what callers send in small pieces, and let others run in between

A caller that always has more to send was read without a pause, since receiving returns at once then, and 64 KB of requests sent ahead were parsed at once (3,600 requests). RequestReceiver parses 4 KB at a time, stops at a complete request, and calls run_other_tasks_if_due for each 16 KB of a request and before each request that was sent ahead. A request that fits into one piece never gives way.

The test of turns counts them; without the calls there are none.

--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -19,19 +19,16 @@
     encode_head,
     status_line,
 )
-from bulrushdrum._internal.gateway.parsing import RequestReader
 from bulrushdrum._internal.gateway.readiness import is_readable
+from bulrushdrum._internal.gateway.request_receiver import RequestReceiver
 from bulrushdrum._internal.gateway.request_trace import RequestTrace
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.world.routes import CallerLimits
 
-_RECEIVE_BYTES = 16_384
 # Timeout of a write, after which a caller that does not read is disconnected.
 _WRITE_TIMEOUT_SECONDS = 5.0
 _BACKLOG = 1024
 _FINISH_POLL_SECONDS = 0.01
-# Keeps reads short so that the idle and header timeouts are checked regularly.
-_RECEIVE_TIMEOUT_SECONDS = 0.5
 
 
 class CallerConnection:
@@ -40,7 +37,7 @@
     def __init__(self, sock, server: "CallerServer"):
         self._socket = sock
         self._server = server
-        self._reader = RequestReader(server.limits)
+        self._receiver = RequestReceiver(sock, server.limits)
         self._request: Request | None = None
         self._streaming = False
         self._is_waiting = False
@@ -60,7 +57,7 @@
     @property
     def has_open_request(self) -> bool:
         """Whether a request is in progress, or has arrived in part."""
-        return not self._is_waiting or self._reader.has_partial_request
+        return not self._is_waiting or self._receiver.has_partial_request
 
     def serve(self):
         while not self.closing:
@@ -92,36 +89,13 @@
     def _next_request(self):
         self._is_waiting = True
         try:
-            return self._receive_request()
+            return self._receiver.receive()
+        except BadRequest as error:
+            self._reject(error)
+            return None
         finally:
             self._is_waiting = False
 
-    def _receive_request(self):
-        limits = self._server.limits()
-        idle_since, started_at = time.monotonic(), None
-        while not self._reader.requests:
-            now = time.monotonic()
-            if self._reader.has_partial_request:
-                started_at = started_at or now
-                if now - started_at > limits.header_timeout:
-                    self._reject(BadRequest(408, "the request did not arrive in time"))
-                    return None
-            elif now - idle_since > limits.idle_timeout:
-                return None
-            self._socket.settimeout(_RECEIVE_TIMEOUT_SECONDS)
-            try:
-                data = self._socket.recv(_RECEIVE_BYTES)
-            except TimeoutError:
-                continue
-            if not data:
-                return None
-            try:
-                self._reader.feed(data)
-            except BadRequest as error:
-                self._reject(error)
-                return None
-        return self._reader.requests.popleft()
-
     def _reject(self, error):
         log_event(Event.CALLER_REFUSED, status=error.status, reason=str(error))
         self.closing = True
