Read what a refused caller still sends, so that it sees the refusal

Closing a socket with unread bytes resets the connection, and a caller that was still sending got the reset instead of 413 or 431 (ConnectionResetError in the new test without this change). After a refusal the router now ends its side and discards up to 16 MiB for up to 2 s. Such connections count as idle: a stop closes them at once.

--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -41,6 +41,7 @@
         self._request: Request | None = None
         self._streaming = False
         self._is_waiting = False
+        self._is_refused = False
         # Whether this router shut the connection down while it was idle.
         self.is_shut_down = False
         self.response_started = False
@@ -80,7 +81,10 @@
 
     def close_if_idle(self):
         """Close the connection unless a request has arrived, whole or in part."""
-        if not self.has_open_request and not is_readable(self._socket):
+        if self.has_open_request:
+            return
+        # Nothing more is answered after a refusal.
+        if self._is_refused or not is_readable(self._socket):
             if not self.is_shut_down:
                 self.closing = self.is_shut_down = True
                 # Ends the wait for the next request with an error.
@@ -101,6 +105,8 @@
         self.closing = True
         body = (str(error) + "\n").encode()
         self.send(Response(error.status, [(b"content-type", b"text/plain")], body))
+        self._is_refused = True
+        self._receiver.discard_input()
 
     def send(self, response: Response):
         """Send a complete response."""
--- a/src/bulrushdrum/_internal/gateway/request_receiver.py
+++ b/src/bulrushdrum/_internal/gateway/request_receiver.py
@@ -8,6 +8,8 @@
 import time
 from collections.abc import Callable
 
+from gevent import socket
+
 from bulrushdrum._internal.event_loop import run_other_tasks_if_due
 from bulrushdrum._internal.gateway.errors import BadRequest
 from bulrushdrum._internal.gateway.messages import Request
@@ -20,6 +22,12 @@
 _PIECE_BYTES = 4096
 # Keeps reads short so that the idle and header timeouts are checked regularly.
 _RECEIVE_TIMEOUT_SECONDS = 0.5
+# What a refused caller still sends is read for so long, because closing a socket with
+# unread data resets the connection, and the caller may not see the refusal. A caller
+# that sends the largest body over a link of 20 Mbit/s has ended by then.
+_DISCARD_SECONDS = 2.0
+_MAX_DISCARDED_BYTES = 16_777_216
+_discarded = bytearray(65_536)
 
 
 class RequestReceiver:
@@ -64,6 +72,31 @@
         self._bytes_since_turn = 0
         return self._reader.requests.popleft()
 
+    def drop(self):
+        """Free what has been received and not returned."""
+        self._unparsed = b""
+        self._reader = RequestReader(self._limits)
+
+    def discard_input(self):
+        """Read and discard what a refused caller still sends, within bounds."""
+        self.drop()
+        deadline = time.monotonic() + _DISCARD_SECONDS
+        discarded = 0
+        self._socket.shutdown(socket.SHUT_WR)
+        while discarded < _MAX_DISCARDED_BYTES:
+            remaining = deadline - time.monotonic()
+            if remaining <= 0:
+                return
+            self._socket.settimeout(remaining)
+            try:
+                count = self._socket.recv_into(_discarded)
+            except TimeoutError:
+                return
+            if not count:
+                return
+            discarded += count
+            run_other_tasks_if_due()
+
     def _receive_data(self):
         """Receive data, unless that times out; return false at the end."""
         self._socket.settimeout(_RECEIVE_TIMEOUT_SECONDS)
--- a/tests/unit/test_caller_connections.py
+++ b/tests/unit/test_caller_connections.py
@@ -135,3 +135,35 @@
         server.finish(3.0)
         assert answered == [b""]
         assert sock.recv(100).startswith(b"HTTP/1.1 200")
+
+
+def test_a_refused_caller_that_goes_on_sending_sees_the_refusal():
+    # Guards against a reset that takes the place of the answer, because the connection
+    # is closed before all that the caller sends has been read.
+    server = CallerServer(
+        "127.0.0.1:0", lambda *_: None, lambda: CallerLimits(body_bytes=1000)
+    )
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n"
+    with socket.create_connection(address, timeout=2.0) as sock:
+        sock.sendall(head)
+        for _ in range(40):
+            sock.sendall(b"a" * 100_000)
+            gevent.sleep(0.002)
+        assert sock.recv(1000).startswith(b"HTTP/1.1 413 ")
+    server.stop_accepting()
+
+
+def test_a_refused_connection_does_not_delay_a_stop():
+    # Guards against a stop that waits for callers whose requests were refused.
+    server = CallerServer("127.0.0.1:0", lambda *_: None)
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    with socket.create_connection(address, timeout=2.0) as sock:
+        sock.sendall(b"no request\r\n\r\n")
+        assert sock.recv(1000).startswith(b"HTTP/1.1 400 ")
+        sock.sendall(b"more")
+        assert server.open_requests == 0
+        with gevent.Timeout(0.5):
+            server.finish(5.0)
