Bound what all callers of a router hold together

Limits on one request allow far more than the memory of a VM: 60 callers with 4 MB each took a router to 294 MB, 800 header sections of small fields to 311 MB. One budget for the process now covers open connections, what has arrived of requests and what is being handled: half of limits.memory-mb over 60 MB. When it is exceeded, idle connections are closed, then unfinished requests are refused as not run (503 with Retry-After), the largest first. A large body that has no room is refused when it begins. gateway/caller_budget.py decides, without a network.

Counting alone did not hold the bound (230 MB): buffers that grow beside each other leave gaps in the heap, so bodies over 64 KB are kept in blocks of one size; and the parser and its reader refer to each other, so what was dropped stayed until the next garbage collection (213 MB). A connection no longer keeps its last request either.

--- a/bench/settings_page.py
+++ b/bench/settings_page.py
@@ -5,6 +5,7 @@
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.settings.router import (
     MIN_RESPONSE_LIMIT_BYTES,
+    CallerResources,
     PathPolicyName,
     ResponseLimits,
 )
@@ -38,6 +39,13 @@
         yield f"| `{option}` | {limit.default} | bytes | {bounds} |"
 
 
+def _router_resources():
+    defaults = CallerResources()
+    megabytes = defaults.memory_bytes // 1_000_000
+    yield f"| `limits.memory-mb` | {megabytes} | MB | above 0 |"
+    yield f"| `limits.max-fds` | {defaults.descriptors} | descriptors | above 0 |"
+
+
 def page() -> str:
     """Return the settings reference as Markdown."""
     lines = [
@@ -64,6 +72,16 @@
         "| option | default | unit | values |",
         "|---|---|---|---|",
         *_router_options(),
+        "",
+        "These are fields of the platform's settings file. What callers' connections",
+        "and unanswered requests may hold together is half of the memory over 60 MB,",
+        "and at least 12 MB. Half of the descriptors over 400, and at least 16, are",
+        "for callers, and as many for upstreams; the ports for readiness and metrics",
+        "take 32 connections each.",
+        "",
+        "| field | default | unit | values |",
+        "|---|---|---|---|",
+        *_router_resources(),
     ]
     return "\n".join(lines) + "\n"
 
--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -4,6 +4,7 @@
 `CallerDisconnected` is raised in the greenlet that handles the request.
 """
 
+import random
 import time
 from collections.abc import Callable
 
@@ -11,6 +12,15 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from bulrushdrum._internal.gateway.caller_budget import (
+    CallerBudget,
+    ConnectionGroup,
+    Holding,
+)
+from bulrushdrum._internal.gateway.error_responses import (
+    not_run_response,
+    random_retry_after,
+)
 from bulrushdrum._internal.gateway.errors import BadRequest, CallerDisconnected
 from bulrushdrum._internal.gateway.messages import (
     Headers,
@@ -23,21 +33,27 @@
 from bulrushdrum._internal.gateway.request_receiver import RequestReceiver
 from bulrushdrum._internal.gateway.request_trace import RequestTrace
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.settings.router import CallerResources
 from bulrushdrum._internal.world.routes import CallerLimits
 
 # Timeout of a write, after which a caller that does not read is disconnected.
 _WRITE_TIMEOUT_SECONDS = 5.0
 _BACKLOG = 1024
 _FINISH_POLL_SECONDS = 0.01
+_random = random.Random()
 
 
 class CallerConnection:
     """One caller connection; sends whole responses or chunked streams."""
 
-    def __init__(self, sock, server: "CallerServer"):
+    def __init__(self, sock, server: "CallerServer", address: str):
         self._socket = sock
         self._server = server
-        self._receiver = RequestReceiver(sock, server.limits)
+        self._address = address
+        self.holding = Holding(self)
+        self._receiver = RequestReceiver(
+            sock, server.limits, server.group, self.holding
+        )
         self._request: Request | None = None
         self._streaming = False
         self._is_waiting = False
@@ -62,23 +78,32 @@
 
     def serve(self):
         while not self.closing:
-            request = self._next_request()
-            if request is None:
-                return
-            self._request, self.response_started = request, False
-            self.trace = RequestTrace()
-            if not request.keep_alive:
-                self.closing = True
-            monitor = _DisconnectMonitor(self._socket)
-            self._server.begin_request()
-            try:
-                with monitor:
-                    self._server.handle(self, request)
-            finally:
-                self._server.end_request()
-            if not self.response_started or self._streaming:
+            if not self._serve_next():
                 return
 
+    def _serve_next(self) -> bool:
+        """Handle the next request; return whether another one may follow.
+
+        Nothing refers to the request after that: its body may be large, and the
+        connection idle for long.
+        """
+        request = self._next_request()
+        if request is None:
+            return False
+        self._request, self.response_started = request, False
+        self.trace = RequestTrace()
+        if not request.keep_alive:
+            self.closing = True
+        monitor = _DisconnectMonitor(self._socket)
+        self._server.begin_request()
+        try:
+            with monitor:
+                self._server.handle(self, request)
+        finally:
+            self._server.end_request()
+            self._request = None
+        return self.response_started and not self._streaming
+
     def close_if_idle(self):
         """Close the connection unless a request has arrived, whole or in part."""
         if self.has_open_request:
@@ -90,6 +115,21 @@
                 # Ends the wait for the next request with an error.
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    def close_idle(self) -> bool:
+        """Close the connection to make room, unless a request has arrived."""
+        self.close_if_idle()
+        if self.is_shut_down:
+            log_event(Event.CALLER_CONNECTION_CLOSED, caller=self._address, idle=True)
+        return self.is_shut_down
+
+    def refuse_request(self):
+        """Refuse the request that is being received, and free its memory at once."""
+        self._receiver.drop_request()
+
+    def release(self):
+        """Free what was received, at the end of the connection."""
+        self._receiver.close()
+
     def _next_request(self):
         self._is_waiting = True
         try:
@@ -101,10 +141,30 @@
             self._is_waiting = False
 
     def _reject(self, error):
-        log_event(Event.CALLER_REFUSED, status=error.status, reason=str(error))
         self.closing = True
-        body = (str(error) + "\n").encode()
-        self.send(Response(error.status, [(b"content-type", b"text/plain")], body))
+        if error.status == 503:
+            budget = self._server.group.budget
+            log_event(
+                Event.CALLER_REQUEST_SHED,
+                caller=self._address,
+                reason=str(error),
+                held_bytes=budget.held_bytes,
+                max_bytes=budget.max_bytes,
+            )
+            # Unfinished requests end within this timeout.
+            timeout = self._server.limits().header_timeout
+            retry_after = random_retry_after(timeout, _random)
+            response = not_run_response(str(error), retry_after)
+        else:
+            log_event(
+                Event.CALLER_REFUSED,
+                status=error.status,
+                reason=str(error),
+                caller=self._address,
+            )
+            body = (str(error) + "\n").encode()
+            response = Response(error.status, [(b"content-type", b"text/plain")], body)
+        self.send(response)
         self._is_refused = True
         self._receiver.discard_input()
 
@@ -196,7 +256,8 @@
     """Listens on `address` and passes each request to `handler`.
 
     `handler(connection, request)` must send the response on `connection`; `limits()`
-    returns the current limits.
+    returns the current limits. `group` bounds the connections and what they hold; the
+    ports of one process share a budget.
     """
 
     def __init__(
@@ -204,7 +265,11 @@
         address: str,
         handler: Callable[[CallerConnection, Request], None],
         limits: Callable[[], CallerLimits] = CallerLimits,
+        group: ConnectionGroup | None = None,
     ):
+        if group is None:
+            group = CallerBudget(CallerResources().held_bytes).add_group()
+        self.group = group
         host, _, port = address.rpartition(":")
         self._handler = handler
         self.limits = limits
@@ -258,8 +323,16 @@
     def handle(self, connection, request):
         self._handler(connection, request)
 
-    def _serve(self, sock, _address):
-        connection = CallerConnection(sock, self)
+    def _serve(self, sock, address):
+        connection = CallerConnection(sock, self, f"{address[0]}:{address[1]}")
+        if not self.group.add(connection.holding):
+            log_event(
+                Event.CALLER_CONNECTION_CLOSED,
+                caller=f"{address[0]}:{address[1]}",
+                idle=False,
+            )
+            sock.close()
+            return
         self._open.add(connection)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -271,4 +344,6 @@
                 log_event(Event.CALLER_LEFT, reason=f"connection lost: {error}")
         finally:
             self._open.discard(connection)
+            connection.release()
+            self.group.remove(connection.holding)
             sock.close()
--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -6,6 +6,8 @@
 
 import httptools
 
+from bulrushdrum._internal.gateway.body_buffer import BodyBuffer
+from bulrushdrum._internal.gateway.caller_budget import LARGE_BODY_BYTES
 from bulrushdrum._internal.gateway.errors import (
     BadRequest,
     ResponseTooLarge,
@@ -19,22 +21,32 @@
 # The first line of a request and the blanks around values, which do not count as bytes
 # of headers, may take this much.
 _HEAD_ALLOWANCE_BYTES = 1024
+# The objects of a request, and of one header: a pair and two byte strings, rounded up
+# as the allocator does, without the bytes of the header.
+_REQUEST_OBJECT_BYTES = 700
+_HEADER_OBJECT_BYTES = 160
 
 
 class RequestReader:
     """Parses the requests received on one connection.
 
     `limits()` returns the limits in force. A request may be as large as those at its
-    begin or the current ones allow.
+    begin or the current ones allow. `accepts_large_body(length)` returns whether there
+    is memory for a large body; `length` is None if it is not announced.
 
     The parser passes on a header when it is complete, so bytes count as soon as they
     are received: those of a head that has not ended, and those between two parts of a
     body.
     """
 
-    def __init__(self, limits: Callable[[], CallerLimits]):
+    def __init__(
+        self,
+        limits: Callable[[], CallerLimits],
+        accepts_large_body: Callable[[int | None], bool] = lambda length: True,
+    ):
         self.requests: deque[Request] = deque()
         self._limits = limits
+        self._accepts_large_body = accepts_large_body
         self._limits_at_begin = limits()
         self._parser = httptools.HttpRequestParser(self)
         self._started = False
@@ -42,6 +54,7 @@
         # ended: a request, a head or a part of a body.
         self._unended_bytes = 0
         self._has_progressed = False
+        self._queued_bytes = 0
         self._reset()
 
     @property
@@ -49,6 +62,35 @@
         """Whether part of a request has been received."""
         return self._started
 
+    @property
+    def held_bytes(self) -> int:
+        """The approximate memory of what was received and not yet taken."""
+        return (
+            self._queued_bytes
+            + self._unended_bytes
+            + self._header_bytes
+            + len(self._headers) * _HEADER_OBJECT_BYTES
+            + self._body.held_bytes
+        )
+
+    def take(self) -> Request:
+        """Remove and return the first complete request."""
+        request = self.requests.popleft()
+        self._queued_bytes -= request_bytes(request)
+        return request
+
+    def close(self):
+        """Free all that is held; nothing can be parsed any more.
+
+        The parser and this object refer to each other, so they would keep it until the
+        next garbage collection.
+        """
+        self._parser = None
+        self.requests.clear()
+        self._queued_bytes = self._unended_bytes = 0
+        self._started = False
+        self._reset()
+
     def feed(self, data: bytes):
         """Parse `data`; raises `BadRequest`."""
         self._has_progressed = False
@@ -80,8 +122,9 @@
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
-        self._body: bytes | bytearray = b""
+        self._body = BodyBuffer()
         self._has_head = False
+        self._is_large = False
 
     def on_message_begin(self):
         self._started = True
@@ -107,17 +150,19 @@
         for name, value in self._headers:
             if name == b"content-length" and value.isdigit():
                 self._check_body_bytes(int(value))
+                self._check_large_body(int(value), int(value))
 
     def on_body(self, body):
         self._has_progressed = True
-        if not self._body:
-            self._body = body
-        else:
-            # One buffer, because an object for each chunk costs a multiple of its size.
-            if isinstance(self._body, bytes):
-                self._body = bytearray(self._body)
-            self._body += body
-        self._check_body_bytes(len(self._body))
+        self._body.append(body)
+        self._check_body_bytes(self._body.size)
+        self._check_large_body(self._body.size, None)
+
+    def _check_large_body(self, count, length):
+        if count > LARGE_BODY_BYTES and not self._is_large:
+            self._is_large = True
+            if not self._accepts_large_body(length):
+                raise BadRequest(503, "this router has no memory for the body")
 
     def _check_body_bytes(self, count):
         if count > self._limits_at_begin.body_bytes:
@@ -127,20 +172,26 @@
 
     def on_message_complete(self):
         self._has_progressed = True
-        self.requests.append(
-            Request(
-                self._parser.get_method(),
-                self._target,
-                self._headers,
-                bytes(self._body),
-                self._parser.should_keep_alive(),
-                time.monotonic(),
-            )
+        request = Request(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            self._body.join(),
+            self._parser.should_keep_alive(),
+            time.monotonic(),
         )
+        self.requests.append(request)
+        self._queued_bytes += request_bytes(request)
         self._started = False
         self._reset()
 
 
+def request_bytes(request: Request) -> int:
+    """Return the approximate memory that a request takes."""
+    objects = _REQUEST_OBJECT_BYTES + len(request.headers) * _HEADER_OBJECT_BYTES
+    return objects + len(request.target) + len(request.body)
+
+
 class ResponseReader:
     """Parses the response to one request; `body` holds the parts not yet consumed.
 
--- a/src/bulrushdrum/_internal/gateway/request_receiver.py
+++ b/src/bulrushdrum/_internal/gateway/request_receiver.py
@@ -11,9 +11,10 @@
 from gevent import socket
 
 from bulrushdrum._internal.event_loop import run_other_tasks_if_due
+from bulrushdrum._internal.gateway.caller_budget import ConnectionGroup, Holding, Phase
 from bulrushdrum._internal.gateway.errors import BadRequest
 from bulrushdrum._internal.gateway.messages import Request
-from bulrushdrum._internal.gateway.parsing import RequestReader
+from bulrushdrum._internal.gateway.parsing import RequestReader, request_bytes
 from bulrushdrum._internal.world.routes import CallerLimits
 
 _RECEIVE_BYTES = 16_384
@@ -31,12 +32,24 @@
 
 
 class RequestReceiver:
-    """The requests of one connection, in the order in which they arrive."""
+    """The requests of one connection, in the order in which they arrive.
 
-    def __init__(self, sock, limits: Callable[[], CallerLimits]):
+    `holding` says what the connection holds of the memory that all of them share.
+    """
+
+    def __init__(
+        self,
+        sock,
+        limits: Callable[[], CallerLimits],
+        group: ConnectionGroup,
+        holding: Holding,
+    ):
         self._socket = sock
         self._limits = limits
-        self._reader = RequestReader(limits)
+        self._group = group
+        self._holding = holding
+        self._reader = RequestReader(limits, group.budget.accepts_large_body)
+        self._is_dropped = False
         # Received and not parsed yet.
         self._unparsed = b""
         self._bytes_since_turn = 0
@@ -57,7 +70,10 @@
             run_other_tasks_if_due()
         limits = self._limits()
         idle_since, started_at = time.monotonic(), None
+        self._update_holding()
         while not self._reader.requests:
+            if self._is_dropped:
+                raise BadRequest(503, "this router has no memory for the request")
             now = time.monotonic()
             if self.has_partial_request:
                 started_at = started_at or now
@@ -70,16 +86,24 @@
             if self._unparsed:
                 self._parse_piece()
         self._bytes_since_turn = 0
-        return self._reader.requests.popleft()
+        request = self._reader.take()
+        self._update_holding(request)
+        return request
+
+    def drop_request(self):
+        """Free what has been received and not returned, and refuse it."""
+        self._is_dropped = True
+        self.close()
 
-    def drop(self):
+    def close(self):
         """Free what has been received and not returned."""
         self._unparsed = b""
-        self._reader = RequestReader(self._limits)
+        self._reader.close()
 
     def discard_input(self):
         """Read and discard what a refused caller still sends, within bounds."""
-        self.drop()
+        self.close()
+        self._update_holding()
         deadline = time.monotonic() + _DISCARD_SECONDS
         discarded = 0
         self._socket.shutdown(socket.SHUT_WR)
@@ -110,7 +134,22 @@
         if self._bytes_since_turn >= _RECEIVE_BYTES:
             self._bytes_since_turn = 0
             run_other_tasks_if_due()
+            if self._is_dropped:
+                return
         piece = self._unparsed[:_PIECE_BYTES]
         self._unparsed = self._unparsed[_PIECE_BYTES:]
         self._bytes_since_turn += len(piece)
         self._reader.feed(piece)
+        if not self._reader.requests:
+            self._update_holding()
+
+    def _update_holding(self, request: Request | None = None):
+        """Record what the connection holds, while it handles `request` if given."""
+        held_bytes = self._reader.held_bytes + len(self._unparsed)
+        if request is not None:
+            held_bytes += request_bytes(request)
+            phase = Phase.HANDLING
+        else:
+            phase = Phase.RECEIVING if self.has_partial_request else Phase.IDLE
+        self._group.enter(self._holding, phase)
+        self._group.budget.hold(self._holding, held_bytes)
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -105,6 +105,8 @@
     CLAIM_MADE = 8227
     CLAIM_RECEIVED = 8228
     CLAIM_WITHDRAWN = 8229
+    CALLER_REQUEST_SHED = 8233
+    CALLER_CONNECTION_CLOSED = 8234
 
 
 # Lines of a stop, and those that name the requests which it may cut: at most a few for
--- a/src/bulrushdrum/_internal/platform/router_settings.py
+++ b/src/bulrushdrum/_internal/platform/router_settings.py
@@ -5,7 +5,7 @@
 
 from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.settings.errors import SettingsError
-from bulrushdrum._internal.settings.router import RouterSettings
+from bulrushdrum._internal.settings.router import CallerResources, RouterSettings
 
 SETTINGS_PATH_VARIABLE = "BULRUSHDRUM_SETTINGS"
 # A call to the store usually takes a few milliseconds, at times up to 0.5 s.
@@ -15,6 +15,7 @@
 # Part of the time in which a change must be in force that may pass before it is read.
 # The rest is for an unresponsive connection to the store.
 _SPACING_FRACTION = 0.25
+_BYTES_PER_MB = 1_000_000
 
 
 def read_router_settings(path: str) -> RouterSettings:
@@ -54,4 +55,14 @@
         store_timeout=_STORE_TIMEOUT_SECONDS,
         feed_wait=max(contact - _STORE_TIMEOUT_SECONDS - _RECONNECT_SECONDS, 0.5),
         feed_spacing=apply * _SPACING_FRACTION,
+        caller_resources=_decode_resources(raw.get("limits", {})),
+    )
+
+
+def _decode_resources(raw):
+    defaults = CallerResources()
+    megabytes = float(raw.get("memory-mb", defaults.memory_bytes / _BYTES_PER_MB))
+    return CallerResources(
+        memory_bytes=int(megabytes * _BYTES_PER_MB),
+        descriptors=int(raw.get("max-fds", defaults.descriptors)),
     )
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -21,6 +21,7 @@
 from bulrushdrum._internal.coordination.upstream_registrations import (
     UpstreamRegistrations,
 )
+from bulrushdrum._internal.gateway.caller_budget import CallerBudget
 from bulrushdrum._internal.gateway.callers import CallerServer
 from bulrushdrum._internal.gateway.crash_evidence import CrashEvidence
 from bulrushdrum._internal.gateway.draining import DrainController
@@ -243,8 +244,12 @@
             OverloadGuard(self.loop_latency.sustained),
             seed=self.incarnation,
         )
+        self.caller_budget = CallerBudget(settings.caller_resources.held_bytes)
         self.caller_server = CallerServer(
-            settings.caller_address, self.request_handler.handle, self._limits
+            settings.caller_address,
+            self.request_handler.handle,
+            self._limits,
+            self.caller_budget.add_group(),
         )
 
     def is_ready(self) -> bool:
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -55,10 +55,14 @@
             settings, self._components, lambda: self._worst_loop_latency
         )
         self._readiness_server = CallerServer(
-            settings.ready_address, self._inspection.handle_readiness
+            settings.ready_address,
+            self._inspection.handle_readiness,
+            group=self._components.caller_budget.add_group(),
         )
         self._inspection_server = CallerServer(
-            f"{settings.ip}:{settings.metrics_port}", self._inspection.handle_inspection
+            f"{settings.ip}:{settings.metrics_port}",
+            self._inspection.handle_inspection,
+            group=self._components.caller_budget.add_group(),
         )
 
     def run(self):
--- a/src/bulrushdrum/_internal/settings/router.py
+++ b/src/bulrushdrum/_internal/settings/router.py
@@ -5,6 +5,16 @@
 
 # The head of an ordinary response does not fit into less.
 MIN_RESPONSE_LIMIT_BYTES = 1024
+# Memory that is not left to what callers have sent: a router without load takes 36 MB.
+_WORK_BYTES = 60_000_000
+# Enough for one request of the largest size that the platform's configuration allows.
+_MIN_HELD_BYTES = 12_000_000
+# Descriptors that the platform reserves for files, and those of listeners, peers, the
+# store, reports of engines and idle connections to upstreams. The listener accepts up
+# to 100 connections before the first of them is closed for want of descriptors.
+_FILE_DESCRIPTORS = 200
+_OTHER_DESCRIPTORS = 200
+_MIN_CONNECTIONS = 16
 
 
 class PathPolicyName(StrEnum):
@@ -42,6 +52,41 @@
                 )
 
 
+@dataclass(frozen=True)
+class CallerResources:
+    """What a process may use; bounds what all caller connections hold together.
+
+    `memory_bytes` is the memory of the VM, and `descriptors` the number of file
+    descriptors of the process.
+    """
+
+    memory_bytes: int = 256_000_000
+    descriptors: int = 4096
+
+    def __post_init__(self):
+        for name, unit in (("memory_bytes", "bytes"), ("descriptors", "descriptors")):
+            value = getattr(self, name)
+            if value <= 0:
+                raise ValueError(f"{name} is {value} {unit}, but must be above 0")
+
+    @property
+    def held_bytes(self) -> int:
+        """What callers' unfinished requests and open connections may take, in bytes.
+
+        A body is in memory a second time while it is sent to an upstream.
+        """
+        return max((self.memory_bytes - _WORK_BYTES) // 2, _MIN_HELD_BYTES)
+
+    @property
+    def connections(self) -> int:
+        """How many caller connections may be open at once.
+
+        Each may need another descriptor, for a connection to an upstream.
+        """
+        descriptors = self.descriptors - _FILE_DESCRIPTORS - _OTHER_DESCRIPTORS
+        return max(descriptors // 2, _MIN_CONNECTIONS)
+
+
 @dataclass(frozen=True)
 class RouterSettings:
     """Settings of a router process, fixed at its start.
@@ -68,3 +113,4 @@
     feed_spacing: float = 0.0
     path_policy: PathPolicyName = PathPolicyName.LEAST_TIME
     response_limits: ResponseLimits = field(default_factory=ResponseLimits)
+    caller_resources: CallerResources = field(default_factory=CallerResources)
--- a/tests/unit/test_caller_connections.py
+++ b/tests/unit/test_caller_connections.py
@@ -1,6 +1,7 @@
 """Connections of callers: whether they are open, and how they are closed."""
 
 import os
+import sys
 import time
 
 import gevent
@@ -167,3 +168,25 @@
         assert server.open_requests == 0
         with gevent.Timeout(0.5):
             server.finish(5.0)
+
+
+def test_a_request_is_not_kept_after_its_answer():
+    # Guards against idle connections that each keep the body of their last request.
+    bodies = []
+
+    def answer(connection, request):
+        bodies.append(request.body)
+        connection.send(Response(200, [], b""))
+
+    server = CallerServer("127.0.0.1:0", answer)
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    with socket.create_connection(address, timeout=2.0) as sock:
+        sock.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+        gevent.sleep(0.05)
+        assert server.connections == 1
+        # The list and the argument of the call.
+        references = sys.getrefcount(bodies[0])
+        assert references == 2
+    server.stop_accepting()
--- a/tests/unit/test_request_receiver.py
+++ b/tests/unit/test_request_receiver.py
@@ -1,10 +1,14 @@
 """Turns of the event loop while a caller sends without end."""
 
+import gc
+import weakref
+
 import gevent
 import pytest
 from gevent import socket
 
 from bulrushdrum._internal.gateway import request_receiver
+from bulrushdrum._internal.gateway.caller_budget import CallerBudget, Holding
 from bulrushdrum._internal.gateway.errors import BadRequest
 from bulrushdrum._internal.gateway.request_receiver import RequestReceiver
 from bulrushdrum._internal.world.routes import CallerLimits
@@ -12,6 +16,13 @@
 HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
+def make_receiver(sock):
+    group = CallerBudget(10_000_000).add_group()
+    holding = Holding(None)
+    group.add(holding)
+    return RequestReceiver(sock, CallerLimits, group, holding)
+
+
 @pytest.fixture
 def sockets():
     pair = socket.socketpair()
@@ -36,7 +47,7 @@
     monkeypatch.setattr(
         request_receiver, "run_other_tasks_if_due", lambda: turns.append(1)
     )
-    receiver = RequestReceiver(ours, CallerLimits)
+    receiver = make_receiver(ours)
     sending = gevent.spawn(theirs.sendall, data)
     received = 0
     with gevent.Timeout(10.0, False):
@@ -54,7 +65,7 @@
     # Guards against thousands of requests in memory, of which one is handled at a time.
     ours, theirs = sockets
     theirs.sendall(b"GET / HTTP/1.1\r\n\r\n" * 3000)
-    receiver = RequestReceiver(ours, CallerLimits)
+    receiver = make_receiver(ours)
     assert receiver.receive().method == b"GET"
     assert len(receiver._reader.requests) < 250
     assert receiver.has_partial_request
@@ -79,7 +90,7 @@
     ours, theirs = sockets
     theirs.sendall(data)
     with pytest.raises(BadRequest, match="exceed 16384 bytes") as caught:
-        RequestReceiver(ours, CallerLimits).receive()
+        make_receiver(ours).receive()
     assert caught.value.status == 431
 
 
@@ -88,8 +99,30 @@
     ours, theirs = sockets
     head = b"POST / HTTP/1.1\r\nx: " + b"a" * (16_384 - 32 - 5 - 4 - 1)
     request = head + b"\r\nContent-Length: 20000\r\n\r\n" + b"b" * 20_000
-    receiver = RequestReceiver(ours, CallerLimits)
+    receiver = make_receiver(ours)
     sending = gevent.spawn(theirs.sendall, 3 * request)
     for _ in range(3):
         assert len(receiver.receive().body) == 20_000
     sending.get()
+
+
+def test_what_a_connection_held_is_free_at_once(sockets):
+    # Guards against bodies that stay in memory until the next garbage collection: the
+    # parser and its reader refer to each other.
+    ours, theirs = sockets
+    receiver = make_receiver(ours)
+    theirs.sendall(b"POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + b"a" * 99)
+    receiving = gevent.spawn(receiver.receive)
+    gevent.sleep(0.05)
+    reader = weakref.ref(receiver._reader)
+    assert receiver.has_partial_request
+    gc.disable()
+    try:
+        receiver.drop_request()
+        with pytest.raises(BadRequest, match="no memory"):
+            receiving.get(timeout=2.0)
+        assert not receiver.has_partial_request
+        del receiver, receiving
+        assert reader() is None
+    finally:
+        gc.enable()
--- a/tests/unit/test_router_drain.py
+++ b/tests/unit/test_router_drain.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from bulrushdrum._internal import router_process
+from bulrushdrum._internal.gateway.caller_budget import CallerBudget
 from bulrushdrum._internal.router_process import RouterProcess
 
 EXIT_SECONDS = 3.0
@@ -23,6 +24,7 @@
     )
     components = SimpleNamespace(
         caller_server=caller_server,
+        caller_budget=CallerBudget(1_000_000),
         loop_latency=SimpleNamespace(pop_worst=lambda: 0.0),
         request_handler=SimpleNamespace(
             log_in_progress=fail, log_interrupted=lambda: None
