Bound the caller connections of a router by its descriptors

Connections were accepted until no descriptor was left for upstreams, peers and the store: 719 were open of 600. Over that the connection idle for longest is closed, and the new one if none is idle. This is decided when a connection is accepted: its task may start much later. gevent's listener already pauses when accepting fails for want of descriptors; a test shows it.

--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -276,7 +276,7 @@
         self.is_draining = False
         self.requests_in_progress = 0
         self._open: set[CallerConnection] = set()
-        self._server = StreamServer((host, int(port)), self._serve, backlog=_BACKLOG)
+        self._server = _Listener((host, int(port)), self, self._serve)
 
     @property
     def connections(self) -> int:
@@ -323,16 +323,16 @@
     def handle(self, connection, request):
         self._handler(connection, request)
 
-    def _serve(self, sock, address):
-        connection = CallerConnection(sock, self, f"{address[0]}:{address[1]}")
-        if not self.group.add(connection.holding):
-            log_event(
-                Event.CALLER_CONNECTION_CLOSED,
-                caller=f"{address[0]}:{address[1]}",
-                idle=False,
-            )
-            sock.close()
-            return
+    def admit(self, sock, address: tuple[str, int]) -> CallerConnection | None:
+        """Return a new connection; None if it must be closed at once."""
+        caller = f"{address[0]}:{address[1]}"
+        connection = CallerConnection(sock, self, caller)
+        if self.group.add(connection.holding):
+            return connection
+        log_event(Event.CALLER_CONNECTION_CLOSED, caller=caller, idle=False)
+        return None
+
+    def _serve(self, sock, connection):
         self._open.add(connection)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -347,3 +347,22 @@
             connection.release()
             self.group.remove(connection.holding)
             sock.close()
+
+
+class _Listener(StreamServer):
+    """Decides about each connection when it is accepted.
+
+    The tasks of connections start later, and take descriptors until then. Without a
+    descriptor for the next connection it pauses for 0.01 to 1 s (see `min_delay`).
+    """
+
+    def __init__(self, address: tuple[str, int], server: CallerServer, serve):
+        super().__init__(address, serve, backlog=_BACKLOG)
+        self._caller_server = server
+
+    def do_handle(self, sock, address):
+        connection = self._caller_server.admit(sock, address)
+        if connection is None:
+            self.do_close(sock)
+        else:
+            super().do_handle(sock, connection)
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -249,7 +249,7 @@
             settings.caller_address,
             self.request_handler.handle,
             self._limits,
-            self.caller_budget.add_group(),
+            self.caller_budget.add_group(settings.caller_resources.connections),
         )
 
     def is_ready(self) -> bool:
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -40,6 +40,8 @@
 _TASK_RESTART_SECONDS = 0.5
 # A latency of the event loop that callers notice.
 _LATE_LOOP_SECONDS = 0.2
+# Connections of the load balancer and of operators to each of their ports.
+_INSPECTION_CONNECTIONS = 32
 
 
 class RouterProcess:
@@ -57,12 +59,12 @@
         self._readiness_server = CallerServer(
             settings.ready_address,
             self._inspection.handle_readiness,
-            group=self._components.caller_budget.add_group(),
+            group=self._components.caller_budget.add_group(_INSPECTION_CONNECTIONS),
         )
         self._inspection_server = CallerServer(
             f"{settings.ip}:{settings.metrics_port}",
             self._inspection.handle_inspection,
-            group=self._components.caller_budget.add_group(),
+            group=self._components.caller_budget.add_group(_INSPECTION_CONNECTIONS),
         )
 
     def run(self):
--- a/tests/unit/test_caller_connections.py
+++ b/tests/unit/test_caller_connections.py
@@ -1,5 +1,6 @@
 """Connections of callers: whether they are open, and how they are closed."""
 
+import errno
 import os
 import sys
 import time
@@ -9,6 +10,7 @@
 
 from bulrushdrum._internal.caller.http import is_connected
 from bulrushdrum._internal.gateway import callers
+from bulrushdrum._internal.gateway.caller_budget import CallerBudget
 from bulrushdrum._internal.gateway.callers import CallerServer
 from bulrushdrum._internal.gateway.messages import Response
 from bulrushdrum._internal.world.routes import CallerLimits
@@ -190,3 +192,59 @@
         references = sys.getrefcount(bodies[0])
         assert references == 2
     server.stop_accepting()
+
+
+def test_connections_in_excess_are_closed_and_idle_ones_first():
+    # Guards against a router that accepts connections until it has no descriptor left,
+    # and against idle ones that keep callers out.
+    budget = CallerBudget(1_000_000)
+    server = CallerServer(
+        "127.0.0.1:0",
+        lambda connection, _: connection.send(Response(200, [], b"")),
+        group=budget.add_group(3),
+    )
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    socks = []
+    for _ in range(5):
+        socks.append(socket.create_connection(address, timeout=2.0))
+        gevent.sleep(0.02)
+    assert socks[0].recv(1) == socks[1].recv(1) == b""
+    for sock in socks[2:]:
+        sock.sendall(b"POST /a HTTP/1.1\r\n")
+    gevent.sleep(0.05)
+    with socket.create_connection(address, timeout=2.0) as sock:
+        assert sock.recv(1) == b""
+    assert (budget.closed_idle, budget.closed_new) == (2, 1)
+    for sock in socks[2:]:
+        sock.sendall(b"Host: h\r\nContent-Length: 0\r\n\r\n")
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+    for sock in socks:
+        sock.close()
+    gevent.sleep(0.05)
+    assert budget.held_bytes == 0
+    server.stop_accepting()
+
+
+def test_a_listener_without_descriptors_goes_on_later(monkeypatch):
+    # Guards against a router that accepts nothing any more, or tries without a pause,
+    # after its descriptors have run out once.
+    server = CallerServer(
+        "127.0.0.1:0", lambda connection, _: connection.send(Response(200, [], b""))
+    )
+    server.start()
+    accept, failures = server._server.do_read, []
+
+    def fail_at_first():
+        if len(failures) < 4:
+            failures.append(1)
+            raise OSError(errno.EMFILE, "too many open files")
+        return accept()
+
+    monkeypatch.setattr(server._server, "do_read", fail_at_first)
+    address = ("127.0.0.1", server._server.server_port)
+    with socket.create_connection(address, timeout=5.0) as sock:
+        sock.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+    assert len(failures) == 4
+    server.stop_accepting()
