Bound what datagrams at the port for peers can cost a router

Reading a datagram returns at once while others wait, so a flood kept all other tasks from running; the listener now lets them run when an iteration of the event loop is long. What a sender announces is kept until it times out, so the number of peers is limited to 256, and the table of applied layer updates to 1,024 entries; it was never cleared.

--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -19,6 +19,7 @@
 from bulrushdrum._internal.coordination.router_registry import RouterRegistry
 from bulrushdrum._internal.coordination.store_contact import StoreContact
 from bulrushdrum._internal.decoding import DECODING_ERRORS
+from bulrushdrum._internal.event_loop import run_other_tasks_if_due
 from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
@@ -39,6 +40,10 @@
 _PEER_TIMEOUT_INTERVALS = 6
 _MAX_DATAGRAM_BYTES = 65000
 _MAX_LAYER_UPDATES = 80
+# More than any deployment has; what each one announces is kept until it times out.
+_MAX_PEERS = 256
+# Incarnations of which the number of the last applied update is kept.
+_MAX_UPDATE_NUMBERS = 1024
 # A router waits for announcements this long after its start before it becomes leader.
 _ELECTION_DELAY_SECONDS = 1.5
 # How long an upstream is remembered as reported unresponsive by a peer.
@@ -320,6 +325,8 @@
 
     def listen_forever(self):
         while True:
+            # Reading returns at once while datagrams are waiting.
+            run_other_tasks_if_due(is_connection=True)
             data, address = self._socket.recvfrom(_MAX_DATAGRAM_BYTES)
             try:
                 raw = json.loads(data)
@@ -334,6 +341,8 @@
                     for upstream_id, usage in raw["uses"].items()
                 }
                 name, serving = str(raw["node"]), bool(raw["serving"])
+                if name not in self._peers and len(self._peers) >= _MAX_PEERS:
+                    raise ValueError(f"more than {_MAX_PEERS} peers")
                 is_leader = bool(raw["leading"])
                 # Releases without this field accept work whenever they serve.
                 accepts_work = bool(raw.get("takes_work", serving))
@@ -400,7 +409,13 @@
         for update in updates:
             if update.number <= self._applied_update_numbers.get(key, 0):
                 continue
+            # The latest to apply updates is last, and the first is forgotten.
+            self._applied_update_numbers.pop(key, None)
             self._applied_update_numbers[key] = update.number
+            if len(self._applied_update_numbers) > _MAX_UPDATE_NUMBERS:
+                del self._applied_update_numbers[
+                    next(iter(self._applied_update_numbers))
+                ]
             layers = LayerRange(update.first, update.end)
             self._fleet.override_layers(
                 update.upstream_id,
