--- a/tests/unit/test_caller_connections.py
+++ b/tests/unit/test_caller_connections.py
@@ -1,12 +1,14 @@
 """Connections of callers: whether they are open, and how they are closed."""
 
 import errno
+import json
 import os
 import sys
 import time
 
 import gevent
 from gevent import socket
+from tests.unit.gateway_fakes import read_response
 
 from bulrushdrum._internal.caller.http import is_connected
 from bulrushdrum._internal.gateway import callers
@@ -248,3 +250,70 @@
         assert sock.recv(100).startswith(b"HTTP/1.1 200")
     assert len(failures) == 4
     server.stop_accepting()
+
+
+def test_a_large_body_without_room_is_refused_as_not_run_and_small_ones_are_served():
+    # Guards against refusing small requests while the memory is taken, and against a
+    # refusal that does not say that the request has not run.
+    handled = []
+
+    def answer(connection, request):
+        handled.append(len(request.body))
+        connection.send(Response(200, [], b""))
+
+    budget = CallerBudget(260_000)
+    server = CallerServer("127.0.0.1:0", answer, group=budget.add_group())
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    with (
+        socket.create_connection(address, timeout=2.0) as first,
+        socket.create_connection(address, timeout=2.0) as second,
+    ):
+        first.sendall(head % 150_000 + b"a" * 100_000)
+        gevent.sleep(0.05)
+        second.sendall(head % 150_000 + b"a" * 150_000)
+        response = read_response(second)
+        assert (response.status, handled) == (503, [])
+        assert float(response.headers["retry-after"]) > 0
+        assert json.loads(response.body)["error"]["ran"] == "no"
+        with socket.create_connection(address, timeout=2.0) as third:
+            third.sendall(head % 10_000 + b"a" * 10_000)
+            assert read_response(third).status == 200
+        first.sendall(b"a" * 50_000)
+        assert read_response(first).status == 200
+    assert handled == [10_000, 150_000]
+    assert (budget.bodies_refused, budget.requests_shed) == (1, 0)
+    server.stop_accepting()
+
+
+def test_an_unfinished_request_that_is_shed_is_refused():
+    # Guards against a connection that is left without an answer when its memory is
+    # needed, and against handling what is left of its request.
+    handled = []
+    budget = CallerBudget(300_000)
+    server = CallerServer(
+        "127.0.0.1:0",
+        lambda _, request: handled.append(request),
+        group=budget.add_group(),
+    )
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 150000\r\n\r\n"
+    with (
+        socket.create_connection(address, timeout=2.0) as first,
+        socket.create_connection(address, timeout=2.0) as second,
+    ):
+        # Both begin while there is room for either of them.
+        first.sendall(head + b"a" * 1000)
+        second.sendall(head + b"a" * 1000)
+        gevent.sleep(0.05)
+        first.sendall(b"a" * 148_000)
+        gevent.sleep(0.05)
+        second.sendall(b"a" * 147_000)
+        gevent.sleep(0.05)
+        assert read_response(first).status == 503
+        assert budget.requests_shed == 1
+        first.sendall(b"a" * 1000)
+    assert handled == []
+    server.stop_accepting()
