Bound the search for an idle connection when one is accepted

Connections whose requests have arrived and are not read yet cannot be closed. While many wait like that, each new connection over the limit would look at all of them.

--- a/src/bulrushdrum/_internal/gateway/caller_budget.py
+++ b/src/bulrushdrum/_internal/gateway/caller_budget.py
@@ -13,6 +13,7 @@
 import math
 import time
 from enum import Enum
+from itertools import islice
 from typing import Protocol
 
 # The memory of one connection with its greenlet, socket and parser: 3,500 idle ones
@@ -25,6 +26,8 @@
 _LARGE_BODY_FRACTION = 0.75
 # Shedding ends at this part of the budget, so that it is not due again at once.
 _SHED_FRACTION = 0.95
+# Bounds the time to accept one connection.
+_MAX_IDLE_TRIED = 16
 
 
 class Phase(Enum):
@@ -181,8 +184,12 @@
                 self.receiving[holding] = None
 
     def close_oldest_idle(self) -> bool:
-        """Close the connection that has been idle for longest; false if none is."""
-        for holding in self._idle:
+        """Close the connection that has been idle for longest; false if none is.
+
+        Requests may have arrived on the oldest ones that their tasks have not read yet,
+        so a few are tried.
+        """
+        for holding in islice(self._idle, _MAX_IDLE_TRIED):
             if holding.connection.close_idle():
                 self.closed_idle += 1
                 self.remove(holding)
--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -65,9 +65,11 @@
     @property
     def held_bytes(self) -> int:
         """The approximate memory of what was received and not yet taken."""
+        held_bytes = self._queued_bytes + self._unended_bytes
+        if not self._started:
+            return held_bytes
         return (
-            self._queued_bytes
-            + self._unended_bytes
+            held_bytes
             + self._header_bytes
             + len(self._headers) * _HEADER_OBJECT_BYTES
             + self._body.held_bytes
--- a/tests/unit/test_caller_budget.py
+++ b/tests/unit/test_caller_budget.py
@@ -136,3 +136,14 @@
     other.enter(holding, Phase.RECEIVING)
     connections.budget.hold(holding, 11 * MB)
     assert connections.shed == ["check"]
+
+
+def test_accepting_a_connection_tries_few_idle_ones():
+    # Guards against a look at all connections for each new one while many of them have
+    # requests that are not read yet.
+    connections = Connections(max_connections=200)
+    for number in range(199):
+        connections.add(str(number), is_busy=True)
+    connections.add("free")
+    assert connections.add("new") is None
+    assert connections.group.closed_new == 1
