--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -4,6 +4,7 @@
 `CallerDisconnected` is raised in the greenlet that handles the request.
 """
 
+import random
 import time
 from collections.abc import Callable
 
@@ -11,6 +12,15 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from bulrushdrum._internal.gateway.caller_budget import (
+    CallerBudget,
+    ConnectionGroup,
+    Holding,
+)
+from bulrushdrum._internal.gateway.error_responses import (
+    not_run_response,
+    random_retry_after,
+)
 from bulrushdrum._internal.gateway.errors import BadRequest, CallerDisconnected
 from bulrushdrum._internal.gateway.messages import (
     Headers,
@@ -19,31 +29,35 @@
     encode_head,
     status_line,
 )
-from bulrushdrum._internal.gateway.parsing import RequestReader
 from bulrushdrum._internal.gateway.readiness import is_readable
+from bulrushdrum._internal.gateway.request_receiver import RequestReceiver
 from bulrushdrum._internal.gateway.request_trace import RequestTrace
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.settings.router import CallerResources
 from bulrushdrum._internal.world.routes import CallerLimits
 
-_RECEIVE_BYTES = 65536
 # Timeout of a write, after which a caller that does not read is disconnected.
 _WRITE_TIMEOUT_SECONDS = 5.0
 _BACKLOG = 1024
 _FINISH_POLL_SECONDS = 0.01
-# Keeps reads short so that the idle and header timeouts are checked regularly.
-_RECEIVE_TIMEOUT_SECONDS = 0.5
+_random = random.Random()
 
 
 class CallerConnection:
     """One caller connection; sends whole responses or chunked streams."""
 
-    def __init__(self, sock, server: "CallerServer"):
+    def __init__(self, sock, server: "CallerServer", address: str):
         self._socket = sock
         self._server = server
-        self._reader = RequestReader(server.limits)
+        self._address = address
+        self.holding = Holding(self)
+        self._receiver = RequestReceiver(
+            sock, server.limits, server.group, self.holding
+        )
         self._request: Request | None = None
         self._streaming = False
         self._is_waiting = False
+        self._is_refused = False
         # Whether this router shut the connection down while it was idle.
         self.is_shut_down = False
         self.response_started = False
@@ -60,73 +74,99 @@
     @property
     def has_open_request(self) -> bool:
         """Whether a request is in progress, or has arrived in part."""
-        return not self._is_waiting or self._reader.has_partial_request
+        return not self._is_waiting or self._receiver.has_partial_request
 
     def serve(self):
         while not self.closing:
-            request = self._next_request()
-            if request is None:
-                return
-            self._request, self.response_started = request, False
-            self.trace = RequestTrace()
-            if not request.keep_alive:
-                self.closing = True
-            monitor = _DisconnectMonitor(self._socket)
-            self._server.begin_request()
-            try:
-                with monitor:
-                    self._server.handle(self, request)
-            finally:
-                self._server.end_request()
-            if not self.response_started or self._streaming:
+            if not self._serve_next():
                 return
 
+    def _serve_next(self) -> bool:
+        """Handle the next request; return whether another one may follow.
+
+        Nothing refers to the request after that: its body may be large, and the
+        connection idle for long.
+        """
+        request = self._next_request()
+        if request is None:
+            return False
+        self._request, self.response_started = request, False
+        self.trace = RequestTrace()
+        if not request.keep_alive:
+            self.closing = True
+        monitor = _DisconnectMonitor(self._socket)
+        self._server.begin_request()
+        try:
+            with monitor:
+                self._server.handle(self, request)
+        finally:
+            self._server.end_request()
+            self._request = None
+        return self.response_started and not self._streaming
+
     def close_if_idle(self):
         """Close the connection unless a request has arrived, whole or in part."""
-        if not self.has_open_request and not is_readable(self._socket):
+        if self.has_open_request:
+            return
+        # Nothing more is answered after a refusal.
+        if self._is_refused or not is_readable(self._socket):
             if not self.is_shut_down:
                 self.closing = self.is_shut_down = True
                 # Ends the wait for the next request with an error.
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    def close_idle(self) -> bool:
+        """Close the connection to make room, unless a request has arrived."""
+        self.close_if_idle()
+        if self.is_shut_down:
+            log_event(Event.CALLER_CONNECTION_CLOSED, caller=self._address, idle=True)
+        return self.is_shut_down
+
+    def refuse_request(self):
+        """Refuse the request that is being received, and free its memory at once."""
+        self._receiver.drop_request()
+
+    def release(self):
+        """Free what was received, at the end of the connection."""
+        self._receiver.close()
+
     def _next_request(self):
         self._is_waiting = True
         try:
-            return self._receive_request()
+            return self._receiver.receive()
+        except BadRequest as error:
+            self._reject(error)
+            return None
         finally:
             self._is_waiting = False
 
-    def _receive_request(self):
-        limits = self._server.limits()
-        idle_since, started_at = time.monotonic(), None
-        while not self._reader.requests:
-            now = time.monotonic()
-            if self._reader.has_partial_request:
-                started_at = started_at or now
-                if now - started_at > limits.header_timeout:
-                    self._reject(BadRequest(408, "the request did not arrive in time"))
-                    return None
-            elif now - idle_since > limits.idle_timeout:
-                return None
-            self._socket.settimeout(_RECEIVE_TIMEOUT_SECONDS)
-            try:
-                data = self._socket.recv(_RECEIVE_BYTES)
-            except TimeoutError:
-                continue
-            if not data:
-                return None
-            try:
-                self._reader.feed(data)
-            except BadRequest as error:
-                self._reject(error)
-                return None
-        return self._reader.requests.popleft()
-
     def _reject(self, error):
-        log_event(Event.CALLER_REFUSED, status=error.status, reason=str(error))
         self.closing = True
-        body = (str(error) + "\n").encode()
-        self.send(Response(error.status, [(b"content-type", b"text/plain")], body))
+        if error.status == 503:
+            budget = self._server.group.budget
+            log_event(
+                Event.CALLER_REQUEST_SHED,
+                caller=self._address,
+                reason=str(error),
+                held_bytes=budget.held_bytes,
+                max_bytes=budget.max_bytes,
+            )
+            # Unfinished requests end within this timeout.
+            timeout = self._server.limits().header_timeout
+            retry_after = random_retry_after(timeout, _random)
+            response = not_run_response(str(error), retry_after)
+        else:
+            log_event(
+                Event.CALLER_REFUSED,
+                status=error.status,
+                reason=str(error),
+                caller=self._address,
+            )
+            body = (str(error) + "\n").encode()
+            response = Response(error.status, [(b"content-type", b"text/plain")], body)
+        self.send(response)
+        self._is_refused = True
+        self._receiver.discard_input()
 
     def send(self, response: Response):
         """Send a complete response."""
@@ -216,7 +256,8 @@
     """Listens on `address` and passes each request to `handler`.
 
     `handler(connection, request)` must send the response on `connection`; `limits()`
-    returns the current limits.
+    returns the current limits. `group` bounds the connections and what they hold; the
+    ports of one process share a budget.
     """
 
     def __init__(
@@ -224,14 +265,18 @@
         address: str,
         handler: Callable[[CallerConnection, Request], None],
         limits: Callable[[], CallerLimits] = CallerLimits,
+        group: ConnectionGroup | None = None,
     ):
+        if group is None:
+            group = CallerBudget(CallerResources().held_bytes).add_group()
+        self.group = group
         host, _, port = address.rpartition(":")
         self._handler = handler
         self.limits = limits
         self.is_draining = False
         self.requests_in_progress = 0
         self._open: set[CallerConnection] = set()
-        self._server = StreamServer((host, int(port)), self._serve, backlog=_BACKLOG)
+        self._server = _Listener((host, int(port)), self, self._serve)
 
     @property
     def connections(self) -> int:
@@ -278,8 +323,16 @@
     def handle(self, connection, request):
         self._handler(connection, request)
 
-    def _serve(self, sock, _address):
-        connection = CallerConnection(sock, self)
+    def admit(self, sock, address: tuple[str, int]) -> CallerConnection | None:
+        """Return a new connection; None if it must be closed at once."""
+        caller = f"{address[0]}:{address[1]}"
+        connection = CallerConnection(sock, self, caller)
+        if self.group.add(connection.holding):
+            return connection
+        log_event(Event.CALLER_CONNECTION_CLOSED, caller=caller, idle=False)
+        return None
+
+    def _serve(self, sock, connection):
         self._open.add(connection)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -291,4 +344,25 @@
                 log_event(Event.CALLER_LEFT, reason=f"connection lost: {error}")
         finally:
             self._open.discard(connection)
+            connection.release()
+            self.group.remove(connection.holding)
             sock.close()
+
+
+class _Listener(StreamServer):
+    """Decides about each connection when it is accepted.
+
+    The tasks of connections start later, and take descriptors until then. Without a
+    descriptor for the next connection it pauses for 0.01 to 1 s (see `min_delay`).
+    """
+
+    def __init__(self, address: tuple[str, int], server: CallerServer, serve):
+        super().__init__(address, serve, backlog=_BACKLOG)
+        self._caller_server = server
+
+    def do_handle(self, sock, address):
+        connection = self._caller_server.admit(sock, address)
+        if connection is None:
+            self.do_close(sock)
+        else:
+            super().do_handle(sock, connection)
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -108,6 +108,8 @@
     CLAIM_WITHDRAWN = 8229
     RETRIES_LENT = 8230
     RETRIES_BORROWED = 8231
+    CALLER_REQUEST_SHED = 8233
+    CALLER_CONNECTION_CLOSED = 8234
 
 
 # Lines of a stop, and those that name the requests which it may cut: at most a few for
--- a/tests/unit/test_caller_connections.py
+++ b/tests/unit/test_caller_connections.py
@@ -1,13 +1,18 @@
 """Connections of callers: whether they are open, and how they are closed."""
 
+import errno
+import json
 import os
+import sys
 import time
 
 import gevent
 from gevent import socket
+from tests.unit.gateway_fakes import read_response
 
 from bulrushdrum._internal.caller.http import is_connected
 from bulrushdrum._internal.gateway import callers
+from bulrushdrum._internal.gateway.caller_budget import CallerBudget
 from bulrushdrum._internal.gateway.callers import CallerServer
 from bulrushdrum._internal.gateway.messages import Response
 from bulrushdrum._internal.world.routes import CallerLimits
@@ -135,3 +140,180 @@
         server.finish(3.0)
         assert answered == [b""]
         assert sock.recv(100).startswith(b"HTTP/1.1 200")
+
+
+def test_a_refused_caller_that_goes_on_sending_sees_the_refusal():
+    # Guards against a reset that takes the place of the answer, because the connection
+    # is closed before all that the caller sends has been read.
+    server = CallerServer(
+        "127.0.0.1:0", lambda *_: None, lambda: CallerLimits(body_bytes=1000)
+    )
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n"
+    with socket.create_connection(address, timeout=2.0) as sock:
+        sock.sendall(head)
+        for _ in range(40):
+            sock.sendall(b"a" * 100_000)
+            gevent.sleep(0.002)
+        assert sock.recv(1000).startswith(b"HTTP/1.1 413 ")
+    server.stop_accepting()
+
+
+def test_a_refused_connection_does_not_delay_a_stop():
+    # Guards against a stop that waits for callers whose requests were refused.
+    server = CallerServer("127.0.0.1:0", lambda *_: None)
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    with socket.create_connection(address, timeout=2.0) as sock:
+        sock.sendall(b"no request\r\n\r\n")
+        assert sock.recv(1000).startswith(b"HTTP/1.1 400 ")
+        sock.sendall(b"more")
+        assert server.open_requests == 0
+        with gevent.Timeout(0.5):
+            server.finish(5.0)
+
+
+def test_a_request_is_not_kept_after_its_answer():
+    # Guards against idle connections that each keep the body of their last request.
+    bodies = []
+
+    def answer(connection, request):
+        bodies.append(request.body)
+        connection.send(Response(200, [], b""))
+
+    server = CallerServer("127.0.0.1:0", answer)
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    with socket.create_connection(address, timeout=2.0) as sock:
+        sock.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+        gevent.sleep(0.05)
+        assert server.connections == 1
+        # The list and the argument of the call.
+        references = sys.getrefcount(bodies[0])
+        assert references == 2
+    server.stop_accepting()
+
+
+def test_connections_in_excess_are_closed_and_idle_ones_first():
+    # Guards against a router that accepts connections until it has no descriptor left,
+    # and against idle ones that keep callers out.
+    budget = CallerBudget(1_000_000)
+    server = CallerServer(
+        "127.0.0.1:0",
+        lambda connection, _: connection.send(Response(200, [], b"")),
+        group=budget.add_group(3),
+    )
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    socks = []
+    for _ in range(5):
+        socks.append(socket.create_connection(address, timeout=2.0))
+        gevent.sleep(0.02)
+    assert socks[0].recv(1) == socks[1].recv(1) == b""
+    for sock in socks[2:]:
+        sock.sendall(b"POST /a HTTP/1.1\r\n")
+    gevent.sleep(0.05)
+    with socket.create_connection(address, timeout=2.0) as sock:
+        assert sock.recv(1) == b""
+    assert (budget.closed_idle, budget.closed_new) == (2, 1)
+    for sock in socks[2:]:
+        sock.sendall(b"Host: h\r\nContent-Length: 0\r\n\r\n")
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+    for sock in socks:
+        sock.close()
+    gevent.sleep(0.05)
+    assert budget.held_bytes == 0
+    server.stop_accepting()
+
+
+def test_a_listener_without_descriptors_goes_on_later(monkeypatch):
+    # Guards against a router that accepts nothing any more, or tries without a pause,
+    # after its descriptors have run out once.
+    server = CallerServer(
+        "127.0.0.1:0", lambda connection, _: connection.send(Response(200, [], b""))
+    )
+    server.start()
+    accept, failures = server._server.do_read, []
+
+    def fail_at_first():
+        if len(failures) < 4:
+            failures.append(1)
+            raise OSError(errno.EMFILE, "too many open files")
+        return accept()
+
+    monkeypatch.setattr(server._server, "do_read", fail_at_first)
+    address = ("127.0.0.1", server._server.server_port)
+    with socket.create_connection(address, timeout=5.0) as sock:
+        sock.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+    assert len(failures) == 4
+    server.stop_accepting()
+
+
+def test_a_large_body_without_room_is_refused_as_not_run_and_small_ones_are_served():
+    # Guards against refusing small requests while the memory is taken, and against a
+    # refusal that does not say that the request has not run.
+    handled = []
+
+    def answer(connection, request):
+        handled.append(len(request.body))
+        connection.send(Response(200, [], b""))
+
+    budget = CallerBudget(260_000)
+    server = CallerServer("127.0.0.1:0", answer, group=budget.add_group())
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    with (
+        socket.create_connection(address, timeout=2.0) as first,
+        socket.create_connection(address, timeout=2.0) as second,
+    ):
+        first.sendall(head % 150_000 + b"a" * 100_000)
+        gevent.sleep(0.05)
+        second.sendall(head % 150_000 + b"a" * 150_000)
+        response = read_response(second)
+        assert (response.status, handled) == (503, [])
+        assert float(response.headers["retry-after"]) > 0
+        assert json.loads(response.body)["error"]["ran"] == "no"
+        with socket.create_connection(address, timeout=2.0) as third:
+            third.sendall(head % 10_000 + b"a" * 10_000)
+            assert read_response(third).status == 200
+        first.sendall(b"a" * 50_000)
+        assert read_response(first).status == 200
+    assert handled == [10_000, 150_000]
+    assert (budget.bodies_refused, budget.requests_shed) == (1, 0)
+    server.stop_accepting()
+
+
+def test_an_unfinished_request_that_is_shed_is_refused():
+    # Guards against a connection that is left without an answer when its memory is
+    # needed, and against handling what is left of its request.
+    handled = []
+    budget = CallerBudget(300_000)
+    server = CallerServer(
+        "127.0.0.1:0",
+        lambda _, request: handled.append(request),
+        group=budget.add_group(),
+    )
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 150000\r\n\r\n"
+    with (
+        socket.create_connection(address, timeout=2.0) as first,
+        socket.create_connection(address, timeout=2.0) as second,
+    ):
+        # Both begin while there is room for either of them.
+        first.sendall(head + b"a" * 1000)
+        second.sendall(head + b"a" * 1000)
+        gevent.sleep(0.05)
+        first.sendall(b"a" * 148_000)
+        gevent.sleep(0.05)
+        second.sendall(b"a" * 147_000)
+        gevent.sleep(0.05)
+        assert read_response(first).status == 503
+        assert budget.requests_shed == 1
+        first.sendall(b"a" * 1000)
+    assert handled == []
+    server.stop_accepting()
