Bound the header section and the time of each request to an entry

A header section could have 100 lines of 64 KB, which were held until it was checked, and the timeout of 30 s held for each read, so a slow caller could stay for ever. All bytes of a caller are now read by one stream that counts them, ends a request that has not arrived as a whole after request_read_timeout, and lets other tasks run. The header section is read within max_header_bytes. What a caller still sends after a refusal is discarded within bounds, so that it sees the response.

Both HTTP ports share this.

--- a/src/bulrushdrum/_internal/caller/errors.py
+++ b/src/bulrushdrum/_internal/caller/errors.py
@@ -2,6 +2,7 @@
 
 from typing import TypedDict
 
+from bulrushdrum._internal.caller.receiving import RequestRefused
 from bulrushdrum._internal.limits.errors import ConcurrencyExceeded
 from bulrushdrum._internal.records.errors import RecordBufferFull
 from bulrushdrum._internal.routing.errors import (
@@ -15,6 +16,7 @@
     "not_found": 404,
     "method_not_allowed": 405,
     "request_too_large": 413,
+    "request_timeout": 408,
     "invalid_request": 400,
     "idempotency_key_required": 400,
     "model_not_found": 404,
@@ -68,6 +70,8 @@
     match error:
         case CallerError():
             return error
+        case RequestRefused():
+            return CallerError(error.code, str(error))
         case ConcurrencyExceeded():
             return CallerError("concurrency_exceeded", str(error))
         case RequestNotRun():
--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -1,8 +1,11 @@
 """HTTP API for callers and readiness checks for the platform's load balancer."""
 
+import io
 import json
 import os
 import time
+from http import HTTPStatus
+from http.client import HTTPException
 
 import bottle
 import gevent
@@ -17,14 +20,24 @@
     server_sent_events,
 )
 from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
+from bulrushdrum._internal.caller.receiving import (
+    CallerStream,
+    HeaderLines,
+    RequestLimits,
+    RequestRefused,
+)
 from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.event_loop import run_other_tasks_if_due
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.observability.refusal_log import RefusalLog
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.addresses import parse_address
 
-# Also the timeout of a write, after which a caller that does not read is disconnected.
-REQUEST_READ_TIMEOUT_SECONDS = 30.0
+# A caller that does not read its response is disconnected after this time.
+WRITE_TIMEOUT_SECONDS = 30.0
+# After a refusal, what its caller still sends is discarded within these bounds.
+MAX_DISCARDED_BYTES = 1_048_576
+DISCARD_SECONDS = 2.0
 _FINISH_POLL_SECONDS = 0.02
 _HOP_BY_HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "te", "upgrade", "content-length"}
@@ -51,19 +64,24 @@
 
 
 class _Handler(WSGIHandler):
-    """Closes connections whose request line or headers are slow or too large.
+    """Receives requests within the limits of its server.
 
     `is_idle` is true between requests, until the head of the next one has arrived.
     """
 
-    MAX_REQUEST_LINE = 8192
-
     is_idle = True
+    # A caller that does not read its response is no error of this process.
+    ignored_socket_errors = (*WSGIHandler.ignored_socket_errors, "timed out")
+
+    def __init__(self, sock, address, server):
+        self._stream = CallerStream(sock, server.limits)
+        super().__init__(sock, address, server, io.BufferedReader(self._stream))
 
     def handle(self):
         # pywsgi writes headers and body separately. With Nagle's algorithm, the body
         # would wait for the client's delayed ACK: 44 ms on a keep-alive connection.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket.settimeout(WRITE_TIMEOUT_SECONDS)
         self.server.connections.add(self)
         try:
             super().handle()
@@ -71,10 +89,74 @@
             self.server.connections.discard(self)
 
     def handle_one_request(self):
+        self._stream.begin_request()
         try:
-            return super().handle_one_request()
+            result = super().handle_one_request()
         finally:
             self.is_idle = True
+        if isinstance(result, tuple):
+            if result[0] == "414":
+                self.server.refusals.add("request_too_large")
+            if self._send_refusal(result[1]):
+                self._discard_late_bytes()
+            return None
+        return result
+
+    def _send_refusal(self, response):
+        try:
+            self.socket.sendall(response)
+        except OSError:
+            return False  # the caller has disconnected
+        return True
+
+    def _discard_late_bytes(self):
+        """Let the caller read the response although it may still be sending.
+
+        Closing a socket with unread bytes resets the connection, and the caller may
+        lose the response.
+        """
+        deadline = time.monotonic() + DISCARD_SECONDS
+        discarded = 0
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while discarded < MAX_DISCARDED_BYTES:
+                run_other_tasks_if_due()
+                self.socket.settimeout(max(deadline - time.monotonic(), 0.001))
+                received = len(self.socket.recv(16_384))
+                if not received:
+                    return
+                discarded += received
+        except OSError:
+            pass  # late, or the caller has disconnected
+
+    def _handle_client_error(self, error):
+        match error:
+            case RequestRefused():
+                refused = error
+            case TimeoutError():
+                refused = RequestRefused("request_timeout", "the request was too slow")
+            case HTTPException():
+                message = f"too many header fields: {error}"
+                refused = RequestRefused("request_too_large", message)
+            case OSError():
+                return None  # the caller has disconnected
+            case ValueError():
+                refused = RequestRefused("invalid_request", f"not HTTP: {error}"[:200])
+            case _:
+                return super()._handle_client_error(error)
+        self.server.refusals.add(refused.code)
+        response = CallerError(refused.code, str(refused))
+        body = json.dumps({"error": response.body()}).encode()
+        status = f"{response.status} {HTTPStatus(response.status).phrase}"
+        head = (
+            f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        return status, head.encode() + body
+
+    def MessageClass(self, reader, *_):  # noqa: N802  (a name of pywsgi)
+        lines = HeaderLines(reader, self.server.limits.header_bytes)
+        return super().MessageClass(lines)
 
     def close_if_idle(self):
         """Close the connection unless a request has arrived or is arriving."""
@@ -83,10 +165,17 @@
         try:
             self.socket._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            self.socket.shutdown(socket.SHUT_RDWR)
+            self.close()
         except OSError:
             pass  # the handler reads the error and ends
 
+    def close(self):
+        """End the connection; its handler reads the end and returns."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # the caller has disconnected
+
     def finalize_headers(self):
         if self.server.is_draining:
             # The caller sends its next request elsewhere, and not on a connection
@@ -105,10 +194,6 @@
         environ[IS_CALLER_CONNECTED] = lambda: is_connected(self.socket)
         return environ
 
-    def read_requestline(self):
-        self.socket.settimeout(REQUEST_READ_TIMEOUT_SECONDS)
-        return super().read_requestline()
-
     def log_request(self):
         pass  # RecordReplicator stores a record of each request
 
@@ -119,10 +204,25 @@
     While `is_draining`, each response asks its caller to close the connection.
     """
 
-    def __init__(self, *arguments, **options):
-        super().__init__(*arguments, **options)
+    def __init__(self, address, app, max_connections, limits):
+        super().__init__(
+            address,
+            app,
+            log=None,
+            error_log=None,
+            handler_class=_Handler,
+            spawn=Pool(max_connections),
+        )
         self.is_draining = False
         self.connections: set[_Handler] = set()
+        self.limits = limits
+        self.refusals = RefusalLog(Event.CALLER_REQUEST_REFUSED)
+
+    def dump(self) -> dict:
+        return {
+            "connections": len(self.connections),
+            "refused": self.refusals.dump(),
+        }
 
     def finish(self, deadline: float):
         """Stop accepting, and answer the requests whose head has arrived.
@@ -144,16 +244,15 @@
         self.pool.kill(block=True, timeout=1)
 
 
-def make_server(app, address: str, max_connections: int) -> HttpServer:
-    """Return an HTTP server for `app` that limits its concurrent connections."""
-    return HttpServer(
-        parse_address(address),
-        app,
-        log=None,
-        error_log=None,
-        handler_class=_Handler,
-        spawn=Pool(max_connections),
-    )
+def make_server(
+    app,
+    address: str,
+    max_connections: int,
+    limits: RequestLimits | None = None,
+) -> HttpServer:
+    """Return an HTTP server for `app` that limits its connections and requests."""
+    limits = limits or RequestLimits()
+    return HttpServer(parse_address(address), app, max_connections, limits)
 
 
 def error_response(error: CallerError, request_id: str = "") -> bottle.HTTPResponse:
@@ -191,6 +290,8 @@
         )
     try:
         data = request.environ["wsgi.input"].read(limit + 1)
+    except TimeoutError as error:
+        raise RequestRefused("request_timeout", str(error)) from error
     except OSError as error:
         message = f"the body was cut off: {error}"
         raise CallerError("invalid_request", message) from error
--- a/src/bulrushdrum/_internal/caller/operators.py
+++ b/src/bulrushdrum/_internal/caller/operators.py
@@ -8,6 +8,7 @@
 
 import bottle
 
+from bulrushdrum._internal.caller.receiving import RequestRefused
 from bulrushdrum._internal.configuration.edits import ConfigurationEditor
 from bulrushdrum._internal.configuration.errors import (
     EditConflict,
@@ -29,6 +30,7 @@
     "not_found": 404,
     "method_not_allowed": 405,
     "conflict": 409,
+    "request_timeout": 408,
     "request_too_large": 413,
     "invalid": 400,
     "busy": 503,
@@ -40,6 +42,8 @@
     "internal_error": 500,
 }
 
+_CODE_BY_REFUSAL = {"invalid_request": "invalid", "overloaded": "busy"}
+
 
 class OperatorServices(NamedTuple):
     """Dependencies of the operator routes.
@@ -80,6 +84,9 @@
     match error:
         case OperatorError():
             return error
+        case RequestRefused():
+            code = _CODE_BY_REFUSAL.get(error.code, error.code)
+            return OperatorError(code, str(error))
         case EditConflict():
             return OperatorError(
                 "conflict", str(error), value=error.value, revision=error.revision
--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -11,12 +11,13 @@
 from gevent.event import Event as Signal
 
 from bulrushdrum._internal.caller.frontend import Frontend
-from bulrushdrum._internal.caller.http import (
-    REQUEST_READ_TIMEOUT_SECONDS,
-    CallerApp,
-    make_server,
+from bulrushdrum._internal.caller.http import CallerApp, make_server
+from bulrushdrum._internal.caller.operators import (
+    MAX_BODY_BYTES,
+    OperatorApp,
+    OperatorServices,
 )
-from bulrushdrum._internal.caller.operators import OperatorApp, OperatorServices
+from bulrushdrum._internal.caller.receiving import RequestLimits
 from bulrushdrum._internal.configuration.edits import ConfigurationEditor
 from bulrushdrum._internal.configuration.order_leases import OrderLeases
 from bulrushdrum._internal.configuration.replica import ConfigurationReplica
@@ -147,11 +148,23 @@
             self._membership.check_clock,
         )
         self._peer_server = PeerServer(
-            settings.listen, identity, keys, self._hub.serve, self._log_refused_peer
+            settings.listen,
+            identity,
+            keys,
+            self._hub.serve,
+            self._log_refused_peer,
         )
         caller_app = CallerApp(self._frontend, settings)
+        limits = RequestLimits(
+            settings.max_header_bytes,
+            settings.max_body_bytes,
+            settings.request_read_timeout,
+        )
         self._caller_http = make_server(
-            caller_app.wsgi, settings.http_listen, settings.max_connections
+            caller_app.wsgi,
+            settings.http_listen,
+            settings.max_connections,
+            limits,
         )
         self._order_leases = OrderLeases(self._hub, table, self._replica)
         self._membership.on_describe = self._order_leases.observe_describe
@@ -167,7 +180,10 @@
             settings.operator_key,
         )
         self._operator_http = make_server(
-            operator_app.wsgi, settings.operator_listen, MAX_OPERATOR_CONNECTIONS
+            operator_app.wsgi,
+            settings.operator_listen,
+            MAX_OPERATOR_CONNECTIONS,
+            limits._replace(body_bytes=MAX_BODY_BYTES),
         )
         self._membership.heartbeat_fields = lambda: (
             self._replica.revision,
@@ -208,6 +224,8 @@
             "incarnation": self._hub.local_identity.incarnation,
             "data_centre": self._settings.data_centre,
             "frontend": self._frontend.dump(),
+            "callers": self._caller_http.dump(),
+            "operators": self._operator_http.dump(),
             "membership": self._membership.dump(),
             "configuration": self._replica.dump(),
             "permits": self._permits.dump(),
@@ -307,7 +325,7 @@
         settings.queue_timeout
         + max(settings.request_timeout + settings.open_timeout, call)
         + _STORE_CALLS_PER_REQUEST * settings.store_timeout
-        + REQUEST_READ_TIMEOUT_SECONDS
+        + settings.request_read_timeout
     )
 
 
--- a/src/bulrushdrum/_internal/settings/entry.py
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -91,6 +91,9 @@
     )
     max_body_bytes: int = setting(1_048_576, unit="bytes", low=1024, high=16_777_216)
     max_header_bytes: int = setting(16_384, unit="bytes", low=1024, high=1_048_576)
+    request_read_timeout: float = setting(
+        30.0, unit="s", low=1, high=600, help="until the whole request has arrived"
+    )
     max_prompt_tokens: int = setting(32_768, unit="tokens", low=1, high=1_000_000)
     max_answer_tokens: int = setting(8_192, unit="tokens", low=1, high=1_000_000)
     max_connections: int = setting(2_000, low=1, high=100_000)
