Store the body of a caller's request in about its bytes

pywsgi keeps each chunk of a body as an object until the read returns, and reads the rest of a refused body without end. Bodies are now read in parts of 8 KB, or 1 KB within small chunks, into one byte array. A body is refused when its length or the bytes received are over the limit; chunk sizes, extensions and trailers count towards a bound on the whole request. Callers and operators share the reading.

--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -21,10 +21,12 @@
 )
 from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
 from bulrushdrum._internal.caller.receiving import (
+    BoundedInput,
     CallerStream,
     HeaderLines,
     RequestLimits,
     RequestRefused,
+    read_body,
 )
 from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.event_loop import run_other_tasks_if_due
@@ -90,10 +92,15 @@
 
     def handle_one_request(self):
         self._stream.begin_request()
+        self.wsgi_input = None
         try:
             result = super().handle_one_request()
         finally:
             self.is_idle = True
+        if self.wsgi_input and self.wsgi_input.refusal_code:
+            self.server.refusals.add(self.wsgi_input.refusal_code)
+            self._discard_late_bytes()
+            return None
         if isinstance(result, tuple):
             if result[0] == "414":
                 self.server.refusals.add("request_too_large")
@@ -177,7 +184,7 @@
             pass  # the caller has disconnected
 
     def finalize_headers(self):
-        if self.server.is_draining:
+        if self.server.is_draining or self.wsgi_input.refusal_code:
             # The caller sends its next request elsewhere, and not on a connection
             # that is about to be closed.
             self.close_connection = True
@@ -192,6 +199,9 @@
         run_other_tasks_if_due()
         environ = super().get_environ()
         environ[IS_CALLER_CONNECTED] = lambda: is_connected(self.socket)
+        environ["wsgi.input"] = self.wsgi_input = BoundedInput(
+            self.wsgi_input, self.server.limits
+        )
         return environ
 
     def log_request(self):
@@ -280,29 +290,6 @@
         raise CallerError("invalid_request", message) from error
 
 
-def read_body(limit: int) -> bytes:
-    """Return the body of the current request; raises `CallerError` over the limit."""
-    request = bottle.request
-    if request.content_length > limit:
-        raise CallerError(
-            "request_too_large",
-            f"the body has {request.content_length} bytes, the limit is {limit}",
-        )
-    try:
-        data = request.environ["wsgi.input"].read(limit + 1)
-    except TimeoutError as error:
-        raise RequestRefused("request_timeout", str(error)) from error
-    except OSError as error:
-        message = f"the body was cut off: {error}"
-        raise CallerError("invalid_request", message) from error
-    if len(data) > limit:
-        message = f"the body is over the limit of {limit} bytes"
-        raise CallerError("request_too_large", message)
-    if 0 <= request.content_length > len(data):
-        raise CallerError("invalid_request", "the body is shorter than announced")
-    return data
-
-
 class CallerApp:
     """WSGI application for callers; requests are run by `frontend`."""
 
@@ -393,7 +380,7 @@
 
     def _chat_completion(self):
         contract = self._contract()
-        raw_body = read_body(self._settings.max_body_bytes)
+        raw_body = read_body(bottle.request, self._settings.max_body_bytes)
         key = parse_idempotency_key(read_header("Idempotency-Key"))
         parsed = parse_chat_request(raw_body, key, contract, self._settings)
         is_caller_connected = bottle.request.environ[IS_CALLER_CONNECTED]
@@ -432,7 +419,7 @@
 
     def _issue_key(self):
         contract = self._contract()
-        raw_body = read_body(self._settings.max_body_bytes)
+        raw_body = read_body(bottle.request, self._settings.max_body_bytes)
         try:
             body = json.loads(raw_body)
             service = body["service"]
@@ -457,7 +444,7 @@
             request.method,
             f"/{path}{query}",
             headers,
-            read_body(self._settings.max_body_bytes),
+            read_body(bottle.request, self._settings.max_body_bytes),
             parse_idempotency_key(read_header("Idempotency-Key")),
             request.environ[IS_CALLER_CONNECTED],
         )
--- a/src/bulrushdrum/_internal/caller/operators.py
+++ b/src/bulrushdrum/_internal/caller/operators.py
@@ -8,7 +8,7 @@
 
 import bottle
 
-from bulrushdrum._internal.caller.receiving import RequestRefused
+from bulrushdrum._internal.caller.receiving import RequestRefused, read_body
 from bulrushdrum._internal.configuration.edits import ConfigurationEditor
 from bulrushdrum._internal.configuration.errors import (
     EditConflict,
@@ -270,21 +270,7 @@
 
 
 def _read_json_body() -> dict[str, Any]:
-    length = bottle.request.content_length
-    if length > MAX_BODY_BYTES:
-        raise OperatorError(
-            "request_too_large", f"the body is over the limit of {MAX_BODY_BYTES} bytes"
-        )
-    try:
-        data = bottle.request.environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
-    except OSError as error:
-        raise OperatorError("invalid", f"the body was cut off: {error}") from error
-    if len(data) > MAX_BODY_BYTES:
-        raise OperatorError(
-            "request_too_large", f"the body is over the limit of {MAX_BODY_BYTES} bytes"
-        )
-    if 0 <= length > len(data):
-        raise OperatorError("invalid", "the body is shorter than announced")
+    data = read_body(bottle.request, MAX_BODY_BYTES)
     try:
         body = json.loads(data)
     except (ValueError, RecursionError) as error:
--- a/src/bulrushdrum/_internal/caller/receiving.py
+++ b/src/bulrushdrum/_internal/caller/receiving.py
@@ -8,6 +8,8 @@
 import time
 from typing import NamedTuple
 
+from gevent.pywsgi import Input
+
 from bulrushdrum._internal.event_loop import run_other_tasks_if_due
 
 # How long a connection may stay open between two requests.
@@ -15,6 +17,9 @@
 # A body of one-byte chunks takes six bytes on the wire for each byte.
 _MAX_WIRE_BYTES_PER_BODY_BYTE = 8
 _WIRE_ALLOWANCE_BYTES = 65_536
+_PART_BYTES = 8192
+# The parser keeps each chunk of a part as an object until the part is whole.
+_SMALL_CHUNKS_PART_BYTES = 1024
 
 
 class RequestLimits(NamedTuple):
@@ -97,3 +102,89 @@
             message = f"the header section is over the limit of {self._limit} bytes"
             raise RequestRefused("request_too_large", message)
         return line
+
+
+class BoundedInput(Input):
+    """A body whose storage takes about its bytes, whatever the sizes of its chunks.
+
+    `refusal_code` is set after a failed read, and the connection must then be closed.
+    """
+
+    def __init__(self, pywsgi_input: Input, limits):
+        super().__init__(
+            pywsgi_input.rfile,
+            pywsgi_input.content_length,
+            pywsgi_input.socket,
+            pywsgi_input.chunked_input,
+        )
+        self._limits = limits
+        self._received = 0
+        is_too_large = (self.content_length or 0) > limits.body_bytes
+        self.refusal_code = self._too_large().code if is_too_large else ""
+
+    def read(self, length=None):
+        if length is None or length < 0:
+            length = self._limits.body_bytes + 1
+        data = bytearray()
+        try:
+            while len(data) < length:
+                part = self._read_part(length - len(data))
+                if not part:
+                    break
+                data += part
+        except (OSError, ValueError, RequestRefused) as error:
+            # The traceback of the error keeps the bytes while the response is sent.
+            data.clear()
+            refusal = self._to_refusal(error)
+            self.refusal_code = refusal.code
+            raise refusal from error
+        return bytes(data)
+
+    def _read_part(self, length):
+        size = min(length, _PART_BYTES)
+        if self.chunked_input:
+            left_of_chunk = self.chunk_length - self.position
+            size = min(size, max(left_of_chunk, _SMALL_CHUNKS_PART_BYTES))
+        part = super().read(size)
+        self._received += len(part)
+        if self._received > self._limits.body_bytes:
+            raise self._too_large()
+        return part
+
+    def _too_large(self) -> RequestRefused:
+        message = f"the body is over the limit of {self._limits.body_bytes} bytes"
+        return RequestRefused("request_too_large", message)
+
+    def _to_refusal(self, error) -> RequestRefused:
+        match error:
+            case RequestRefused():
+                return error
+            case TimeoutError():
+                return RequestRefused("request_timeout", str(error))
+            case _:
+                message = f"the body was cut off: {error}"
+                return RequestRefused("invalid_request", message)
+
+    def _discard(self):
+        if self.refusal_code:
+            return
+        try:
+            super()._discard()
+        except RequestRefused:
+            pass  # `refusal_code` is set
+
+
+def read_body(request, limit: int) -> bytes:
+    """Return the body of a bottle request; raises `RequestRefused` over the limit."""
+    if request.content_length > limit:
+        raise RequestRefused(
+            "request_too_large",
+            f"the body has {request.content_length} bytes, the limit is {limit}",
+        )
+    data = request.environ["wsgi.input"].read(limit + 1)
+    if len(data) > limit:
+        message = f"the body is over the limit of {limit} bytes"
+        raise RequestRefused("request_too_large", message)
+    if 0 <= request.content_length > len(data):
+        raise RequestRefused("invalid_request", "the body is shorter than announced")
+    return data
--- a/tests/unit/test_receiving.py
+++ b/tests/unit/test_receiving.py
@@ -10,20 +10,29 @@
 from bench.processes import PortPool
 from gevent import socket
 
-from bulrushdrum._internal.caller.http import make_server
+from bulrushdrum._internal.caller.errors import to_caller_error
+from bulrushdrum._internal.caller.http import error_response, make_server
 from bulrushdrum._internal.caller.receiving import (
     CallerStream,
     RequestLimits,
+    RequestRefused,
+    read_body,
 )
 
 LIMITS = RequestLimits(header_bytes=2_000, body_bytes=200_000, read_seconds=1.0)
 
 
 @contextmanager
-def serving(limits=LIMITS, connections=10):
+def serving(handle=None, limits=LIMITS, connections=10):
     app = bottle.Bottle()
 
-    app.route("/", "POST", lambda: "ok")
+    def echo():
+        try:
+            return str(len(read_body(bottle.request, limits.body_bytes)))
+        except RequestRefused as refused:
+            return error_response(to_caller_error(refused))
+
+    app.route("/", "POST", handle or echo)
     ports = PortPool()
     server = make_server(app, ports.reserve(), connections, limits)
     server.start()
@@ -51,6 +60,7 @@
 
 
 HEAD = b"POST / HTTP/1.1\r\nHost: x\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
 @pytest.mark.parametrize(
@@ -58,8 +68,11 @@
     [
         HEAD + b"n: " + b"v" * 100_000,
         HEAD + b"a: b\r\n" * 10_000,
+        HEAD + b"Content-Length: 10000000000\r\n\r\n" + b"x" * 500_000,
+        CHUNKED + b"%x\r\n" % 500_000 + b"x" * 500_000 + b"\r\n0\r\n\r\n",
+        CHUNKED + b"0\r\n" + b"t: v\r\n" * 400_000,
     ],
-    ids=["line", "fields"],
+    ids=["line", "fields", "declared", "sent", "trailers"],
 )
 def test_a_caller_that_still_sends_sees_its_refusal(data):
     # Guards against a reset that destroys the response to a request over a limit.
@@ -70,7 +83,20 @@
         assert sum(server.refusals.dump().values()) == 1
 
 
-@pytest.mark.parametrize("head", [HEAD], ids=["head"])
+def test_the_largest_body_in_the_smallest_chunks_is_received():
+    # Guards against bounds on chunk sizes that refuse a body within its limit.
+    with serving() as server:
+        body = b"1\r\nx\r\n" * LIMITS.body_bytes
+        assert exchange(
+            server,
+            HEAD
+            + b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + body
+            + b"0\r\n\r\n",
+        ) == (200, LIMITS.body_bytes)
+
+
+@pytest.mark.parametrize("head", [HEAD, CHUNKED + b"5\r\n"], ids=["head", "body"])
 def test_a_request_that_arrives_byte_by_byte_ends_at_its_deadline(head):
     # Guards against callers that stay for ever because each read ends in time.
     with serving() as server:
