Bound the memory of all bodies that an entry is receiving

Each connection could hold a body of max_body_bytes that stops just before its end. All bodies that are being received now share a budget, max_receiving_bytes, for callers and operators. Over it the largest is refused as not run, at equal size the oldest, so small requests are still received.

--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -21,6 +21,7 @@
 )
 from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
 from bulrushdrum._internal.caller.receiving import (
+    BodyBudget,
     BoundedInput,
     CallerStream,
     HeaderLines,
@@ -41,6 +42,7 @@
 MAX_DISCARDED_BYTES = 1_048_576
 DISCARD_SECONDS = 2.0
 _FINISH_POLL_SECONDS = 0.02
+_BODIES_AT_ONCE = 32
 _HOP_BY_HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "te", "upgrade", "content-length"}
 )
@@ -200,7 +202,10 @@
         environ = super().get_environ()
         environ[IS_CALLER_CONNECTED] = lambda: is_connected(self.socket)
         environ["wsgi.input"] = self.wsgi_input = BoundedInput(
-            self.wsgi_input, self.server.limits
+            self.wsgi_input,
+            self.socket,
+            self.server.limits,
+            self.server.budget,
         )
         return environ
 
@@ -214,7 +219,7 @@
     While `is_draining`, each response asks its caller to close the connection.
     """
 
-    def __init__(self, address, app, max_connections, limits):
+    def __init__(self, address, app, max_connections, limits, budget):
         super().__init__(
             address,
             app,
@@ -226,11 +231,13 @@
         self.is_draining = False
         self.connections: set[_Handler] = set()
         self.limits = limits
+        self.budget = budget
         self.refusals = RefusalLog(Event.CALLER_REQUEST_REFUSED)
 
     def dump(self) -> dict:
         return {
             "connections": len(self.connections),
+            "receiving_bytes": self.budget.total,
             "refused": self.refusals.dump(),
         }
 
@@ -259,10 +266,12 @@
     address: str,
     max_connections: int,
     limits: RequestLimits | None = None,
+    budget: BodyBudget | None = None,
 ) -> HttpServer:
     """Return an HTTP server for `app` that limits its connections and requests."""
     limits = limits or RequestLimits()
-    return HttpServer(parse_address(address), app, max_connections, limits)
+    budget = budget or BodyBudget(_BODIES_AT_ONCE * limits.body_bytes)
+    return HttpServer(parse_address(address), app, max_connections, limits, budget)
 
 
 def error_response(error: CallerError, request_id: str = "") -> bottle.HTTPResponse:
--- a/src/bulrushdrum/_internal/caller/receiving.py
+++ b/src/bulrushdrum/_internal/caller/receiving.py
@@ -8,6 +8,7 @@
 import time
 from typing import NamedTuple
 
+from gevent import socket
 from gevent.pywsgi import Input
 
 from bulrushdrum._internal.event_loop import run_other_tasks_if_due
@@ -44,6 +45,34 @@
         self.code = code
 
 
+class BodyBudget:
+    """The bytes of all bodies that a process is receiving.
+
+    Over `limit`, the bodies that hold most are shed, at equal size the oldest, so that
+    small requests are still received. A holder has a method `shed`.
+    """
+
+    def __init__(self, limit: int):
+        self._limit = limit
+        self._held: dict = {}
+        self._total = 0
+
+    @property
+    def total(self) -> int:
+        return self._total
+
+    def add(self, holder, size: int):
+        self._held[holder] = self._held.get(holder, 0) + size
+        self._total += size
+        while self._total > self._limit:
+            largest = max(self._held, key=self._held.get)
+            self.release(largest)
+            largest.shed()
+
+    def release(self, holder):
+        self._total -= self._held.pop(holder, 0)
+
+
 class CallerStream(io.RawIOBase):
     """Reads a caller's socket, bounded in bytes and time for each request.
 
@@ -110,18 +139,30 @@
     `refusal_code` is set after a failed read, and the connection must then be closed.
     """
 
-    def __init__(self, pywsgi_input: Input, limits):
+    def __init__(self, pywsgi_input: Input, sock, limits, budget):
         super().__init__(
             pywsgi_input.rfile,
             pywsgi_input.content_length,
             pywsgi_input.socket,
             pywsgi_input.chunked_input,
         )
+        self._sock = sock
         self._limits = limits
+        self._budget = budget
+        self._is_shed = False
         self._received = 0
         is_too_large = (self.content_length or 0) > limits.body_bytes
         self.refusal_code = self._too_large().code if is_too_large else ""
 
+    def shed(self):
+        """Let the reader of the body refuse the request."""
+        self._is_shed = True
+        try:
+            # Ends a read that waits. The response can still be written.
+            self._sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            pass  # the caller has disconnected
+
     def read(self, length=None):
         if length is None or length < 0:
             length = self._limits.body_bytes + 1
@@ -138,6 +179,8 @@
             refusal = self._to_refusal(error)
             self.refusal_code = refusal.code
             raise refusal from error
+        finally:
+            self._budget.release(self)
         return bytes(data)
 
     def _read_part(self, length):
@@ -149,6 +192,9 @@
         self._received += len(part)
         if self._received > self._limits.body_bytes:
             raise self._too_large()
+        self._budget.add(self, len(part))
+        if self._is_shed:
+            raise OSError("shed")
         return part
 
     def _too_large(self) -> RequestRefused:
@@ -156,6 +202,9 @@
         return RequestRefused("request_too_large", message)
 
     def _to_refusal(self, error) -> RequestRefused:
+        if self._is_shed:
+            message = "this process is receiving too many large bodies"
+            return RequestRefused("overloaded", message)
         match error:
             case RequestRefused():
                 return error
--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -17,7 +17,7 @@
     OperatorApp,
     OperatorServices,
 )
-from bulrushdrum._internal.caller.receiving import RequestLimits
+from bulrushdrum._internal.caller.receiving import BodyBudget, RequestLimits
 from bulrushdrum._internal.configuration.edits import ConfigurationEditor
 from bulrushdrum._internal.configuration.order_leases import OrderLeases
 from bulrushdrum._internal.configuration.replica import ConfigurationReplica
@@ -160,11 +160,13 @@
             settings.max_body_bytes,
             settings.request_read_timeout,
         )
+        budget = BodyBudget(settings.max_receiving_bytes)
         self._caller_http = make_server(
             caller_app.wsgi,
             settings.http_listen,
             settings.max_connections,
             limits,
+            budget,
         )
         self._order_leases = OrderLeases(self._hub, table, self._replica)
         self._membership.on_describe = self._order_leases.observe_describe
@@ -184,6 +186,7 @@
             settings.operator_listen,
             MAX_OPERATOR_CONNECTIONS,
             limits._replace(body_bytes=MAX_BODY_BYTES),
+            budget,
         )
         self._membership.heartbeat_fields = lambda: (
             self._replica.revision,
--- a/src/bulrushdrum/_internal/settings/entry.py
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -91,6 +91,13 @@
     )
     max_body_bytes: int = setting(1_048_576, unit="bytes", low=1024, high=16_777_216)
     max_header_bytes: int = setting(16_384, unit="bytes", low=1024, high=1_048_576)
+    max_receiving_bytes: int = setting(
+        33_554_432,
+        unit="bytes",
+        low=1024,
+        high=1_073_741_824,
+        help="all bodies that are being received; over it, the largest are refused",
+    )
     request_read_timeout: float = setting(
         30.0, unit="s", low=1, high=600, help="until the whole request has arrived"
     )
@@ -120,4 +127,10 @@
                 f"orphan_grace: {self.orphan_grace} s is not over service_timeout, "
                 f"{self.service_timeout} s; calls of a dead entry may run that long"
             )
+        if self.max_receiving_bytes < self.max_body_bytes:
+            problems.append(
+                f"max_receiving_bytes: {self.max_receiving_bytes} bytes is under "
+                f"max_body_bytes, {self.max_body_bytes} bytes; the largest bodies "
+                "would be refused"
+            )
         return problems
--- a/tests/unit/test_receiving.py
+++ b/tests/unit/test_receiving.py
@@ -13,6 +13,7 @@
 from bulrushdrum._internal.caller.errors import to_caller_error
 from bulrushdrum._internal.caller.http import error_response, make_server
 from bulrushdrum._internal.caller.receiving import (
+    BodyBudget,
     CallerStream,
     RequestLimits,
     RequestRefused,
@@ -22,8 +23,29 @@
 LIMITS = RequestLimits(header_bytes=2_000, body_bytes=200_000, read_seconds=1.0)
 
 
+class Holder:
+    is_shed = False
+
+    def shed(self):
+        self.is_shed = True
+
+
+def test_the_largest_bodies_are_shed_first_and_of_these_the_oldest():
+    # Guards against small requests that are refused because of a few large bodies.
+    budget = BodyBudget(100)
+    old, new, small = Holder(), Holder(), Holder()
+    budget.add(old, 45)
+    budget.add(new, 45)
+    budget.add(small, 11)
+    assert (old.is_shed, new.is_shed, small.is_shed) == (True, False, False)
+    assert budget.total == 56
+    budget.release(new)
+    budget.release(small)
+    assert budget.total == 0
+
+
 @contextmanager
-def serving(handle=None, limits=LIMITS, connections=10):
+def serving(handle=None, limits=LIMITS, budget=None, connections=10):
     app = bottle.Bottle()
 
     def echo():
@@ -34,7 +56,7 @@
 
     app.route("/", "POST", handle or echo)
     ports = PortPool()
-    server = make_server(app, ports.reserve(), connections, limits)
+    server = make_server(app, ports.reserve(), connections, limits, budget)
     server.start()
     yield server
     server.stop(timeout=0)
@@ -94,6 +116,7 @@
             + body
             + b"0\r\n\r\n",
         ) == (200, LIMITS.body_bytes)
+        assert server.budget.total == 0
 
 
 @pytest.mark.parametrize("head", [HEAD, CHUNKED + b"5\r\n"], ids=["head", "body"])
@@ -147,3 +170,23 @@
         stream.readinto(buffer)
     ticker.kill()
     assert len(ticks) >= 5
+
+
+def test_bodies_over_the_budget_are_refused_and_small_ones_received():
+    # Guards against memory in proportion to the connections that stop just short of
+    # the end of their bodies.
+    budget = BodyBudget(500_000)
+    with serving(budget=budget) as server:
+        unfinished = HEAD + b"Content-Length: 200000\r\n\r\n" + b"x" * 199_999
+        socks = [socket.create_connection(server.address, timeout=5) for _ in range(4)]
+        for sock in socks:
+            sock.sendall(unfinished)
+        gevent.sleep(0.3)
+        assert budget.total <= 500_000
+        small = b"Connection: close\r\nContent-Length: 3\r\n\r\nabc"
+        assert exchange(server, HEAD + small) == (200, 3)
+        answers = [receive(sock) for sock in socks]
+        assert {status for status, _ in answers} == {503, 408}
+        assert all(body["error"]["ran"] == "no" for _, body in answers)
+        for sock in socks:
+            sock.close()
