Close idle and slow connections of callers for new ones

With max_connections open, an entry stopped accepting, so new callers waited in the listener's queue behind connections that sent nothing, for up to 30 s, or for ever behind those that sent a byte now and then. A new connection is now accepted, and the one that has been idle for longest is closed, or else the one that has been sending its request for longest. Requests that run are never closed for others. The limit leaves descriptors for the store and peers if the open-files limit of the process is lower than the settings assume.

--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -24,6 +24,7 @@
     BodyBudget,
     BoundedInput,
     CallerStream,
+    ConnectionTable,
     HeaderLines,
     RequestLimits,
     RequestRefused,
@@ -78,7 +79,10 @@
     ignored_socket_errors = (*WSGIHandler.ignored_socket_errors, "timed out")
 
     def __init__(self, sock, address, server):
-        self._stream = CallerStream(sock, server.limits)
+        self._table = server.connections
+        self._stream = CallerStream(
+            sock, server.limits, lambda: self._table.set_receiving(self)
+        )
         super().__init__(sock, address, server, io.BufferedReader(self._stream))
 
     def handle(self):
@@ -86,11 +90,12 @@
         # would wait for the client's delayed ACK: 44 ms on a keep-alive connection.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket.settimeout(WRITE_TIMEOUT_SECONDS)
-        self.server.connections.add(self)
+        self._table.set_receiving(self)
+        self.server.close_excess()
         try:
             super().handle()
         finally:
-            self.server.connections.discard(self)
+            self._table.remove(self)
 
     def handle_one_request(self):
         self._stream.begin_request()
@@ -109,6 +114,8 @@
             if self._send_refusal(result[1]):
                 self._discard_late_bytes()
             return None
+        if result is not None:
+            self._table.set_idle(self)
         return result
 
     def _send_refusal(self, response):
@@ -206,7 +213,10 @@
             self.socket,
             self.server.limits,
             self.server.budget,
+            on_received=lambda: self._table.set_running(self),
         )
+        if self.wsgi_input.is_empty:
+            self._table.set_running(self)
         return environ
 
     def log_request(self):
@@ -226,21 +236,33 @@
             log=None,
             error_log=None,
             handler_class=_Handler,
-            spawn=Pool(max_connections),
+            # `connections` keeps the limit: a full pool would leave new callers unread
+            # in the listener's queue, behind connections that send nothing.
+            spawn=Pool(),
         )
         self.is_draining = False
-        self.connections: set[_Handler] = set()
+        self.connections = ConnectionTable(max_connections)
         self.limits = limits
         self.budget = budget
         self.refusals = RefusalLog(Event.CALLER_REQUEST_REFUSED)
+        self.closed_connections = RefusalLog(Event.CALLER_CONNECTION_CLOSED)
 
     def dump(self) -> dict:
         return {
             "connections": len(self.connections),
             "receiving_bytes": self.budget.total,
             "refused": self.refusals.dump(),
+            "closed": self.closed_connections.dump(),
         }
 
+    def close_excess(self):
+        """Close a connection if there are more than allowed."""
+        excess = self.connections.excess()
+        if excess is not None:
+            self.connections.remove(excess)
+            self.closed_connections.add("connections")
+            excess.close()
+
     def finish(self, deadline: float):
         """Stop accepting, and answer the requests whose head has arrived.
 
@@ -249,13 +271,13 @@
         """
         self.is_draining = True
         # Connections that still wait in the listener's queue would be reset.
-        while not self.full() and (accepted := self.do_read()):
+        while accepted := self.do_read():
             self.do_handle(*accepted)
         self.close()
         # Accepted connections are registered once their greenlets run.
         gevent.sleep(0)
-        while self.connections and time.monotonic() < deadline:
-            for connection in list(self.connections):
+        while len(self.connections) and time.monotonic() < deadline:
+            for connection in self.connections:
                 connection.close_if_idle()
             gevent.sleep(_FINISH_POLL_SECONDS)
         self.pool.kill(block=True, timeout=1)
--- a/src/bulrushdrum/_internal/caller/receiving.py
+++ b/src/bulrushdrum/_internal/caller/receiving.py
@@ -73,15 +73,62 @@
         self._total -= self._held.pop(holder, 0)
 
 
+class ConnectionTable:
+    """The open connections of a server, and which one is closed for a new one.
+
+    Idle connections are closed first, then those that have been sending a request for
+    longest. Those whose request has arrived are kept.
+    """
+
+    def __init__(self, limit: int):
+        self._limit = limit
+        # Ordered by when a connection came into its state.
+        self._idle: dict = {}
+        self._receiving: dict = {}
+        self._running: dict = {}
+
+    def __len__(self):
+        return len(self._idle) + len(self._receiving) + len(self._running)
+
+    def __iter__(self):
+        return iter([*self._idle, *self._receiving, *self._running])
+
+    def set_idle(self, connection):
+        self._move(connection, self._idle)
+
+    def set_receiving(self, connection):
+        if connection not in self._receiving:
+            self._move(connection, self._receiving)
+
+    def set_running(self, connection):
+        self._move(connection, self._running)
+
+    def remove(self, connection):
+        for state in (self._idle, self._receiving, self._running):
+            state.pop(connection, None)
+
+    def excess(self):
+        """Return the connection to close, or None while the limit is kept."""
+        if len(self) <= self._limit:
+            return None
+        return next(iter(self._idle or self._receiving), None)
+
+    def _move(self, connection, state):
+        self.remove(connection)
+        state[connection] = None
+
+
 class CallerStream(io.RawIOBase):
     """Reads a caller's socket, bounded in bytes and time for each request.
 
     Raises `TimeoutError` for a late request, `RequestRefused` for one over the limit.
+    `on_begin` is called when the first bytes of a request are received.
     """
 
-    def __init__(self, sock, limits: RequestLimits):
+    def __init__(self, sock, limits: RequestLimits, on_begin):
         self._sock = sock
         self._limits = limits
+        self._on_begin = on_begin
         self.begin_request()
 
     def begin_request(self):
@@ -107,6 +154,7 @@
             self._sock.settimeout(write_timeout)
         if self._deadline is None:
             self._deadline = time.monotonic() + self._limits.read_seconds
+            self._on_begin()
         self._bytes_left -= received
         if self._bytes_left < 0:
             raise RequestRefused(
@@ -137,9 +185,10 @@
     """A body whose storage takes about its bytes, whatever the sizes of its chunks.
 
     `refusal_code` is set after a failed read, and the connection must then be closed.
+    `on_received` is called when the application has read all of the body.
     """
 
-    def __init__(self, pywsgi_input: Input, sock, limits, budget):
+    def __init__(self, pywsgi_input: Input, sock, limits, budget, on_received):
         super().__init__(
             pywsgi_input.rfile,
             pywsgi_input.content_length,
@@ -149,11 +198,16 @@
         self._sock = sock
         self._limits = limits
         self._budget = budget
+        self._on_received = on_received
         self._is_shed = False
         self._received = 0
         is_too_large = (self.content_length or 0) > limits.body_bytes
         self.refusal_code = self._too_large().code if is_too_large else ""
 
+    @property
+    def is_empty(self) -> bool:
+        return not self.chunked_input and not self.content_length
+
     def shed(self):
         """Let the reader of the body refuse the request."""
         self._is_shed = True
@@ -171,6 +225,7 @@
             while len(data) < length:
                 part = self._read_part(length - len(data))
                 if not part:
+                    self._on_received()
                     break
                 data += part
         except (OSError, ValueError, RequestRefused) as error:
--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -1,6 +1,7 @@
 """The entry process: builds its components from the settings, serves and drains."""
 
 import json
+import resource
 import secrets
 import signal
 import sys
@@ -59,6 +60,8 @@
 from bulrushdrum._internal.world.upstreams import UpstreamState
 
 MAX_OPERATOR_CONNECTIONS = 100
+# Files, the store, and peers.
+_OTHER_DESCRIPTORS = 600
 _DRAIN_POLL_SECONDS = 0.05
 _LOG_FLUSH_INTERVAL_SECONDS = 1.0
 # Callers that keep connections open are refused for at least this long. A connection
@@ -164,7 +167,7 @@
         self._caller_http = make_server(
             caller_app.wsgi,
             settings.http_listen,
-            settings.max_connections,
+            caller_connections(settings),
             limits,
             budget,
         )
@@ -317,6 +320,20 @@
             flush_and_log_omitted()
 
 
+def caller_connections(settings: EntrySettings) -> int:
+    """Return how many connections of callers the open-files limit leaves room for.
+
+    Over that limit the entry could not reach the store or its peers either.
+    """
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return settings.max_connections
+    others = _OTHER_DESCRIPTORS + MAX_OPERATOR_CONNECTIONS
+    # A very low limit is shared between callers and all others.
+    allowed = max(descriptors - others, descriptors // 4)
+    return min(settings.max_connections, allowed)
+
+
 def longest_request_seconds(settings: EntrySettings) -> float:
     """Return the longest time from the arrival of a request to the end of its answer.
 
--- a/tests/unit/test_receiving.py
+++ b/tests/unit/test_receiving.py
@@ -3,6 +3,7 @@
 import json
 import time
 from contextlib import contextmanager
+from types import SimpleNamespace
 
 import bottle
 import gevent
@@ -10,11 +11,13 @@
 from bench.processes import PortPool
 from gevent import socket
 
+from bulrushdrum._internal import entry_process
 from bulrushdrum._internal.caller.errors import to_caller_error
 from bulrushdrum._internal.caller.http import error_response, make_server
 from bulrushdrum._internal.caller.receiving import (
     BodyBudget,
     CallerStream,
+    ConnectionTable,
     RequestLimits,
     RequestRefused,
     read_body,
@@ -44,6 +47,27 @@
     assert budget.total == 0
 
 
+def test_idle_connections_are_closed_before_those_that_send_and_none_that_runs():
+    # Guards against a new caller that is kept out by connections that send nothing.
+    table = ConnectionTable(3)
+    table.set_receiving("slow")
+    table.set_idle("idle")
+    table.set_running("runs")
+    assert table.excess() is None
+    table.set_receiving("new")
+    closed = []
+    while (excess := table.excess()) is not None:
+        closed.append(excess)
+        table.remove(excess)
+        table.set_receiving(f"new {len(closed)}")
+        if len(closed) == 4:
+            break
+    assert closed == ["idle", "slow", "new", "new 1"]
+    for name in ("new 2", "new 3", "new 4"):
+        table.set_running(name)
+    assert table.excess() is None or len(table) == 4
+
+
 @contextmanager
 def serving(handle=None, limits=LIMITS, budget=None, connections=10):
     app = bottle.Bottle()
@@ -156,7 +180,7 @@
 def test_a_caller_that_always_sends_lets_other_tasks_run():
     # Guards against heartbeats that are late while one request is read.
     limits = RequestLimits(body_bytes=2**40)
-    stream = CallerStream(EndlessSocket(), limits)
+    stream = CallerStream(EndlessSocket(), limits, on_begin=lambda: None)
     ticks = []
 
     def tick():
@@ -190,3 +214,17 @@
         assert all(body["error"]["ran"] == "no" for _, body in answers)
         for sock in socks:
             sock.close()
+
+
+@pytest.mark.parametrize(
+    ("descriptors", "allowed"),
+    [(20_000, 2_000), (2_700, 2_000), (1_024, 324), (400, 100)],
+)
+def test_connections_leave_descriptors_for_the_store_and_peers(
+    monkeypatch, descriptors, allowed
+):
+    # Guards against callers that keep an entry from the table and from its peers.
+    settings = SimpleNamespace(max_connections=2_000)
+    limits = (descriptors, descriptors)
+    monkeypatch.setattr(entry_process.resource, "getrlimit", lambda _: limits)
+    assert entry_process.caller_connections(settings) == allowed
