Bound the handshakes in progress at the ports for peers

Each connection without a handshake kept a descriptor and two buffers for 3 s, and nothing bounded their number. Over max_handshakes, a setting of entries and sidecars, the oldest is now closed: a peer that holds the key completes its own within milliseconds.

--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -60,8 +60,8 @@
 from bulrushdrum._internal.world.upstreams import UpstreamState
 
 MAX_OPERATOR_CONNECTIONS = 100
-# Files, the store, and peers.
-_OTHER_DESCRIPTORS = 600
+# Files, the store, and authenticated peers.
+_OTHER_DESCRIPTORS = 400
 _DRAIN_POLL_SECONDS = 0.05
 _LOG_FLUSH_INTERVAL_SECONDS = 1.0
 # Callers that keep connections open are refused for at least this long. A connection
@@ -156,6 +156,7 @@
             keys,
             self._hub.serve,
             self._log_refused_peer,
+            settings.max_handshakes,
         )
         caller_app = CallerApp(self._frontend, settings)
         limits = RequestLimits(
@@ -232,6 +233,7 @@
             "frontend": self._frontend.dump(),
             "callers": self._caller_http.dump(),
             "operators": self._operator_http.dump(),
+            "peer_server": self._peer_server.dump(),
             "membership": self._membership.dump(),
             "configuration": self._replica.dump(),
             "permits": self._permits.dump(),
@@ -328,7 +330,7 @@
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if descriptors == resource.RLIM_INFINITY:
         return settings.max_connections
-    others = _OTHER_DESCRIPTORS + MAX_OPERATOR_CONNECTIONS
+    others = _OTHER_DESCRIPTORS + MAX_OPERATOR_CONNECTIONS + settings.max_handshakes
     # A very low limit is shared between callers and all others.
     allowed = max(descriptors - others, descriptors // 4)
     return min(settings.max_connections, allowed)
--- a/src/bulrushdrum/_internal/peering/connections.py
+++ b/src/bulrushdrum/_internal/peering/connections.py
@@ -10,10 +10,12 @@
 
 import gevent
 from gevent import socket
-from gevent.event import Event
+from gevent.event import Event as Signal
 from gevent.server import StreamServer
 
 from bulrushdrum._internal.event_loop import run_other_tasks_if_due
+from bulrushdrum._internal.observability.events import Event
+from bulrushdrum._internal.observability.refusal_log import RefusalLog
 from bulrushdrum._internal.peering.codec import decode, encode
 from bulrushdrum._internal.peering.errors import (
     ConnectionLost,
@@ -40,6 +42,7 @@
 # Bounds the memory used for a peer that has stopped reading.
 MAX_QUEUED_MESSAGES = 20_000
 HANDSHAKE_TIMEOUT_SECONDS = 3.0
+MAX_HANDSHAKES = 200
 WRITE_TIMEOUT_SECONDS = 10.0
 # Other tasks may run after each part of a frame.
 _PART_BYTES = 256 * 1024
@@ -191,7 +194,7 @@
         self._stream = stream
         self._peer = peer
         self._queue = []
-        self._queue_filled = Event()
+        self._queue_filled = Signal()
         self._closed = False
         self._finishing = False
         self._sent_bytes = 0
@@ -316,14 +319,27 @@
 
     `on_connect(connection)` is called after the handshake and must return only when the
     connection has ended. `on_refused(address, error)` is called when the handshake with
-    a peer fails.
+    a peer fails. While over `max_handshakes` are in progress, the oldest are closed: a
+    peer that holds the key completes its own within milliseconds.
     """
 
-    def __init__(self, address, local_identity, keys, on_connect, on_refused):
+    def __init__(
+        self,
+        address,
+        local_identity,
+        keys,
+        on_connect,
+        on_refused,
+        max_handshakes=MAX_HANDSHAKES,
+    ):
         self._local_identity = local_identity
         self._keys = keys
         self._on_connect = on_connect
         self._on_refused = on_refused
+        self._max_handshakes = max_handshakes
+        # Ordered by when they were accepted.
+        self._handshakes: dict[socket.socket, None] = {}
+        self._closed_handshakes = RefusalLog(Event.PEER_HANDSHAKES_CLOSED)
         self._server = StreamServer(parse_address(address), self._accept)
 
     def start(self):
@@ -333,12 +349,34 @@
     def stop(self):
         self._server.close()
 
+    def dump(self) -> dict:
+        return {
+            "handshakes": len(self._handshakes),
+            "closed": self._closed_handshakes.dump(),
+        }
+
     def _accept(self, sock, remote):
+        self._handshakes[sock] = None
+        if len(self._handshakes) > self._max_handshakes:
+            self._close_oldest_handshake()
         try:
             connection = _authenticate(
                 sock, accept_handshake, self._local_identity, self._keys
             )
         except PeeringError as error:
-            self._on_refused(f"{remote[0]}:{remote[1]}", error)
+            # Closed handshakes are counted, and would fill the log one by one.
+            if sock in self._handshakes:
+                self._on_refused(f"{remote[0]}:{remote[1]}", error)
             return
+        finally:
+            self._handshakes.pop(sock, None)
         self._on_connect(connection)
+
+    def _close_oldest_handshake(self):
+        oldest = next(iter(self._handshakes))
+        del self._handshakes[oldest]
+        self._closed_handshakes.add("handshakes")
+        try:
+            oldest.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # the peer has disconnected
--- a/src/bulrushdrum/_internal/settings/entry.py
+++ b/src/bulrushdrum/_internal/settings/entry.py
@@ -104,6 +104,9 @@
     max_prompt_tokens: int = setting(32_768, unit="tokens", low=1, high=1_000_000)
     max_answer_tokens: int = setting(8_192, unit="tokens", low=1, high=1_000_000)
     max_connections: int = setting(2_000, low=1, high=100_000)
+    max_handshakes: int = setting(
+        200, low=10, high=100_000, help="connections of peers not yet authenticated"
+    )
     max_running: int = setting(
         500, low=1, high=100_000, help="requests in progress and waiting at this entry"
     )
--- a/src/bulrushdrum/_internal/settings/sidecar.py
+++ b/src/bulrushdrum/_internal/settings/sidecar.py
@@ -148,6 +148,9 @@
         low=65_536,
         high=1024 * 1024 * 1024,
     )
+    max_handshakes: int = setting(
+        200, low=10, high=100_000, help="connections of peers not yet authenticated"
+    )
     next_hop_idle: float = setting(
         60.0,
         unit="s",
--- a/src/bulrushdrum/_internal/sidecar/process.py
+++ b/src/bulrushdrum/_internal/sidecar/process.py
@@ -110,7 +110,12 @@
         self._silent_since = {}
         self._drain_requested = GeventEvent()
         self._server = PeerServer(
-            settings.listen, self._local, keys, self._hub.serve, self._log_refused_peer
+            settings.listen,
+            self._local,
+            keys,
+            self._hub.serve,
+            self._log_refused_peer,
+            settings.max_handshakes,
         )
         self._hub.on_connected(self._send_status_to_entry)
         self._status.on_changed(self._publish_status)
@@ -162,6 +167,7 @@
             "state": lambda: self._status.state.value,
             "engine": lambda: self._status.engine and self._status.engine._asdict(),
             "peers": self._heartbeats.dump,
+            "peer_server": lambda: self._server.dump(),
             "stages": self._stages.dump,
             "calls": self._service_calls.dump,
             "orders": self._orders.dump,
--- a/tests/unit/test_receiving.py
+++ b/tests/unit/test_receiving.py
@@ -224,7 +224,7 @@
     monkeypatch, descriptors, allowed
 ):
     # Guards against callers that keep an entry from the table and from its peers.
-    settings = SimpleNamespace(max_connections=2_000)
+    settings = SimpleNamespace(max_connections=2_000, max_handshakes=200)
     limits = (descriptors, descriptors)
     monkeypatch.setattr(entry_process.resource, "getrlimit", lambda _: limits)
     assert entry_process.caller_connections(settings) == allowed
