--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -1,8 +1,11 @@
 """HTTP API for callers and readiness checks for the platform's load balancer."""
 
+import io
 import json
 import os
 import time
+from http import HTTPStatus
+from http.client import HTTPException
 
 import bottle
 import gevent
@@ -17,15 +20,30 @@
     server_sent_events,
 )
 from bulrushdrum._internal.caller.errors import CallerError, to_caller_error
+from bulrushdrum._internal.caller.receiving import (
+    BodyBudget,
+    BoundedInput,
+    CallerStream,
+    ConnectionTable,
+    HeaderLines,
+    RequestLimits,
+    RequestRefused,
+    read_body,
+)
 from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.event_loop import run_other_tasks_if_due
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.observability.refusal_log import RefusalLog
 from bulrushdrum._internal.settings.entry import EntrySettings
 from bulrushdrum._internal.world.addresses import parse_address
 
-# Also the timeout of a write, after which a caller that does not read is disconnected.
-REQUEST_READ_TIMEOUT_SECONDS = 30.0
+# A caller that does not read its response is disconnected after this time.
+WRITE_TIMEOUT_SECONDS = 30.0
+# After a refusal, what its caller still sends is discarded within these bounds.
+MAX_DISCARDED_BYTES = 1_048_576
+DISCARD_SECONDS = 2.0
 _FINISH_POLL_SECONDS = 0.02
+_BODIES_AT_ONCE = 32
 _HOP_BY_HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "te", "upgrade", "content-length"}
 )
@@ -51,30 +69,110 @@
 
 
 class _Handler(WSGIHandler):
-    """Closes connections whose request line or headers are slow or too large.
+    """Receives requests within the limits of its server.
 
     `is_idle` is true between requests, until the head of the next one has arrived.
     """
 
-    MAX_REQUEST_LINE = 8192
-
     is_idle = True
+    # A caller that does not read its response is no error of this process.
+    ignored_socket_errors = (*WSGIHandler.ignored_socket_errors, "timed out")
+
+    def __init__(self, sock, address, server):
+        self._table = server.connections
+        self._stream = CallerStream(
+            sock, server.limits, lambda: self._table.set_receiving(self)
+        )
+        super().__init__(sock, address, server, io.BufferedReader(self._stream))
 
     def handle(self):
         # pywsgi writes headers and body separately. With Nagle's algorithm, the body
         # would wait for the client's delayed ACK: 44 ms on a keep-alive connection.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.server.connections.add(self)
+        self.socket.settimeout(WRITE_TIMEOUT_SECONDS)
+        self._table.set_receiving(self)
+        self.server.close_excess()
         try:
             super().handle()
         finally:
-            self.server.connections.discard(self)
+            self._table.remove(self)
 
     def handle_one_request(self):
+        self._stream.begin_request()
+        self.wsgi_input = None
         try:
-            return super().handle_one_request()
+            result = super().handle_one_request()
         finally:
             self.is_idle = True
+        if self.wsgi_input and self.wsgi_input.refusal_code:
+            self.server.refusals.add(self.wsgi_input.refusal_code)
+            self._discard_late_bytes()
+            return None
+        if isinstance(result, tuple):
+            if result[0] == "414":
+                self.server.refusals.add("request_too_large")
+            if self._send_refusal(result[1]):
+                self._discard_late_bytes()
+            return None
+        if result is not None:
+            self._table.set_idle(self)
+        return result
+
+    def _send_refusal(self, response):
+        try:
+            self.socket.sendall(response)
+        except OSError:
+            return False  # the caller has disconnected
+        return True
+
+    def _discard_late_bytes(self):
+        """Let the caller read the response although it may still be sending.
+
+        Closing a socket with unread bytes resets the connection, and the caller may
+        lose the response.
+        """
+        deadline = time.monotonic() + DISCARD_SECONDS
+        discarded = 0
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while discarded < MAX_DISCARDED_BYTES:
+                run_other_tasks_if_due()
+                self.socket.settimeout(max(deadline - time.monotonic(), 0.001))
+                received = len(self.socket.recv(16_384))
+                if not received:
+                    return
+                discarded += received
+        except OSError:
+            pass  # late, or the caller has disconnected
+
+    def _handle_client_error(self, error):
+        match error:
+            case RequestRefused():
+                refused = error
+            case TimeoutError():
+                refused = RequestRefused("request_timeout", "the request was too slow")
+            case HTTPException():
+                message = f"too many header fields: {error}"
+                refused = RequestRefused("request_too_large", message)
+            case OSError():
+                return None  # the caller has disconnected
+            case ValueError():
+                refused = RequestRefused("invalid_request", f"not HTTP: {error}"[:200])
+            case _:
+                return super()._handle_client_error(error)
+        self.server.refusals.add(refused.code)
+        response = CallerError(refused.code, str(refused))
+        body = json.dumps({"error": response.body()}).encode()
+        status = f"{response.status} {HTTPStatus(response.status).phrase}"
+        head = (
+            f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        return status, head.encode() + body
+
+    def MessageClass(self, reader, *_):  # noqa: N802  (a name of pywsgi)
+        lines = HeaderLines(reader, self.server.limits.header_bytes)
+        return super().MessageClass(lines)
 
     def close_if_idle(self):
         """Close the connection unless a request has arrived or is arriving."""
@@ -83,12 +181,19 @@
         try:
             self.socket._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            self.socket.shutdown(socket.SHUT_RDWR)
+            self.close()
         except OSError:
             pass  # the handler reads the error and ends
 
+    def close(self):
+        """End the connection; its handler reads the end and returns."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # the caller has disconnected
+
     def finalize_headers(self):
-        if self.server.is_draining:
+        if self.server.is_draining or self.wsgi_input.refusal_code:
             # The caller sends its next request elsewhere, and not on a connection
             # that is about to be closed.
             self.close_connection = True
@@ -103,12 +208,17 @@
         run_other_tasks_if_due()
         environ = super().get_environ()
         environ[IS_CALLER_CONNECTED] = lambda: is_connected(self.socket)
+        environ["wsgi.input"] = self.wsgi_input = BoundedInput(
+            self.wsgi_input,
+            self.socket,
+            self.server.limits,
+            self.server.budget,
+            on_received=lambda: self._table.set_running(self),
+        )
+        if self.wsgi_input.is_empty:
+            self._table.set_running(self)
         return environ
 
-    def read_requestline(self):
-        self.socket.settimeout(REQUEST_READ_TIMEOUT_SECONDS)
-        return super().read_requestline()
-
     def log_request(self):
         pass  # RecordReplicator stores a record of each request
 
@@ -119,10 +229,39 @@
     While `is_draining`, each response asks its caller to close the connection.
     """
 
-    def __init__(self, *arguments, **options):
-        super().__init__(*arguments, **options)
+    def __init__(self, address, app, max_connections, limits, budget):
+        super().__init__(
+            address,
+            app,
+            log=None,
+            error_log=None,
+            handler_class=_Handler,
+            # `connections` keeps the limit: a full pool would leave new callers unread
+            # in the listener's queue, behind connections that send nothing.
+            spawn=Pool(),
+        )
         self.is_draining = False
-        self.connections: set[_Handler] = set()
+        self.connections = ConnectionTable(max_connections)
+        self.limits = limits
+        self.budget = budget
+        self.refusals = RefusalLog(Event.CALLER_REQUEST_REFUSED)
+        self.closed_connections = RefusalLog(Event.CALLER_CONNECTION_CLOSED)
+
+    def dump(self) -> dict:
+        return {
+            "connections": len(self.connections),
+            "receiving_bytes": self.budget.total,
+            "refused": self.refusals.dump(),
+            "closed": self.closed_connections.dump(),
+        }
+
+    def close_excess(self):
+        """Close a connection if there are more than allowed."""
+        excess = self.connections.excess()
+        if excess is not None:
+            self.connections.remove(excess)
+            self.closed_connections.add("connections")
+            excess.close()
 
     def finish(self, deadline: float):
         """Stop accepting, and answer the requests whose head has arrived.
@@ -132,28 +271,29 @@
         """
         self.is_draining = True
         # Connections that still wait in the listener's queue would be reset.
-        while not self.full() and (accepted := self.do_read()):
+        while accepted := self.do_read():
             self.do_handle(*accepted)
         self.close()
         # Accepted connections are registered once their greenlets run.
         gevent.sleep(0)
-        while self.connections and time.monotonic() < deadline:
-            for connection in list(self.connections):
+        while len(self.connections) and time.monotonic() < deadline:
+            for connection in self.connections:
                 connection.close_if_idle()
             gevent.sleep(_FINISH_POLL_SECONDS)
         self.pool.kill(block=True, timeout=1)
 
 
-def make_server(app, address: str, max_connections: int) -> HttpServer:
-    """Return an HTTP server for `app` that limits its concurrent connections."""
-    return HttpServer(
-        parse_address(address),
-        app,
-        log=None,
-        error_log=None,
-        handler_class=_Handler,
-        spawn=Pool(max_connections),
-    )
+def make_server(
+    app,
+    address: str,
+    max_connections: int,
+    limits: RequestLimits | None = None,
+    budget: BodyBudget | None = None,
+) -> HttpServer:
+    """Return an HTTP server for `app` that limits its connections and requests."""
+    limits = limits or RequestLimits()
+    budget = budget or BodyBudget(_BODIES_AT_ONCE * limits.body_bytes)
+    return HttpServer(parse_address(address), app, max_connections, limits, budget)
 
 
 def error_response(error: CallerError, request_id: str = "") -> bottle.HTTPResponse:
@@ -181,27 +321,6 @@
         raise CallerError("invalid_request", message) from error
 
 
-def read_body(limit: int) -> bytes:
-    """Return the body of the current request; raises `CallerError` over the limit."""
-    request = bottle.request
-    if request.content_length > limit:
-        raise CallerError(
-            "request_too_large",
-            f"the body has {request.content_length} bytes, the limit is {limit}",
-        )
-    try:
-        data = request.environ["wsgi.input"].read(limit + 1)
-    except OSError as error:
-        message = f"the body was cut off: {error}"
-        raise CallerError("invalid_request", message) from error
-    if len(data) > limit:
-        message = f"the body is over the limit of {limit} bytes"
-        raise CallerError("request_too_large", message)
-    if 0 <= request.content_length > len(data):
-        raise CallerError("invalid_request", "the body is shorter than announced")
-    return data
-
-
 class CallerApp:
     """WSGI application for callers; requests are run by `frontend`."""
 
@@ -292,7 +411,7 @@
 
     def _chat_completion(self):
         contract = self._contract()
-        raw_body = read_body(self._settings.max_body_bytes)
+        raw_body = read_body(bottle.request, self._settings.max_body_bytes)
         key = parse_idempotency_key(read_header("Idempotency-Key"))
         parsed = parse_chat_request(raw_body, key, contract, self._settings)
         is_caller_connected = bottle.request.environ[IS_CALLER_CONNECTED]
@@ -331,7 +450,7 @@
 
     def _issue_key(self):
         contract = self._contract()
-        raw_body = read_body(self._settings.max_body_bytes)
+        raw_body = read_body(bottle.request, self._settings.max_body_bytes)
         try:
             body = json.loads(raw_body)
             service = body["service"]
@@ -356,7 +475,7 @@
             request.method,
             f"/{path}{query}",
             headers,
-            read_body(self._settings.max_body_bytes),
+            read_body(bottle.request, self._settings.max_body_bytes),
             parse_idempotency_key(read_header("Idempotency-Key")),
             request.environ[IS_CALLER_CONNECTED],
         )
--- a/src/bulrushdrum/_internal/caller/operators.py
+++ b/src/bulrushdrum/_internal/caller/operators.py
@@ -8,6 +8,7 @@
 
 import bottle
 
+from bulrushdrum._internal.caller.receiving import RequestRefused, read_body
 from bulrushdrum._internal.configuration.edits import ConfigurationEditor
 from bulrushdrum._internal.configuration.errors import (
     EditConflict,
@@ -29,6 +30,7 @@
     "not_found": 404,
     "method_not_allowed": 405,
     "conflict": 409,
+    "request_timeout": 408,
     "request_too_large": 413,
     "invalid": 400,
     "busy": 503,
@@ -40,6 +42,8 @@
     "internal_error": 500,
 }
 
+_CODE_BY_REFUSAL = {"invalid_request": "invalid", "overloaded": "busy"}
+
 
 class OperatorServices(NamedTuple):
     """Dependencies of the operator routes.
@@ -80,6 +84,9 @@
     match error:
         case OperatorError():
             return error
+        case RequestRefused():
+            code = _CODE_BY_REFUSAL.get(error.code, error.code)
+            return OperatorError(code, str(error))
         case EditConflict():
             return OperatorError(
                 "conflict", str(error), value=error.value, revision=error.revision
@@ -263,21 +270,7 @@
 
 
 def _read_json_body() -> dict[str, Any]:
-    length = bottle.request.content_length
-    if length > MAX_BODY_BYTES:
-        raise OperatorError(
-            "request_too_large", f"the body is over the limit of {MAX_BODY_BYTES} bytes"
-        )
-    try:
-        data = bottle.request.environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
-    except OSError as error:
-        raise OperatorError("invalid", f"the body was cut off: {error}") from error
-    if len(data) > MAX_BODY_BYTES:
-        raise OperatorError(
-            "request_too_large", f"the body is over the limit of {MAX_BODY_BYTES} bytes"
-        )
-    if 0 <= length > len(data):
-        raise OperatorError("invalid", "the body is shorter than announced")
+    data = read_body(bottle.request, MAX_BODY_BYTES)
     try:
         body = json.loads(data)
     except (ValueError, RecursionError) as error:
--- a/src/bulrushdrum/_internal/entry_process.py
+++ b/src/bulrushdrum/_internal/entry_process.py
@@ -1,6 +1,7 @@
 """The entry process: builds its components from the settings, serves and drains."""
 
 import json
+import resource
 import secrets
 import signal
 import sys
@@ -11,12 +12,13 @@
 from gevent.event import Event as Signal
 
 from bulrushdrum._internal.caller.frontend import Frontend
-from bulrushdrum._internal.caller.http import (
-    REQUEST_READ_TIMEOUT_SECONDS,
-    CallerApp,
-    make_server,
+from bulrushdrum._internal.caller.http import CallerApp, make_server
+from bulrushdrum._internal.caller.operators import (
+    MAX_BODY_BYTES,
+    OperatorApp,
+    OperatorServices,
 )
-from bulrushdrum._internal.caller.operators import OperatorApp, OperatorServices
+from bulrushdrum._internal.caller.receiving import BodyBudget, RequestLimits
 from bulrushdrum._internal.configuration.edits import ConfigurationEditor
 from bulrushdrum._internal.configuration.order_leases import OrderLeases
 from bulrushdrum._internal.configuration.replica import ConfigurationReplica
@@ -58,6 +60,8 @@
 from bulrushdrum._internal.world.upstreams import UpstreamState
 
 MAX_OPERATOR_CONNECTIONS = 100
+# Files, the store, and authenticated peers.
+_OTHER_DESCRIPTORS = 400
 _DRAIN_POLL_SECONDS = 0.05
 _LOG_FLUSH_INTERVAL_SECONDS = 1.0
 # Callers that keep connections open are refused for at least this long. A connection
@@ -147,11 +151,26 @@
             self._membership.check_clock,
         )
         self._peer_server = PeerServer(
-            settings.listen, identity, keys, self._hub.serve, self._log_refused_peer
+            settings.listen,
+            identity,
+            keys,
+            self._hub.serve,
+            self._log_refused_peer,
+            settings.max_handshakes,
         )
         caller_app = CallerApp(self._frontend, settings)
+        limits = RequestLimits(
+            settings.max_header_bytes,
+            settings.max_body_bytes,
+            settings.request_read_timeout,
+        )
+        budget = BodyBudget(settings.max_receiving_bytes)
         self._caller_http = make_server(
-            caller_app.wsgi, settings.http_listen, settings.max_connections
+            caller_app.wsgi,
+            settings.http_listen,
+            caller_connections(settings),
+            limits,
+            budget,
         )
         self._order_leases = OrderLeases(self._hub, table, self._replica)
         self._membership.on_describe = self._order_leases.observe_describe
@@ -167,7 +186,11 @@
             settings.operator_key,
         )
         self._operator_http = make_server(
-            operator_app.wsgi, settings.operator_listen, MAX_OPERATOR_CONNECTIONS
+            operator_app.wsgi,
+            settings.operator_listen,
+            MAX_OPERATOR_CONNECTIONS,
+            limits._replace(body_bytes=MAX_BODY_BYTES),
+            budget,
         )
         self._membership.heartbeat_fields = lambda: (
             self._replica.revision,
@@ -208,6 +231,9 @@
             "incarnation": self._hub.local_identity.incarnation,
             "data_centre": self._settings.data_centre,
             "frontend": self._frontend.dump(),
+            "callers": self._caller_http.dump(),
+            "operators": self._operator_http.dump(),
+            "peer_server": self._peer_server.dump(),
             "membership": self._membership.dump(),
             "configuration": self._replica.dump(),
             "permits": self._permits.dump(),
@@ -296,6 +322,20 @@
             flush_and_log_omitted()
 
 
+def caller_connections(settings: EntrySettings) -> int:
+    """Return how many connections of callers the open-files limit leaves room for.
+
+    Over that limit the entry could not reach the store or its peers either.
+    """
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return settings.max_connections
+    others = _OTHER_DESCRIPTORS + MAX_OPERATOR_CONNECTIONS + settings.max_handshakes
+    # A very low limit is shared between callers and all others.
+    allowed = max(descriptors - others, descriptors // 4)
+    return min(settings.max_connections, allowed)
+
+
 def longest_request_seconds(settings: EntrySettings) -> float:
     """Return the longest time from the arrival of a request to the end of its answer.
 
@@ -307,7 +347,7 @@
         settings.queue_timeout
         + max(settings.request_timeout + settings.open_timeout, call)
         + _STORE_CALLS_PER_REQUEST * settings.store_timeout
-        + REQUEST_READ_TIMEOUT_SECONDS
+        + settings.request_read_timeout
     )
 
 
