Tell closed connections of entries and of routers apart in the log

The tests of cut error responses send many errors in a row to one engine, at which no path would begin any more; they now record another success between two of them.

--- a/src/bulrushdrum/_internal/caller/http.py
+++ b/src/bulrushdrum/_internal/caller/http.py
@@ -245,7 +245,7 @@
         self.limits = limits
         self.budget = budget
         self.refusals = RefusalLog(Event.CALLER_REQUEST_REFUSED)
-        self.closed_connections = RefusalLog(Event.CALLER_CONNECTION_CLOSED)
+        self.closed_connections = RefusalLog(Event.ENTRY_CONNECTION_CLOSED)
 
     def dump(self) -> dict:
         return {
--- a/tests/integration/test_abusive_entry_callers.py
+++ b/tests/integration/test_abusive_entry_callers.py
@@ -9,16 +9,16 @@
 
 import gevent
 import pytest
-from abusive_callers import (
+from bench.cluster import Cluster
+from bench.launch import OPERATOR_KEY, PEER_KEYS
+from bench.topology import EngineSpec, EntrySpec, Topology
+from tests.integration.abusive_entry_callers import (
     BODY_BYTES,
     HEADER_BYTES,
     Load,
     Measured,
     http_loads,
 )
-from bench.cluster import Cluster
-from bench.launch import OPERATOR_KEY, PEER_KEYS
-from bench.topology import EngineSpec, EntrySpec, Topology
 
 from bulrushdrum._internal.peering.codec import encode
 from bulrushdrum._internal.peering.connections import dial
--- a/tests/unit/test_unframed_responses.py
+++ b/tests/unit/test_unframed_responses.py
@@ -88,6 +88,8 @@
 
     def call(self, data, end, request=REQUEST):
         self.data, self.end = data, end
+        # The path begins at the first engine again, whatever it answered before.
+        self.gateway.record_other_success("one")
         self.second.requests.clear()
         return self.gateway.call(request)
 
@@ -295,6 +297,8 @@
 
     def call(self, data, end, request=REQUEST):
         self.data, self.end = data, end
+        # The path begins at the first engine again, whatever it answered before.
+        self.gateway.record_other_success("one")
         self.second.requests.clear()
         return self.gateway.call(request)
 
