--- a/src/bulrushdrum/_internal/conditions/upstream_conditions.py
+++ b/src/bulrushdrum/_internal/conditions/upstream_conditions.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Iterable
+from enum import StrEnum
 from typing import NamedTuple
 
 from bulrushdrum._internal.conditions.claim_set import ClaimSet
@@ -24,6 +25,16 @@
 _FAILING_THRESHOLD = 3
 
 
+class Failure(StrEnum):
+    """Why an upstream is left out of the placement."""
+
+    UNRESPONSIVE = "unresponsive"
+    # By several claims of this router and its peers in a row.
+    CLAIMED = "claimed"
+    # By several failed requests of this router in a row.
+    REPEATED = "repeated failures"
+
+
 class _Backoff(NamedTuple):
     until: float
     failures: int
@@ -150,16 +161,16 @@
         now = self._clock()
         return [name for name, until in self._unresponsive.items() if until > now]
 
-    def is_failing(self, upstream_id: str, born: int) -> bool:
-        """Whether an incarnation is too unhealthy for the placement."""
+    def failure(self, upstream_id: str, born: int) -> Failure | None:
+        """Return why an incarnation is too unhealthy for the placement, or None."""
         if self.is_unresponsive(upstream_id):
-            return True
+            return Failure.UNRESPONSIVE
         if self.claims.failures(upstream_id, born) >= _FAILING_THRESHOLD:
-            return True
+            return Failure.CLAIMED
         backoff = self._backoffs.get(upstream_id)
         if backoff is None or backoff.failures < _FAILING_THRESHOLD:
-            return False
-        return backoff.until > self._clock()
+            return None
+        return Failure.REPEATED if backoff.until > self._clock() else None
 
     def is_avoided(self, upstream_id: str, born: int) -> bool:
         backoff = self._backoffs.get(upstream_id)
--- a/src/bulrushdrum/_internal/coordination/placement_controller.py
+++ b/src/bulrushdrum/_internal/coordination/placement_controller.py
@@ -24,6 +24,7 @@
     LayerCoverage,
     choose_layers,
     choose_reassignments,
+    count_missing_layers,
     placement_order,
     token_capacity,
     token_capacity_by_data_centre,
@@ -87,12 +88,20 @@
         self._added_at: dict[str, float] = {}
         # What was last logged as unusable, by service.
         self._unusable: dict[str, frozenset] = {}
+        # What was last logged of missing layers, by service.
+        self._missing: dict[str, dict] = {}
+        self._has_led = False
 
     def run(self):
         while True:
             gevent.sleep(_CHECK_INTERVAL_SECONDS)
-            if not self._is_leader():
+            is_leader = self._is_leader()
+            if is_leader != self._has_led:
+                self._has_led = is_leader
+                log_event(Event.LEADER_CHANGED, leads=is_leader)
+            if not is_leader:
                 self._pending_orders.clear()
+                self._missing.clear()
                 continue
             for service in self._services():
                 if service.engine is not None:
@@ -110,7 +119,9 @@
             and not self._fleet.is_failing(engine.id)
             and model.can_use(engine)
         ]
-        if not self._have_registrations_settled(service.name, engines):
+        have_settled = self._have_registrations_settled(service.name, engines)
+        self._log_missing_layers(service.name, model, registered, engines, have_settled)
+        if not have_settled:
             return
         now = time.monotonic()
         self._prune_pending_orders(engines, now)
@@ -168,6 +179,27 @@
             )
         self._unusable[service] = frozenset(unusable)
 
+    def _log_missing_layers(self, service, model, registered, engines, have_settled):
+        """Log which layers are missing when that changes, and what may explain it."""
+        missing = count_missing_layers(model, engines)
+        if missing == self._missing.get(service, {}):
+            return
+        self._missing[service] = missing
+        used = {engine.id for engine in engines}
+        left_out = {
+            e.id: self._fleet.failure(e.id) or e.state.value
+            for e in registered
+            if e.id not in used
+        }
+        log_event(
+            Event.LAYERS_MISSING,
+            service=service,
+            missing=missing,
+            left_out=left_out,
+            loading=sorted(self._pending_orders),
+            settling=not have_settled,
+        )
+
     def _is_stable(self, service, now):
         """Whether the fleet has been unchanged long enough to rebalance layers."""
         return (
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -15,7 +15,10 @@
 from typing import NamedTuple
 
 from bulrushdrum._internal.conditions.claim_set import ClaimSet
-from bulrushdrum._internal.conditions.upstream_conditions import UpstreamConditions
+from bulrushdrum._internal.conditions.upstream_conditions import (
+    Failure,
+    UpstreamConditions,
+)
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.world.engines import PoolUpstream
 from bulrushdrum._internal.world.upstreams import LayerRange, UpstreamState
@@ -316,10 +319,16 @@
     def is_unresponsive(self, upstream_id: str) -> bool:
         return self.conditions.is_unresponsive(upstream_id)
 
+    def failure(self, upstream_id: str) -> Failure | None:
+        """Return why an upstream is left out of the placement, or None."""
+        known = self._upstreams.get(upstream_id)
+        if known is None:
+            return None
+        return self.conditions.failure(upstream_id, known.born)
+
     def is_failing(self, upstream_id: str) -> bool:
         """Whether an upstream is unhealthy enough to be left out of the placement."""
-        known = self._upstreams.get(upstream_id)
-        return known is not None and self.conditions.is_failing(upstream_id, known.born)
+        return self.failure(upstream_id) is not None
 
     def unresponsive_ids(self) -> list[str]:
         return self.conditions.unresponsive_ids()
--- a/src/bulrushdrum/_internal/pipelines/placement.py
+++ b/src/bulrushdrum/_internal/pipelines/placement.py
@@ -282,6 +282,22 @@
     return assignments or rebalanced
 
 
+def count_missing_layers(
+    model: EngineModel, engines: list[PoolUpstream]
+) -> dict[str, int]:
+    """Return how many layers are missing in each data centre group that lacks any.
+
+    A group is named by its data centres.
+    """
+    counts = {}
+    for group in group_data_centres(model, engines, token_capacity):
+        holding = [engine for engine in group.engines if engine.layers is not None]
+        missing = _missing_layers(model, holding)
+        if missing:
+            counts["+".join(sorted(group.data_centres))] = len(missing)
+    return counts
+
+
 def _has_bottleneck(
     model: EngineModel, engines: list[PoolUpstream], tokens: float
 ) -> bool:
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -17,6 +17,7 @@
     served_others,
 )
 from bulrushdrum._internal.coordination.table_follower import TableFollower
+from bulrushdrum._internal.observability.events import Event as EventNumber
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import Hop, MemoryReservations
@@ -514,6 +515,27 @@
     assert fleet.get("e").layers is not None
 
 
+def test_missing_layers_are_logged_with_the_engines_that_do_not_count(monkeypatch):
+    # Guards against orders whose cause no log line tells: whether engines are gone, or
+    # only held for unusable by this router.
+    logged = []
+    monkeypatch.setattr(
+        "bulrushdrum._internal.coordination.placement_controller.log_event",
+        lambda event, **fields: logged.append((event, fields)),
+    )
+    fleet = Fleet()
+    fleet.put(make_engine("e1", kind="large", layers=(0, 20), address="10.0.0.1:1"))
+    fleet.put(make_engine("e2", kind="large", layers=(20, 40), address="10.0.0.2:1"))
+    fleet.mark_unresponsive("e2")
+    run_placement(0.5, fleet, FakeEngines(fleet))
+    assert logged[0] == (EventNumber.LEADER_CHANGED, {"leads": True})
+    event, fields = logged[1]
+    assert event is EventNumber.LAYERS_MISSING
+    assert fields["missing"] == {"a": 20}
+    assert fields["left_out"] == {"e2": "unresponsive"}
+    assert fields["settling"]
+
+
 def test_router_that_is_not_leader_sends_no_orders():
     fleet = Fleet()
     fleet.put(make_engine("e"))
