--- /dev/null
+++ b/tests/regressions/test_orders_cut_running_streams.py
@@ -0,0 +1,97 @@
+"""The leader orders layers only away from engines whose loss is confirmed.
+
+Found in the second incident around SIGTERM (docs/incidents): routers that found engines
+silent under load left them out of the placement, and the next leader ordered the
+engines beside them to hold their layers, which ended the streams over these.
+"""
+
+import gevent
+import pytest
+from tests.unit.pool_fakes import make_engine, make_model
+
+from bulrushdrum._internal.conditions.claims import Matter
+from bulrushdrum._internal.coordination.placement_controller import PlacementController
+from bulrushdrum._internal.pipelines.fleet import Fleet
+from bulrushdrum._internal.platform.engine_calls import EngineReport, OrderOutcome
+from bulrushdrum._internal.world.routes import Service
+
+# Longer than registrations settle, with some checks after it.
+_PLACEMENT_SECONDS = 1.8
+
+
+class RecordingEngines:
+    """Engines that accept all orders; those in `dark` do not answer reports."""
+
+    def __init__(self, fleet, dark=()):
+        self._fleet = fleet
+        self._dark = dark
+        self.orders = []
+
+    def order_layers(self, address, upstream_id, layers, expected_orders, urgent=False):
+        self.orders.append((upstream_id, layers))
+        return OrderOutcome.STARTED
+
+    def report(self, address):
+        upstream = self._fleet.find_by_address(address)
+        if upstream.id in self._dark:
+            return None
+        layers = upstream.layers
+        return EngineReport(1, False, 0, 0, 0, 0, 1.0, layers, frozenset())
+
+
+def make_fleet():
+    """Return a fleet in which one engine holds layers that no other one holds."""
+    fleet = Fleet()
+    for index, layers in enumerate([(0, 20), (0, 20), (20, 40)]):
+        engine = make_engine(f"e{index}", "large", layers=layers)
+        fleet.put(engine._replace(address=f"10.0.0.{index}:1"))
+    return fleet
+
+
+def mark_unresponsive(fleet):
+    fleet.mark_unresponsive("e2")
+
+
+def claim_repeatedly(fleet):
+    for _ in range(3):
+        claim = fleet.claims.make("e2", 1, Matter.UNRESPONSIVE, "another")
+        gevent.sleep(0 if claim.failures == 3 else claim.until - claim.made_at + 0.01)
+
+
+def fail_requests(fleet):
+    for _ in range(3):
+        fleet.record_failure("e2", seconds=0.01)
+        gevent.sleep(0.02)
+    fleet.record_failure("e2", seconds=5.0)
+
+
+def run_placement(fleet, engines):
+    service = Service("llm", 10, make_model(load_seconds=0.1))
+    controller = PlacementController(
+        fleet, engines, lambda: True, lambda: [service], lambda *update: None
+    )
+    greenlet = gevent.spawn(controller.run)
+    gevent.sleep(_PLACEMENT_SECONDS)
+    greenlet.kill()
+
+
+@pytest.mark.parametrize("fail", [mark_unresponsive, claim_repeatedly, fail_requests])
+def test_layers_of_an_engine_that_answers_are_not_ordered_elsewhere(fail):
+    # Guards against taking an engine that only failed requests for lost: its layers
+    # seem to be missing, and orders to the other engines end the streams over them.
+    fleet = make_fleet()
+    engines = RecordingEngines(fleet)
+    fail(fleet)
+    assert fleet.is_failing("e2")
+    run_placement(fleet, engines)
+    assert engines.orders == []
+
+
+def test_layers_of_an_engine_that_does_not_answer_are_ordered_elsewhere():
+    # Guards against waiting for the registration of a lost engine to expire.
+    fleet = make_fleet()
+    engines = RecordingEngines(fleet, dark={"e2"})
+    fleet.mark_unresponsive("e2")
+    run_placement(fleet, engines)
+    ((_, layers),) = engines.orders
+    assert layers.first <= 20 and layers.end == 40
