--- a/src/bulrushdrum/_internal/coordination/placement_controller.py
+++ b/src/bulrushdrum/_internal/coordination/placement_controller.py
@@ -5,6 +5,10 @@
 engine has accepted none; if an engine refuses an order because of the count, the
 controller queries it. An engine with a pending order counts as holding the ordered
 layers until its registration confirms them or the order expires.
+
+An engine that fails requests is not lost: it may be full, slow, or wait for another
+one. It is left out only if it does not answer the leader either, because the orders
+that replace its layers end the streams over the engines that receive them.
 """
 
 import time
@@ -51,11 +55,20 @@
 # With more concurrent orders, the last would time out while the router still encodes
 # the first.
 _MAX_CONCURRENT_ORDERS = 48
+# Interval at which engines that fail requests are asked whether they are lost.
+_FAILING_QUERY_SECONDS = 1.0
 # While an engine loads, only the layers that it retains are used, for this long: by
 # then its registration reports what it holds.
 _RETAINED_LAYERS_SECONDS = 5.0
 
 
+class _Answer(NamedTuple):
+    """Whether an incarnation answered when it was asked at a time of the clock."""
+
+    answered: bool
+    asked_at: float
+
+
 class _PendingOrder(NamedTuple):
     layers: LayerRange
     born: int
@@ -91,6 +104,8 @@
         # What was last logged of missing layers, by service.
         self._missing: dict[str, dict] = {}
         self._has_led = False
+        # The latest answers of engines that fail requests, by service and incarnation.
+        self._answers: dict[str, dict[tuple[str, int], _Answer]] = {}
 
     def run(self):
         while True:
@@ -112,13 +127,9 @@
         self._log_unusable(
             service.name, [e for e in registered if not model.can_use(e)]
         )
-        engines = [
-            engine
-            for engine in registered
-            if engine.is_serving
-            and not self._fleet.is_failing(engine.id)
-            and model.can_use(engine)
-        ]
+        serving = [e for e in registered if e.is_serving and model.can_use(e)]
+        lost = self._find_lost(service.name, serving)
+        engines = [engine for engine in serving if engine.id not in lost]
         have_settled = self._have_registrations_settled(service.name, engines)
         self._log_missing_layers(service.name, model, registered, engines, have_settled)
         if not have_settled:
@@ -164,6 +175,28 @@
             tasks.spawn(self._send_order, assignment)
         tasks.join()
 
+    def _find_lost(self, service, engines) -> set[str]:
+        """Return the engines that fail requests and do not answer this router."""
+        failing = [e for e in engines if self._fleet.is_failing(e.id)]
+        now = time.monotonic()
+        oldest = now - _FAILING_QUERY_SECONDS
+        known_answers = self._answers.get(service, {})
+        answers = {(e.id, e.born): known_answers.get((e.id, e.born)) for e in failing}
+        due = [
+            engine
+            for engine in failing
+            if (known := answers[engine.id, engine.born]) is None
+            or known.asked_at <= oldest
+        ]
+        reports = Pool(_MAX_CONCURRENT_ORDERS).map(
+            lambda engine: self._calls.report(engine.address), due
+        )
+        for engine, report in zip(due, reports, strict=True):
+            answered = report is not None and report.born in (None, engine.born)
+            answers[engine.id, engine.born] = _Answer(answered, now)
+        self._answers[service] = answers
+        return {e.id for e in failing if not answers[e.id, e.born].answered}
+
     def _log_unusable(self, service, engines):
         """Log the engines that cannot hold layers of the model, once each."""
         unusable = {(e.id, e.address, e.kind, e.layers) for e in engines}
--- a/src/bulrushdrum/_internal/platform/engine_calls.py
+++ b/src/bulrushdrum/_internal/platform/engine_calls.py
@@ -40,7 +40,8 @@
 
     `orders_accepted` counts the orders that it has accepted since its start. `stalled`
     holds the addresses of upstreams that requests of this engine wait for. `slowdown`
-    is above 1 for an engine that is slower than its accelerator kind.
+    is above 1 for an engine that is slower than its accelerator kind. `born` is when
+    the engine started, as in its registration, or None if it does not say.
     """
 
     orders_accepted: int
@@ -52,6 +53,7 @@
     slowdown: float
     layers: LayerRange | None
     stalled: frozenset[str]
+    born: int | None = None
 
 
 class EngineCalls:
@@ -119,6 +121,7 @@
                 stalled=frozenset(
                     str(entry["address"]) for entry in raw.get("stalled", ())
                 ),
+                born=None if raw.get("born") is None else int(raw["born"]),
             )
         except DECODING_ERRORS:
             return None
