--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -137,6 +137,9 @@
         # Set by the exchange of loans of retries.
         self.announced_retries: Callable[[], dict[str, int]] = dict
         self.apply_retries: Callable[[str, object], None] = _ignore
+        # Set by the placement of layers.
+        self.announced_orders: Callable[[], list] = list
+        self.apply_orders: Callable[[list, bool], None] = _ignore
         self._peers: dict[str, _Peer] = {}
         self._is_serving = False
         self._accepts_work = True
@@ -297,6 +300,7 @@
                 "lendable_retries": self.announced_retries(),
                 "leaving": list(self._fleet.leaving().items()),
                 "layers": [list(update) for update in self._layer_updates],
+                "orders": self.announced_orders(),
                 "uses": {
                     name: [
                         round(usage.token_layers),
@@ -370,6 +374,8 @@
                 # Releases without this field share no conditions.
                 self.apply_conditions(name, incarnation, raw.get("conditions", []))
                 self.apply_retries(name, raw.get("lendable_retries", {}))
+                # Releases without this field announce no orders.
+                self.apply_orders(raw.get("orders", []), is_leader)
             except DECODING_ERRORS as error:
                 log_event(Event.PEER_REFUSED, peer=str(address), reason=repr(error))
                 continue
--- a/src/bulrushdrum/_internal/coordination/placement_controller.py
+++ b/src/bulrushdrum/_internal/coordination/placement_controller.py
@@ -6,6 +6,8 @@
 controller queries it. An engine with a pending order counts as holding the ordered
 layers until its registration confirms them or the order expires.
 
+The orders in progress are announced, so that the next leader waits for them as well.
+
 An engine that fails requests is not lost: it may be full, slow, or wait for another
 one. It is left out only if it does not answer the leader either, because the orders
 that replace its layers end the streams over the engines that receive them.
@@ -55,6 +57,10 @@
 # With more concurrent orders, the last would time out while the router still encodes
 # the first.
 _MAX_CONCURRENT_ORDERS = 48
+# About 60 bytes each, so that announcements stay small. More than are sent at once.
+_MAX_ANNOUNCED_ORDERS = 128
+# No order takes longer, whatever another router says.
+_MAX_ORDER_SECONDS = 60.0
 # Interval at which engines that fail requests are asked whether they are lost.
 _FAILING_QUERY_SECONDS = 1.0
 # While an engine loads, only the layers that it retains are used, for this long: by
@@ -70,9 +76,12 @@
 
 
 class _PendingOrder(NamedTuple):
+    """An order that an engine has not confirmed; `is_own` if this router sent it."""
+
     layers: LayerRange
     born: int
     expires_at: float
+    is_own: bool = True
 
 
 def _retained_layers(held, target):
@@ -115,7 +124,7 @@
                 self._has_led = is_leader
                 log_event(Event.LEADER_CHANGED, leads=is_leader)
             if not is_leader:
-                self._pending_orders.clear()
+                self._prune_orders_of_followers()
                 self._missing.clear()
                 continue
             for service in self._services():
@@ -252,6 +261,43 @@
         self._known_ids[service] = ids
         return time.monotonic() - self._added_at[service] >= _SETTLE_SECONDS
 
+    def announced_orders(self) -> list[list]:
+        """Return the orders of this router that are not confirmed, for its peers."""
+        now = time.monotonic()
+        return [
+            [upstream_id, pending.born, *pending.layers, round(remaining, 2)]
+            for upstream_id, pending in self._pending_orders.items()
+            if pending.is_own and (remaining := pending.expires_at - now) > 0.0
+        ][:_MAX_ANNOUNCED_ORDERS]
+
+    def apply_announcement(self, raw: list, is_leading: bool):
+        """Take over the orders of a peer; raises `DECODING_ERRORS`.
+
+        The next leader must know them: an engine that loads layers seems to lack them,
+        and an order to another one would end the streams over it. The orders of a
+        leader replace those of earlier ones; a leader knows its own best.
+        """
+        now = time.monotonic()
+        orders = {}
+        for upstream_id, born, first, end, seconds in raw[:_MAX_ANNOUNCED_ORDERS]:
+            expires_at = now + min(max(float(seconds), 0.0), _MAX_ORDER_SECONDS)
+            layers = LayerRange(int(first), int(end))
+            orders[str(upstream_id)] = _PendingOrder(
+                layers, int(born), expires_at, is_own=False
+            )
+        if self._has_led:
+            return
+        if is_leading:
+            self._pending_orders = orders
+        else:
+            self._pending_orders = {**orders, **self._pending_orders}
+
+    def _prune_orders_of_followers(self):
+        """Forget the orders that are done, while another router leads."""
+        now = time.monotonic()
+        engines = map(self._fleet.get, self._pending_orders)
+        self._prune_pending_orders([e for e in engines if e is not None], now)
+
     def _prune_pending_orders(self, engines, now):
         by_id = {engine.id: engine for engine in engines}
         for upstream_id, pending in list(self._pending_orders.items()):
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -143,6 +143,8 @@
             self._services,
             self.announcements.announce_layers,
         )
+        self.announcements.announced_orders = self.placement.announced_orders
+        self.announcements.apply_orders = self.placement.apply_announcement
         self.retry_window = RetryWindow(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_seconds
         )
--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -419,6 +419,7 @@
         "store_contact": None,
         "conditions": CONDITIONS,
         "lendable_retries": {},
+        "orders": [],
     }
     expected = {**SAMPLES["announcement"], **added}
     assert json.loads(peer_socket.recv(65000)) == expected
--- a/tests/regressions/test_orders_cut_running_streams.py
+++ b/tests/regressions/test_orders_cut_running_streams.py
@@ -65,14 +65,19 @@
     fleet.record_failure("e2", seconds=5.0)
 
 
-def run_placement(fleet, engines):
-    service = Service("llm", 10, make_model(load_seconds=0.1))
-    controller = PlacementController(
-        fleet, engines, lambda: True, lambda: [service], lambda *update: None
+def make_controller(fleet, engines, load_seconds=0.1, is_leader=lambda: True):
+    service = Service("llm", 10, make_model(load_seconds=load_seconds))
+    return PlacementController(
+        fleet, engines, is_leader, lambda: [service], lambda *update: None
     )
+
+
+def run_placement(fleet, engines, controller=None):
+    controller = controller or make_controller(fleet, engines)
     greenlet = gevent.spawn(controller.run)
     gevent.sleep(_PLACEMENT_SECONDS)
     greenlet.kill()
+    return controller
 
 
 @pytest.mark.parametrize("fail", [mark_unresponsive, claim_repeatedly, fail_requests])
@@ -95,3 +100,51 @@
     run_placement(fleet, engines)
     ((_, layers),) = engines.orders
     assert layers.first <= 20 and layers.end == 40
+
+
+def make_fleet_with_empty_engine():
+    """Return a fleet whose engine e2 has restarted without layers."""
+    fleet = make_fleet()
+    fleet.put(fleet.get("e2")._replace(layers=None))
+    return fleet
+
+
+def test_the_next_leader_waits_for_the_orders_of_the_previous_one():
+    # Guards against a leader that takes layers for missing which an engine loads by an
+    # order of its predecessor, and orders them elsewhere at once.
+    first_engines = RecordingEngines(make_fleet())
+    first = run_placement(
+        fleet := make_fleet_with_empty_engine(),
+        first_engines,
+        make_controller(fleet, first_engines, load_seconds=60.0),
+    )
+    assert [name for name, _ in first_engines.orders] == ["e2"]
+    fleet = make_fleet_with_empty_engine()
+    engines = RecordingEngines(fleet)
+    second = make_controller(fleet, engines, load_seconds=60.0)
+    second.apply_announcement(first.announced_orders(), is_leading=True)
+    run_placement(fleet, engines, second)
+    assert engines.orders == []
+
+
+def test_orders_of_a_stopping_leader_are_known_to_a_router_that_starts_later():
+    # Guards against forgetting the orders of a router that no longer leads: while all
+    # routers stop in turn, the next leader has heard only such announcements.
+    fleet = make_fleet_with_empty_engine()
+    engines = RecordingEngines(fleet)
+    controller = make_controller(fleet, engines)
+    controller.apply_announcement([["e2", 1, 20, 40, 30.0]], is_leading=False)
+    run_placement(fleet, engines, controller)
+    assert engines.orders == []
+
+
+def test_orders_of_a_follower_end_with_the_load():
+    # Guards against waiting for orders that are done, or whose engine has restarted.
+    fleet = make_fleet()
+    follower = make_controller(fleet, RecordingEngines(fleet), is_leader=lambda: False)
+    orders = [["e1", 1, 0, 20, 30.0], ["e2", 0, 0, 20, 30.0], ["e0", 1, 20, 40, 0.1]]
+    follower.apply_announcement(orders, is_leading=True)
+    assert set(follower.dump()["pending"]) == {"e0", "e1", "e2"}
+    run_placement(fleet, None, follower)
+    assert follower.dump()["pending"] == {}
+    assert follower.announced_orders() == []
