--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -56,6 +56,7 @@
 class _Peer(NamedTuple):
     address: tuple[str, int]
     incarnation: str
+    first_received_at: float
     received_at: float
     is_serving: bool
     is_leader: bool
@@ -171,8 +172,6 @@
 
     def set_serving(self, serving: bool):
         self._is_serving = serving
-        if not serving:
-            self._is_leader = False
 
     def set_accepts_work(self, accepts_work: bool, ready_in: float = 0.0):
         """Set whether this router can complete new requests, even if it is not ready.
@@ -241,21 +240,37 @@
         """Whether this router is the leader, which sends orders to engines.
 
         A leader keeps its role until it times out or stops; then the first serving
-        router by name succeeds it. A router that can reach neither the store nor a
+        router by name succeeds it. While all routers stop, the last leader goes on, so
+        that lost layers are placed. A router that can reach neither the store nor a
         peer is partitioned and does not lead.
         """
         live_peers = self._live_peers()
-        leaders = [name for name, peer in live_peers.items() if peer.is_leader]
+        # Of several leaders, one that serves goes first, then the first by name.
+        leaders = [
+            (not peer.is_serving, name)
+            for name, peer in live_peers.items()
+            if peer.is_leader
+        ]
         if not live_peers and not self._reaches_store():
             self._is_leader = False
         elif self._is_leader:
-            self._is_leader = all(self._settings.node < name for name in leaders)
+            hands_over = not self._is_serving and self._has_successor(live_peers)
+            rank = (not self._is_serving, self._settings.node)
+            self._is_leader = not hands_over and all(rank < other for other in leaders)
         else:
             waited = time.monotonic() - self._started_at > _ELECTION_DELAY_SECONDS
             is_first = self.serving_routers()[0] == self._settings.node
             self._is_leader = not leaders and is_first and waited and self._is_serving
         return self._is_leader
 
+    def _has_successor(self, live_peers):
+        """Whether another router serves and has waited long enough to lead."""
+        oldest = time.monotonic() - _ELECTION_DELAY_SECONDS
+        return any(
+            peer.is_serving and peer.first_received_at <= oldest
+            for peer in live_peers.values()
+        )
+
     def announce_forever(self):
         while True:
             self._announcement_due.clear()
@@ -380,7 +395,8 @@
                 log_event(Event.PEER_REFUSED, peer=str(address), reason=repr(error))
                 continue
             known = self._peers.get(name)
-            if known is None or known.incarnation != incarnation:
+            is_new = known is None or known.incarnation != incarnation
+            if is_new:
                 # A router that has just started waits for what its peers know.
                 self.announce_soon()
             if known is None:
@@ -391,6 +407,7 @@
             self._peers[name] = _Peer(
                 address,
                 incarnation,
+                now if is_new else known.first_received_at,
                 now,
                 serving,
                 is_leader,
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -415,6 +415,43 @@
     assert not second.is_leader()
 
 
+def test_the_last_leader_places_layers_while_all_routers_stop(routers):
+    # Guards against lost layers that nobody places until a router has restarted.
+    first, second = routers
+    assert first.is_leader()
+    first.set_serving(False)
+    second.set_serving(False)
+    send_announcements(first, second)
+    assert first.is_leader()
+    assert not second.is_leader()
+
+
+def test_a_stopping_leader_hands_over_to_a_router_that_serves(routers):
+    first, second = routers
+    assert first.is_leader()
+    send_announcements(first, second)
+    first.set_serving(False)
+    assert first.is_leader(), "the other router has just started"
+    second._started_at -= 2.0
+    first._peers["r2"] = first._peers["r2"]._replace(
+        first_received_at=first._peers["r2"].first_received_at - 2.0
+    )
+    assert not first.is_leader()
+    send_announcements(first, second)
+    assert second.is_leader()
+
+
+def test_a_leader_that_serves_wins_a_conflict_with_one_that_stops(routers):
+    # Guards against a router that takes over and gives up at once, because the stopping
+    # one goes first by name.
+    first, second = routers
+    first._is_leader = second._is_leader = True
+    first.set_serving(False)
+    send_announcements(first, second)
+    assert second.is_leader()
+    assert not first.is_leader()
+
+
 def test_partitioned_router_does_not_lead():
     # Guards against orders based on registrations that cannot be renewed.
     (router,) = make_routers("r1", reaches_store=lambda: False)
