--- a/src/bulrushdrum/_internal/coordination/placement_controller.py
+++ b/src/bulrushdrum/_internal/coordination/placement_controller.py
@@ -170,14 +170,16 @@
         # Data centres with loading engines are skipped: the layers that will be held
         # are known, but not yet those that will be missing.
         loading = {e.data_centre for e in engines if e.id in self._pending_orders}
-        orders += [
-            assignment
-            for assignment in choose_reassignments(model, holding, may_rebalance)
-            if assignment.engine.data_centre not in loading
-        ]
+        assignments = {assignment.engine.id: assignment for assignment in orders}
+        for assignment in choose_reassignments(model, holding, may_rebalance):
+            if assignment.engine.data_centre in loading:
+                continue
+            name = assignment.engine.id
+            first = assignments.get(name, assignment)
+            assignments[name] = first._replace(layers=assignment.layers)
         lifetime = model.load_seconds + _REGISTRATION_LAG_SECONDS
         tasks = Pool(_MAX_CONCURRENT_ORDERS)
-        for assignment in orders:
+        for assignment in assignments.values():
             self._pending_orders[assignment.engine.id] = _PendingOrder(
                 assignment.layers, assignment.engine.born, now + lifetime
             )
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -578,6 +578,21 @@
     assert fields["settling"]
 
 
+def test_an_engine_gets_one_order_at_a_time():
+    # Guards against a second order in the same pass, which the engine refuses: an empty
+    # engine gets layers, and the other missing layers are distributed over all engines.
+    fleet = Fleet()
+    held = [(0, 6), (6, 12), (18, 24), (24, 30), (30, 36), None]
+    for index, layers in enumerate(held):
+        engine = make_engine(f"e{index}", layers=layers, address=f"10.0.0.{index}:1")
+        fleet.put(engine)
+    engines = FakeEngines(fleet)
+    run_placement(1.4, fleet, engines)
+    names = [name for name, _ in engines.orders]
+    assert "e5" in names
+    assert len(names) == len(set(names))
+
+
 def test_router_that_is_not_leader_sends_no_orders():
     fleet = Fleet()
     fleet.put(make_engine("e"))
