--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -79,6 +79,14 @@
     end: int
 
 
+class _AnnouncedUpdate(NamedTuple):
+    """An update, and the layers that the engine had registered when it was made."""
+
+    update: _LayerUpdate
+    registered: LayerRange | None
+    made_at: float
+
+
 def _decode_layer_update(raw):
     number, upstream_id, born, first, end = raw
     return _LayerUpdate(int(number), str(upstream_id), int(born), int(first), int(end))
@@ -149,7 +157,7 @@
         self._started_at = time.monotonic()
         self._own_unresponsive: list[str] = []
         # Only the latest updates are announced, so that a datagram stays small.
-        self._layer_updates: deque[_LayerUpdate] = deque(maxlen=_MAX_LAYER_UPDATES)
+        self._layer_updates: deque[_AnnouncedUpdate] = deque(maxlen=_MAX_LAYER_UPDATES)
         self._last_update_number = 0
         self._applied_update_numbers: dict[tuple[str, str], int] = {}
         self._peer_reported_unresponsive: dict[str, float] = {}
@@ -296,6 +304,7 @@
             for name, reported_at in self._peer_reported_unresponsive.items()
             if reported_at > oldest
         }
+        self._forget_registered_updates()
         message = json.dumps(
             {
                 "node": self._settings.node,
@@ -314,7 +323,7 @@
                 "conditions": self.announced_conditions(),
                 "lendable_retries": self.announced_retries(),
                 "leaving": list(self._fleet.leaving().items()),
-                "layers": [list(update) for update in self._layer_updates],
+                "layers": [list(entry.update) for entry in self._layer_updates],
                 "orders": self.announced_orders(),
                 "uses": {
                     name: [
@@ -430,7 +439,28 @@
         self._last_update_number += 1
         first, end = layers or (0, 0)
         self._layer_updates.append(
-            _LayerUpdate(self._last_update_number, upstream_id, born, first, end)
+            _AnnouncedUpdate(
+                _LayerUpdate(self._last_update_number, upstream_id, born, first, end),
+                self._fleet.registered_layers(upstream_id),
+                time.monotonic(),
+            )
+        )
+
+    def _forget_registered_updates(self):
+        """Forget the updates of engines that have registered their layers since.
+
+        A router that starts would take them for newer than the registrations.
+        """
+        oldest = time.monotonic() - LAYER_OVERRIDE_SECONDS
+        self._layer_updates = deque(
+            (
+                entry
+                for entry in self._layer_updates
+                if entry.made_at >= oldest
+                and entry.registered
+                == self._fleet.registered_layers(entry.update.upstream_id)
+            ),
+            maxlen=_MAX_LAYER_UPDATES,
         )
 
     def _apply_layer_updates(self, name, incarnation, updates):
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -396,6 +396,17 @@
     assert second._fleet.get("e").layers == LayerRange(6, 26)
 
 
+def test_layers_that_were_registered_since_are_not_announced(routers):
+    # Guards against a router that starts, hears layers of long ago, and uses them in
+    # place of the newer registration: it sends requests over engines that refuse them.
+    first, second = routers
+    first.announce_layers("e", 1, LayerRange(5, 25))
+    for router in routers:
+        router._fleet.put(make_engine("e", layers=(6, 26)))
+    send_announcements(first)
+    assert second._fleet.get("e").layers == LayerRange(6, 26)
+
+
 def test_leader_keeps_role_when_router_with_earlier_name_starts(routers):
     # Guards against two routers that both send orders during a restart.
     first, second = routers
