--- a/src/bulrushdrum/_internal/gateway/generation_progress.py
+++ b/src/bulrushdrum/_internal/gateway/generation_progress.py
@@ -74,6 +74,10 @@
         is_empty = not self.has_data and self.last_id is None
         return is_empty or self.has_begun_event
 
+    def has_caller_left(self, timeout: float) -> bool:
+        """Whether a stream has delivered nothing for longer than callers wait."""
+        return self.started and time.monotonic() > self.last_event_at + timeout
+
     def refusing_upstreams(self) -> set[str]:
         """Return the upstreams that recently refused this request."""
         now = time.monotonic()
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -48,7 +48,7 @@
 from bulrushdrum._internal.gateway.path_waiting import PathWaiter, describe_refusal
 from bulrushdrum._internal.gateway.statement_recorder import StatementRecorder
 from bulrushdrum._internal.gateway.stream_moves import StreamMover
-from bulrushdrum._internal.gateway.stream_watch import StreamWatch
+from bulrushdrum._internal.gateway.stream_watch import StreamWatch, caller_timeout
 from bulrushdrum._internal.gateway.upstream_connections import ConnectionPool
 from bulrushdrum._internal.limits.retry_window import RetryWindow
 from bulrushdrum._internal.observability.events import Event, log_event
@@ -62,6 +62,8 @@
 
 # An error response must arrive within this time.
 _ERROR_BODY_SECONDS = 1.0
+# More refusals end a request that has delivered nothing. A stream that has begun asks
+# on, within the limit on retries, while its caller waits for the next event.
 _MAX_REFUSALS = 3
 _QUARANTINE_REASON = "upstreams crash when they run this request"
 
@@ -188,7 +190,9 @@
             return False
         if progress.attempts >= route.max_attempts:
             return False
-        if progress.refusals > _MAX_REFUSALS:
+        if progress.refusals > _MAX_REFUSALS and not progress.started:
+            return False
+        if progress.refusals and progress.has_caller_left(caller_timeout(route)):
             return False
         if self._budget.wait_to_count(
             progress.retry_costs,
--- a/tests/unit/test_generations.py
+++ b/tests/unit/test_generations.py
@@ -183,6 +183,41 @@
     assert attempt_times[1] - attempt_times[0] >= 0.14
 
 
+def refuse_after_a_cut(refusals):
+    """Return a script that cuts its first stream, refuses and then resumes it."""
+    requests = iter(range(refusals + 1))
+
+    def respond(request):
+        match next(requests, None):
+            case 0:
+                return [head(request), event(1), event(2), None]
+            case None:
+                return resumed(request)
+            case _:
+                return not_executed(request)
+
+    return respond
+
+
+def test_a_begun_stream_that_is_refused_asks_on_while_its_caller_waits(gateway):
+    # Guards against closing a stream in the middle of its answer within milliseconds,
+    # because four engines in a row have had no memory for it.
+    gateway.add_server("one", with_reports(refuse_after_a_cut(5)), (0, 40))
+    gateway.conditions.report_refusal = lambda upstream: None
+    response = gateway.call()
+    assert (response.body, response.is_complete) == (EVENTS, True)
+
+
+def test_a_begun_stream_that_is_refused_ends_when_its_caller_has_left(gateway):
+    # Guards against spending the retries of others on a stream that nobody waits for.
+    gateway.route = gateway.route._replace(timeout=6.0)
+    gateway.add_server("one", with_reports(refuse_after_a_cut(100)), (0, 40))
+    gateway.conditions.report_refusal = lambda upstream: None
+    response = gateway.call()
+    assert not response.is_complete
+    assert 1.5 < gateway.seconds < 3.0
+
+
 def test_a_refusal_is_attributed_to_the_upstream_of_the_path(gateway):
     # Two incarnations share an address. Guards against avoiding the new one for a
     # refusal by its predecessor, whose stale registration would stay in use.
