--- a/src/bulrushdrum/_internal/gateway/path_waiting.py
+++ b/src/bulrushdrum/_internal/gateway/path_waiting.py
@@ -67,6 +67,7 @@
         waits_for = (InsufficientMemory, LimitsReached)
         if progress.started:
             waits_for = (PipelineError,)
+            demand = demand._replace(has_begun=True)
         turn = Turn(
             service,
             proxied_request.request.read_at,
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -46,6 +46,9 @@
 # New requests may fill the memory of an engine only up to this fraction: answers may
 # become longer than their callers expect.
 _MAX_MEMORY_UTILIZATION = 0.92
+# Streams that have begun and lost their path may fill it up to this one. New requests
+# take what becomes free within milliseconds, and can be refused without a loss.
+_MAX_MEMORY_UTILIZATION_OF_BEGUN = 1.0
 # The cost of a hop increases linearly with the memory in use, by this fraction at full
 # memory, so that load spreads before engines are full.
 _UTILIZATION_COST_FACTOR = 1.0
@@ -56,10 +59,14 @@
 
 
 class Demand(NamedTuple):
-    """Tokens of the prompt and of the expected answer of a request."""
+    """Tokens of the prompt and of the expected answer of a request.
+
+    `has_begun` tells that its caller has received a part of the answer.
+    """
 
     prompt: float
     answer: float
+    has_begun: bool = False
 
     @property
     def tokens(self) -> float:
@@ -70,6 +77,13 @@
         """
         return self.prompt + _MEAN_ANSWER_OCCUPANCY * self.answer
 
+    @property
+    def max_utilization(self) -> float:
+        """The fraction of an engine's memory up to which the request may fill it."""
+        if self.has_begun:
+            return _MAX_MEMORY_UTILIZATION_OF_BEGUN
+        return _MAX_MEMORY_UTILIZATION
+
 
 class _LinkBudget:
     """Token bucket for this router's share of the time of one link."""
@@ -147,7 +161,7 @@
         Raises `NoPath` if some layers are not available, `InsufficientMemory`, or
         `LimitsReached`.
         """
-        if self._shortages.is_known(service, demand.tokens):
+        if not demand.has_begun and self._shortages.is_known(service, demand.tokens):
             raise _insufficient_memory(service, demand)
         reached: list[PoolUpstream] = []
         while True:
@@ -158,7 +172,8 @@
                 )
             except PipelineError as error:
                 if not reached:
-                    if isinstance(error, InsufficientMemory) and not excluded:
+                    is_short = isinstance(error, InsufficientMemory) and not excluded
+                    if is_short and not demand.has_begun:
                         self._shortages.record(service, demand.tokens)
                     raise
                 raise LimitsReached(
@@ -186,9 +201,7 @@
         if not self._covers(model, engines):
             raise NoPath(f"no available engine holds some layers of {service!r}")
         engines_with_memory = [
-            engine
-            for engine in engines
-            if self._has_memory(model, engine, demand.tokens)
+            engine for engine in engines if self._has_memory(model, engine, demand)
         ]
         failing = self._failing_first_hops(engines)
         costs = [
@@ -292,12 +305,13 @@
             for hop in path
         )
 
-    def _has_memory(self, model, engine, tokens):
+    def _has_memory(self, model, engine, demand):
         kind = model.kinds[engine.kind]
         layer_count = engine.layers.end - engine.layers.first
-        capacity = model.capacity(kind, layer_count) * _MAX_MEMORY_UTILIZATION
+        capacity = model.capacity(kind, layer_count) * demand.max_utilization
+        used = self._reservations.usage(engine.id).token_layers
         # A path needs memory for at least one layer on each of its engines.
-        return self._reservations.usage(engine.id).token_layers + tokens <= capacity
+        return used + demand.tokens <= capacity
 
     def _covers(self, model, engines):
         return not _missing_layers(model, engines)
@@ -407,9 +421,7 @@
         )
         self._model = model
         self._demand = demand
-        self._free_token_layers = (
-            capacity * _MAX_MEMORY_UTILIZATION - usage.token_layers
-        )
+        self._free_token_layers = capacity * demand.max_utilization - usage.token_layers
         self._utilization_factor = (
             1.0 + _UTILIZATION_COST_FACTOR * usage.token_layers / max(capacity, 1.0)
         )
--- a/tests/unit/test_paths.py
+++ b/tests/unit/test_paths.py
@@ -142,3 +142,26 @@
     chooser.set_slowdown("a0", 12.0)
     path = chooser.choose("llm", make_model(), DEMAND)
     assert {hop.upstream.data_centre for hop in path} == {"b"}
+
+
+def test_a_begun_stream_finds_room_that_new_requests_leave():
+    # Guards against closing streams in the middle of their answers for want of memory,
+    # while new requests, which can be refused without a loss, fill all of it.
+    model = make_model(max_sequences=10_000)
+    engines = [
+        make_engine(f"e{n}", "large", layers=(n * 20, n * 20 + 20)) for n in (0, 1)
+    ]
+    chooser, _, reservations = make_chooser(engines)
+    with pytest.raises(InsufficientMemory):
+        while True:
+            path = chooser.choose("llm", model, DEMAND)
+            reservations.reserve(path, DEMAND.tokens)
+    begun = DEMAND._replace(has_begun=True)
+    path = chooser.choose("llm", model, begun)
+    assert layers_of(path) == list(range(40))
+    with pytest.raises(InsufficientMemory):
+        while True:
+            path = chooser.choose("llm", model, begun)
+            reservations.reserve(path, begun.tokens)
+    used = [chooser.memory_utilization(model, engine) for engine in engines]
+    assert max(used) <= 1.0
