--- a/src/bulrushdrum/_internal/gateway/draining.py
+++ b/src/bulrushdrum/_internal/gateway/draining.py
@@ -141,10 +141,13 @@
     def _expected_seconds(self, size, steps_per_event):
         if not self.is_draining:
             return 0.0
-        probability = _OUT_OF_ROTATION_PROBABILITY
         if not self._is_out_of_rotation():
-            probability = _IN_ROTATION_PROBABILITY
-        return self._generations.seconds(size, steps_per_event, probability)
+            return self._generations.seconds(
+                size, steps_per_event, _IN_ROTATION_PROBABILITY
+            )
+        return self._generations.seconds(
+            size, steps_per_event, _OUT_OF_ROTATION_PROBABILITY, counts_recovery=True
+        )
 
     def _count_in_progress(self):
         if self._counts_in_progress:
--- a/src/bulrushdrum/_internal/gateway/duration_estimates.py
+++ b/src/bulrushdrum/_internal/gateway/duration_estimates.py
@@ -67,7 +67,7 @@
     `is_censored` tells that more events would have followed: it is in progress, or has
     reached the maximum that the request states. `expected_events` is what its caller
     expects, and `event_seconds` the mean time between two events; both are None if
-    unknown.
+    unknown. `recovery_seconds` is how long it has waited for another path.
     """
 
     ended_at: float | None
@@ -76,6 +76,7 @@
     events: int
     first_event_seconds: float
     event_seconds: float | None
+    recovery_seconds: float
 
 
 class _LengthFit(NamedTuple):
@@ -95,6 +96,7 @@
 
     `longest` is the largest number of events of a generation whose maximum is unknown.
     `pace` is the distribution of the logarithm of the time per event.
+    `recovery_seconds` is the longest wait for another path of a recent generation.
     """
 
     slowest_event_seconds: float
@@ -102,6 +104,7 @@
     longest: int | float
     lengths: "_LengthFit"
     pace: NormalDist
+    recovery_seconds: float
 
 
 # Callers' estimates are right at the median, and often off by a factor of two.
@@ -136,8 +139,13 @@
         size: Generation | None,
         steps_per_event: int,
         probability: float,
+        counts_recovery: bool = False,
     ) -> float:
-        """Return a duration that a generation does not exceed with `probability`."""
+        """Return a duration that a generation does not exceed with `probability`.
+
+        If `counts_recovery`, it may lose its path and wait for another one as long as
+        another generation has waited recently.
+        """
         statistics = self._current_statistics()
         if statistics is None:
             return _DEFAULT_GENERATION_SECONDS
@@ -155,6 +163,8 @@
                 # the product of their extremes.
                 _exp((length + statistics.pace).inv_cdf(probability)),
             )
+        if counts_recovery:
+            seconds += statistics.recovery_seconds
         return statistics.first_event_seconds + seconds
 
     def in_progress(self) -> list[tuple[Generation | None, int]]:
@@ -196,6 +206,7 @@
             _longest(samples),
             _fit_lengths(samples),
             _fit_pace(recent),
+            max(sample.recovery_seconds for sample in recent),
         )
 
     def _running(self):
@@ -223,6 +234,7 @@
         trace.events,
         trace.first_event_seconds,
         pace,
+        trace.recovery_seconds,
     )
 
 
--- a/src/bulrushdrum/_internal/gateway/request_trace.py
+++ b/src/bulrushdrum/_internal/gateway/request_trace.py
@@ -27,6 +27,9 @@
         self.upstream: str | None = None
         self.upstream_status: int | None = None
         self.attempts = 0
+        # The longest wait for an event of another attempt, and since when one lasts.
+        self.recovery_seconds = 0.0
+        self._recovers_since: float | None = None
 
     def begin(self, deadline: float, size: Generation | None = None):
         """Record the deadline, a time of the clock, and the size of a generation."""
@@ -35,6 +38,8 @@
 
     def record_attempt(self, path: list[str], upstream: str):
         """Record that the request was sent; `upstream` is the one it was sent to."""
+        if self.attempts and self._recovers_since is None:
+            self._recovers_since = self._last_event_at or self.began_at
         self.path, self.upstream, self.upstream_status = path, upstream, None
         self.attempts += 1
         self._last_data_at = None
@@ -44,6 +49,10 @@
 
     def record_event(self):
         now = self._clock()
+        if self._recovers_since is not None:
+            recovery = now - self._recovers_since
+            self.recovery_seconds = max(self.recovery_seconds, recovery)
+            self._recovers_since = None
         if self._first_event_at is None:
             self._first_event_at = now
         else:
--- a/tests/unit/test_draining.py
+++ b/tests/unit/test_draining.py
@@ -146,6 +146,31 @@
     assert not scenario.accepts(expected_tokens=100.0)
 
 
+def test_a_late_generation_is_accepted_only_if_it_may_lose_its_path():
+    # Guards against accepting, seconds before the exit, a generation that has no time
+    # left for a second path while engines fail: it is cut in the middle of its answer.
+    def drain_after_a_recovery(seconds):
+        scenario = DrainScenario()
+        scenario.run_generations(*[(40.0, 10)] * 100)
+        trace = RequestTrace(scenario.clock)
+        scenario.generations.begin(trace, make_size(400.0), STEPS_PER_EVENT)
+        for attempt_events in (5, 95):
+            trace.record_attempt(["e1=0-80"], "e1")
+            scenario.clock.now += seconds if attempt_events == 95 else 0.0
+            for _ in range(attempt_events):
+                scenario.clock.now += EVENT_SECONDS
+                trace.record_event()
+        scenario.generations.end(trace, complete=True)
+        scenario.drain(after=SERVING_SECONDS - 2.0)
+        return scenario
+
+    assert drain_after_a_recovery(0.0).accepts(40.0)
+    scenario = drain_after_a_recovery(1.5)
+    assert not scenario.accepts(40.0)
+    scenario.clock.now -= 1.6
+    assert scenario.accepts(40.0)
+
+
 def test_the_pace_of_streams_in_progress_counts():
     # Guards against estimates from before the load of other routers came over.
     scenario = make_drain()
