--- a/src/bulrushdrum/_internal/conditions/claim_set.py
+++ b/src/bulrushdrum/_internal/conditions/claim_set.py
@@ -58,14 +58,6 @@
         hold = self._holds.get(upstream_id, 0.0)
         return is_in_force(condition, born, self._clock(), hold)
 
-    def is_avoided_for(
-        self, upstream_id: str, born: int, matters: frozenset[Matter]
-    ) -> bool:
-        """Whether an incarnation is avoided because of one of `matters`."""
-        if not self.is_avoided(upstream_id, born):
-            return False
-        return self._conditions[upstream_id].claim.matter in matters
-
     def failures(self, upstream_id: str, born: int) -> int:
         """Return the claims in a row on an incarnation that is avoided now."""
         if not self.is_avoided(upstream_id, born):
--- a/src/bulrushdrum/_internal/conditions/upstream_conditions.py
+++ b/src/bulrushdrum/_internal/conditions/upstream_conditions.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from bulrushdrum._internal.conditions.claim_set import ClaimSet
-from bulrushdrum._internal.conditions.claims import MAX_FAILURES, Matter
+from bulrushdrum._internal.conditions.claims import MAX_FAILURES
 from bulrushdrum._internal.observability.events import Event, log_event
 
 # How long an upstream is avoided after its first failure, and at most: about one
@@ -25,10 +25,6 @@
 _FAILING_THRESHOLD = 3
 
 
-# What a claim says of an upstream that has stopped to run requests.
-_DOWN = frozenset((Matter.UNRESPONSIVE, Matter.TERMINATED))
-
-
 class Failure(StrEnum):
     """Why an upstream is left out of the placement."""
 
@@ -176,15 +172,6 @@
             return None
         return Failure.REPEATED if backoff.until > self._clock() else None
 
-    def may_be_down(self, upstream_id: str, born: int) -> bool:
-        """Whether an incarnation is taken for silent or terminated.
-
-        One that only refuses requests, or is paused, still runs those that it has.
-        """
-        if self.is_unresponsive(upstream_id) or self.has_terminated(upstream_id, born):
-            return True
-        return self.claims.is_avoided_for(upstream_id, born, _DOWN)
-
     def is_avoided(self, upstream_id: str, born: int) -> bool:
         backoff = self._backoffs.get(upstream_id)
         if backoff is not None and backoff.until > self._clock():
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -397,7 +397,7 @@
         self._detect_stall(path)
         if not can_retry:
             return
-        if any(self._fleet.may_be_down(hop.upstream.id) for hop in path):
+        if any(self._fleet.is_avoided(hop.upstream.id) for hop in path):
             raise UpstreamFailed(
                 "an upstream of the path is marked as failed", True, unresponsive=True
             )
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -337,13 +337,6 @@
         known = self._upstreams.get(upstream_id)
         return known is not None and self.conditions.is_avoided(upstream_id, known.born)
 
-    def may_be_down(self, upstream_id: str) -> bool:
-        """Whether an upstream is avoided because it may no longer run requests."""
-        known = self._upstreams.get(upstream_id)
-        return known is not None and self.conditions.may_be_down(
-            upstream_id, known.born
-        )
-
     def is_avoided_as_first(self, upstream: PoolUpstream) -> bool:
         """Whether no path should begin at an upstream, if another one can."""
         return self.first_hop_claims.is_avoided(upstream.id, upstream.born)
