--- a/src/bulrushdrum/_internal/coordination/announcements.py
+++ b/src/bulrushdrum/_internal/coordination/announcements.py
@@ -8,13 +8,16 @@
 
 import json
 import time
-from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
 from gevent import socket
 from gevent.event import Event as Signal
 
+from bulrushdrum._internal.coordination.layer_updates import (
+    LayerUpdates,
+    decode_layer_updates,
+)
 from bulrushdrum._internal.coordination.peer_messages import PeerMessages
 from bulrushdrum._internal.coordination.router_registry import RouterRegistry
 from bulrushdrum._internal.coordination.store_contact import StoreContact
@@ -23,14 +26,13 @@
 from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.crash_quarantine import CrashQuarantine
-from bulrushdrum._internal.pipelines.fleet import LAYER_OVERRIDE_SECONDS, Fleet
+from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import (
     EngineUsage,
     MemoryReservations,
 )
 from bulrushdrum._internal.pipelines.part_quarantine import PartQuarantine
 from bulrushdrum._internal.settings.router import RouterSettings
-from bulrushdrum._internal.world.upstreams import LayerRange
 
 # The interval grows with the number of routers, so that the rate of announcements that
 # each of them receives stays about constant.
@@ -39,11 +41,8 @@
 # A peer times out after this many intervals without an announcement.
 _PEER_TIMEOUT_INTERVALS = 6
 _MAX_DATAGRAM_BYTES = 65000
-_MAX_LAYER_UPDATES = 80
 # More than any deployment has; what each one announces is kept until it times out.
 _MAX_PEERS = 256
-# Incarnations of which the number of the last applied update is kept.
-_MAX_UPDATE_NUMBERS = 1024
 # A router waits for announcements this long after its start before it becomes leader.
 _ELECTION_DELAY_SECONDS = 1.5
 # How long an upstream is remembered as reported unresponsive by a peer.
@@ -66,32 +65,6 @@
     store_contact: StoreContact | None
 
 
-class _LayerUpdate(NamedTuple):
-    """The layers that an engine holds; an `end` of 0 means none.
-
-    Receivers skip updates whose `number` they have already applied.
-    """
-
-    number: int
-    upstream_id: str
-    born: int
-    first: int
-    end: int
-
-
-class _AnnouncedUpdate(NamedTuple):
-    """An update, and the layers that the engine had registered when it was made."""
-
-    update: _LayerUpdate
-    registered: LayerRange | None
-    made_at: float
-
-
-def _decode_layer_update(raw):
-    number, upstream_id, born, first, end = raw
-    return _LayerUpdate(int(number), str(upstream_id), int(born), int(first), int(end))
-
-
 def _decode_store_contact(raw, now) -> StoreContact | None:
     """Decode the ages of a peer's contact; releases without it announce none."""
     if raw is None:
@@ -156,10 +129,7 @@
         self._is_leader = False
         self._started_at = time.monotonic()
         self._own_unresponsive: list[str] = []
-        # Only the latest updates are announced, so that a datagram stays small.
-        self._layer_updates: deque[_AnnouncedUpdate] = deque(maxlen=_MAX_LAYER_UPDATES)
-        self._last_update_number = 0
-        self._applied_update_numbers: dict[tuple[str, str], int] = {}
+        self.layer_updates = LayerUpdates(fleet)
         self._peer_reported_unresponsive: dict[str, float] = {}
         self._announcement_due = Signal()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -304,7 +274,6 @@
             for name, reported_at in self._peer_reported_unresponsive.items()
             if reported_at > oldest
         }
-        self._forget_registered_updates()
         message = json.dumps(
             {
                 "node": self._settings.node,
@@ -323,7 +292,7 @@
                 "conditions": self.announced_conditions(),
                 "lendable_retries": self.announced_retries(),
                 "leaving": list(self._fleet.leaving().items()),
-                "layers": [list(entry.update) for entry in self._layer_updates],
+                "layers": self.layer_updates.announcement(),
                 "orders": self.announced_orders(),
                 "uses": {
                     name: [
@@ -385,7 +354,7 @@
                 )
                 unresponsive = [str(upstream_id) for upstream_id in raw["silent"]]
                 leaving = [(str(i), int(born)) for i, born in raw.get("leaving", [])]
-                updates = [_decode_layer_update(entry) for entry in raw["layers"]]
+                updates = decode_layer_updates(raw["layers"])
                 incarnation = str(raw["incarnation"])
                 self._quarantine.apply_announcement(
                     name, incarnation, raw.get("failures", _NO_FAILURES)
@@ -426,7 +395,7 @@
                 store_contact,
             )
             self._reservations.set_peer_usage(name, usages)
-            self._apply_layer_updates(name, incarnation, updates)
+            self.layer_updates.apply(name, incarnation, updates)
             for upstream_id, born in leaving:
                 self._fleet.mark_leaving(upstream_id, born)
             for upstream_id in unresponsive:
@@ -434,55 +403,6 @@
                     self._fleet.mark_unresponsive(upstream_id)
                     self._peer_reported_unresponsive[upstream_id] = time.monotonic()
 
-    def announce_layers(self, upstream_id: str, born: int, layers: LayerRange | None):
-        """Announce the layers of an engine before it updates its registration."""
-        self._last_update_number += 1
-        first, end = layers or (0, 0)
-        self._layer_updates.append(
-            _AnnouncedUpdate(
-                _LayerUpdate(self._last_update_number, upstream_id, born, first, end),
-                self._fleet.registered_layers(upstream_id),
-                time.monotonic(),
-            )
-        )
-
-    def _forget_registered_updates(self):
-        """Forget the updates of engines that have registered their layers since.
-
-        A router that starts would take them for newer than the registrations.
-        """
-        oldest = time.monotonic() - LAYER_OVERRIDE_SECONDS
-        self._layer_updates = deque(
-            (
-                entry
-                for entry in self._layer_updates
-                if entry.made_at >= oldest
-                and entry.registered
-                == self._fleet.registered_layers(entry.update.upstream_id)
-            ),
-            maxlen=_MAX_LAYER_UPDATES,
-        )
-
-    def _apply_layer_updates(self, name, incarnation, updates):
-        key = (name, incarnation)
-        for update in updates:
-            if update.number <= self._applied_update_numbers.get(key, 0):
-                continue
-            # The latest to apply updates is last, and the first is forgotten.
-            self._applied_update_numbers.pop(key, None)
-            self._applied_update_numbers[key] = update.number
-            if len(self._applied_update_numbers) > _MAX_UPDATE_NUMBERS:
-                del self._applied_update_numbers[
-                    next(iter(self._applied_update_numbers))
-                ]
-            layers = LayerRange(update.first, update.end)
-            self._fleet.override_layers(
-                update.upstream_id,
-                update.born,
-                layers if layers.end else None,
-                LAYER_OVERRIDE_SECONDS,
-            )
-
     def _live_peers(self):
         oldest = time.monotonic() - self.interval * _PEER_TIMEOUT_INTERVALS
         return {
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -141,7 +141,7 @@
             calls,
             self.announcements.is_leader,
             self._services,
-            self.announcements.announce_layers,
+            self.announcements.layer_updates.add,
         )
         self.announcements.announced_orders = self.placement.announced_orders
         self.announcements.apply_orders = self.placement.apply_announcement
--- a/tests/regressions/test_earlier_release_formats.py
+++ b/tests/regressions/test_earlier_release_formats.py
@@ -394,8 +394,8 @@
         (Hop(first, LayerRange(0, 20)), Hop(second, LayerRange(5, 20))), 10.0
     )
     router.reservations.reserve((Hop(second, LayerRange(0, 4)),), 3.0)
-    router.announcements.announce_layers("e1", 1, LayerRange(5, 25))
-    router.announcements.announce_layers("e2", 1, None)
+    router.announcements.layer_updates.add("e1", 1, LayerRange(5, 25))
+    router.announcements.layer_updates.add("e2", 1, None)
     router.fleet.mark_unresponsive("e3")
     for fingerprint in ("f-crashed", "f-crashed", "f-served"):
         router.quarantine.record_failure(fingerprint, (("e9", 1),))
--- a/tests/unit/test_coordination.py
+++ b/tests/unit/test_coordination.py
@@ -388,7 +388,7 @@
 
 def test_layer_update_is_applied_once(routers):
     first, second = routers
-    first.announce_layers("e", 1, LayerRange(5, 25))
+    first.layer_updates.add("e", 1, LayerRange(5, 25))
     send_announcements(first)
     assert second._fleet.get("e").layers == LayerRange(5, 25)
     second._fleet.put(make_engine("e", layers=(6, 26)))
@@ -400,7 +400,7 @@
     # Guards against a router that starts, hears layers of long ago, and uses them in
     # place of the newer registration: it sends requests over engines that refuse them.
     first, second = routers
-    first.announce_layers("e", 1, LayerRange(5, 25))
+    first.layer_updates.add("e", 1, LayerRange(5, 25))
     for router in routers:
         router._fleet.put(make_engine("e", layers=(6, 26)))
     send_announcements(first)
--- a/tests/unit/test_datagram_floods.py
+++ b/tests/unit/test_datagram_floods.py
@@ -8,6 +8,7 @@
 from tests.unit.test_coordination import make_routers
 
 from bulrushdrum._internal.coordination import announcements
+from bulrushdrum._internal.coordination.layer_updates import decode_layer_updates
 
 DATAGRAMS = 300
 
@@ -68,7 +69,6 @@
 def test_the_numbers_of_updates_are_bounded(router):
     # Guards against an entry for each incarnation that was ever heard.
     for number in range(2000):
-        raw = announcement(number)["layers"]
-        updates = [announcements._decode_layer_update(update) for update in raw]
-        router._apply_layer_updates(f"r{number}", "i", updates)
-    assert len(router._applied_update_numbers) == 1024
+        updates = decode_layer_updates(announcement(number)["layers"])
+        router.layer_updates.apply(f"r{number}", "i", updates)
+    assert router.layer_updates.senders == 1024
