--- a/src/bulrushdrum/_internal/gateway/generation_progress.py
+++ b/src/bulrushdrum/_internal/gateway/generation_progress.py
@@ -10,8 +10,8 @@
 from bulrushdrum._internal.gateway.events_stream import StreamEvent
 from bulrushdrum._internal.gateway.exchange import ProxiedRequest
 from bulrushdrum._internal.limits.retry_window import RetryCosts
+from bulrushdrum._internal.pipelines.demand import Demand
 from bulrushdrum._internal.pipelines.memory_reservations import Hop
-from bulrushdrum._internal.pipelines.paths import Demand
 from bulrushdrum._internal.world.engines import EngineModel
 
 
--- a/src/bulrushdrum/_internal/gateway/path_waiting.py
+++ b/src/bulrushdrum/_internal/gateway/path_waiting.py
@@ -11,6 +11,7 @@
 from bulrushdrum._internal.gateway.stream_watch import caller_timeout
 from bulrushdrum._internal.gateway.turns import Turn, TurnWaiter
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.demand import Demand
 from bulrushdrum._internal.pipelines.errors import (
     InsufficientMemory,
     LimitsReached,
@@ -18,7 +19,7 @@
     PipelineError,
 )
 from bulrushdrum._internal.pipelines.memory_reservations import Hop
-from bulrushdrum._internal.pipelines.paths import Demand, PathChooser
+from bulrushdrum._internal.pipelines.paths import PathChooser
 from bulrushdrum._internal.world.engines import EngineModel
 from bulrushdrum._internal.world.routes import Route
 
--- a/src/bulrushdrum/_internal/gateway/stream_moves.py
+++ b/src/bulrushdrum/_internal/gateway/stream_moves.py
@@ -18,8 +18,8 @@
 from bulrushdrum._internal.gateway.stream_pace import PaceHistory, StreamPace
 from bulrushdrum._internal.limits.retry_window import RetryWindow
 from bulrushdrum._internal.observability.events import Event, log_event
+from bulrushdrum._internal.pipelines.demand import Demand
 from bulrushdrum._internal.pipelines.memory_reservations import Hop
-from bulrushdrum._internal.pipelines.paths import Demand
 from bulrushdrum._internal.pipelines.silent_upstreams import Silence, SilentUpstreams
 from bulrushdrum._internal.world.engines import EngineModel
 from bulrushdrum._internal.world.routes import Route
--- a/src/bulrushdrum/_internal/pipelines/paths.py
+++ b/src/bulrushdrum/_internal/pipelines/paths.py
@@ -9,9 +9,9 @@
 import random
 import time
 from collections import Counter
-from typing import NamedTuple
 
 from bulrushdrum._internal.limits.upstream_limits import UpstreamLimits
+from bulrushdrum._internal.pipelines.demand import Demand
 from bulrushdrum._internal.pipelines.errors import (
     InsufficientMemory,
     LimitsReached,
@@ -40,15 +40,6 @@
 # first event of a request arrives later from there. It keeps requests in the router's
 # data centre unless another one is clearly faster.
 _REMOTE_ENTRY_PENALTY_SECONDS = 0.1
-# Fraction of its answer that a request holds in memory, averaged over its life, plus a
-# small margin.
-_MEAN_ANSWER_OCCUPANCY = 0.65
-# New requests may fill the memory of an engine only up to this fraction: answers may
-# become longer than their callers expect.
-_MAX_MEMORY_UTILIZATION = 0.92
-# Streams that have begun and lost their path may fill it up to this one. New requests
-# take what becomes free within milliseconds, and can be refused without a loss.
-_MAX_MEMORY_UTILIZATION_OF_BEGUN = 1.0
 # The cost of a hop increases linearly with the memory in use, by this fraction at full
 # memory, so that load spreads before engines are full.
 _UTILIZATION_COST_FACTOR = 1.0
@@ -58,33 +49,6 @@
 _DEFAULT_POLICY = LeastTime()
 
 
-class Demand(NamedTuple):
-    """Tokens of the prompt and of the expected answer of a request.
-
-    `has_begun` tells that its caller has received a part of the answer.
-    """
-
-    prompt: float
-    answer: float
-    has_begun: bool = False
-
-    @property
-    def tokens(self) -> float:
-        """Approximate memory that the request occupies, averaged over its life.
-
-        The requests in progress are at all stages of their life, so the sum of their
-        memory is close to the sum of these averages.
-        """
-        return self.prompt + _MEAN_ANSWER_OCCUPANCY * self.answer
-
-    @property
-    def max_utilization(self) -> float:
-        """The fraction of an engine's memory up to which the request may fill it."""
-        if self.has_begun:
-            return _MAX_MEMORY_UTILIZATION_OF_BEGUN
-        return _MAX_MEMORY_UTILIZATION
-
-
 class _LinkBudget:
     """Token bucket for this router's share of the time of one link."""
 
--- a/tests/unit/test_cost_of_waiting.py
+++ b/tests/unit/test_cost_of_waiting.py
@@ -10,10 +10,11 @@
 
 from bulrushdrum._internal.gateway.turns import Turn, TurnWaiter
 from bulrushdrum._internal.limits.wait_queue import Ticket, WaitQueue
+from bulrushdrum._internal.pipelines.demand import Demand
 from bulrushdrum._internal.pipelines.errors import InsufficientMemory, PipelineError
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import MemoryReservations
-from bulrushdrum._internal.pipelines.paths import Demand, PathChooser
+from bulrushdrum._internal.pipelines.paths import PathChooser
 
 MODEL = make_model(layer_bytes=1e9, max_sequences=10_000)
 DEMAND = Demand(700.0, 200.0)
--- a/tests/unit/test_path_policies.py
+++ b/tests/unit/test_path_policies.py
@@ -3,6 +3,7 @@
 import pytest
 from tests.unit.pool_fakes import make_engine, make_limits, make_model
 
+from bulrushdrum._internal.pipelines.demand import Demand
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import MemoryReservations
 from bulrushdrum._internal.pipelines.path_policies import (
@@ -10,7 +11,7 @@
     LeastTime,
     RandomPath,
 )
-from bulrushdrum._internal.pipelines.paths import Demand, PathChooser
+from bulrushdrum._internal.pipelines.paths import PathChooser
 from bulrushdrum._internal.router_process import run_router
 
 SEED = 20261204
--- a/tests/unit/test_paths.py
+++ b/tests/unit/test_paths.py
@@ -5,10 +5,11 @@
 from hypothesis import strategies as st
 from tests.unit.pool_fakes import make_engine, make_limits, make_model
 
+from bulrushdrum._internal.pipelines.demand import Demand
 from bulrushdrum._internal.pipelines.errors import InsufficientMemory, NoPath
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import MemoryReservations
-from bulrushdrum._internal.pipelines.paths import Demand, PathChooser
+from bulrushdrum._internal.pipelines.paths import PathChooser
 
 DEMAND = Demand(700.0, 200.0)
 
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -11,9 +11,10 @@
     group_data_centres,
     group_members,
 )
+from bulrushdrum._internal.pipelines.demand import Demand
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.pipelines.memory_reservations import MemoryReservations
-from bulrushdrum._internal.pipelines.paths import Demand, PathChooser
+from bulrushdrum._internal.pipelines.paths import PathChooser
 from bulrushdrum._internal.pipelines.placement import (
     LayerCoverage,
     choose_layers,
