--- a/src/bulrushdrum/_internal/pipelines/placement.py
+++ b/src/bulrushdrum/_internal/pipelines/placement.py
@@ -229,8 +229,9 @@
 class LayerAssignment(NamedTuple):
     """Layers that an engine is to hold instead of its current ones, if any.
 
-    An urgent assignment does not wait for the requests that use the released layers,
-    because layers are missing in the engine's data centre and its paths fail already.
+    An urgent assignment does not wait for the requests that use the released layers.
+    While only the engine's data centre lacks layers, its requests run over paths that
+    cross to others; ending them would cost each stream one of its few attempts.
     """
 
     engine: PoolUpstream
@@ -246,13 +247,16 @@
     Engines whose layers are all held by others too are reassigned first. If they do not
     suffice, all layers of the group are rebalanced over its engines. A group whose
     engines cannot hold all layers is left unchanged. `engines` are those that serve,
-    with the layers that they were already ordered to hold.
+    with the layers that they were already ordered to hold. Assignments are urgent if no
+    engine holds some layers, so that all paths fail.
 
     If `may_rebalance`, one data centre without missing layers is rebalanced as well if
     that gives its bottleneck layer much more memory. Its paths fail in the meantime, so
     this is done only if no group has missing layers to restore.
     """
     assignments, rebalanced = [], []
+    holding = [engine for engine in engines if engine.layers is not None]
+    is_fleet_incomplete = bool(_missing_layers(model, holding))
     capacities = token_capacity_by_data_centre(model, engines)
     for group in group_data_centres(model, engines, token_capacity):
         tokens = capacities[min(group.data_centres)]
@@ -273,12 +277,12 @@
             e._replace(layers=reassigned[e.id].layers) if e.id in reassigned else e
             for e in local
         ]
+        chosen = list(reassigned.values())
         if _missing_layers(model, after) or _has_bottleneck(
             model, after, token_capacity(model, local)
         ):
-            assignments += _rebalance(model, local)
-        else:
-            assignments += reassigned.values()
+            chosen = _rebalance(model, local)
+        assignments += [item._replace(urgent=is_fleet_incomplete) for item in chosen]
     return assignments or rebalanced
 
 
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -3,6 +3,7 @@
 import time
 from itertools import pairwise
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from tests.unit.pool_fakes import make_engine, make_limits, make_model
@@ -188,6 +189,22 @@
     assert covered_layers(after) == set(range(model.layers))
 
 
+@pytest.mark.parametrize("other_end", [40, 30])
+def test_only_layers_that_the_fleet_lacks_are_ordered_urgently(other_end):
+    # Guards against ending the streams that run over engines of a data centre without
+    # some layers, although another one holds them and paths cross to it.
+    model = make_model()
+    engines = [
+        make_engine("a1", "large", "a", (0, 20)),
+        make_engine("a2", "large", "a", (0, 20)),
+        make_engine("b1", "large", "b", (0, 20)),
+        make_engine("b2", "large", "b", (20, other_end)),
+    ]
+    assignments = choose_reassignments(model, engines)
+    assert assignments
+    assert {a.urgent for a in assignments} == {other_end < 40}
+
+
 def test_redundant_engines_are_reassigned_before_others():
     model = make_model()
     engines = [
