--- a/src/bulrushdrum/_internal/coordination/placement_controller.py
+++ b/src/bulrushdrum/_internal/coordination/placement_controller.py
@@ -264,12 +264,17 @@
         return time.monotonic() - self._added_at[service] >= _SETTLE_SECONDS
 
     def announced_orders(self) -> list[list]:
-        """Return the orders of this router that are not confirmed, for its peers."""
+        """Return the orders that are not confirmed, for the peers of this router.
+
+        A leader announces all that it knows: a router that follows it may be stopped
+        too before the orders of an earlier leader are done.
+        """
         now = time.monotonic()
         return [
             [upstream_id, pending.born, *pending.layers, round(remaining, 2)]
             for upstream_id, pending in self._pending_orders.items()
-            if pending.is_own and (remaining := pending.expires_at - now) > 0.0
+            if (pending.is_own or self._has_led)
+            and (remaining := pending.expires_at - now) > 0.0
         ][:_MAX_ANNOUNCED_ORDERS]
 
     def apply_announcement(self, raw: list, is_leading: bool):
@@ -282,8 +287,10 @@
         now = time.monotonic()
         orders = {}
         for upstream_id, born, first, end, seconds in raw[:_MAX_ANNOUNCED_ORDERS]:
-            expires_at = now + min(max(float(seconds), 0.0), _MAX_ORDER_SECONDS)
-            layers = LayerRange(int(first), int(end))
+            seconds, layers = float(seconds), LayerRange(int(first), int(end))
+            if not (0.0 <= seconds and 0 <= layers.first < layers.end):
+                raise ValueError(f"an order of {layers} for {seconds} s")
+            expires_at = now + min(seconds, _MAX_ORDER_SECONDS)
             orders[str(upstream_id)] = _PendingOrder(
                 layers, int(born), expires_at, is_own=False
             )
--- a/tests/regressions/test_orders_cut_running_streams.py
+++ b/tests/regressions/test_orders_cut_running_streams.py
@@ -11,6 +11,7 @@
 
 from bulrushdrum._internal.conditions.claims import Matter
 from bulrushdrum._internal.coordination.placement_controller import PlacementController
+from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.platform.engine_calls import EngineReport, OrderOutcome
 from bulrushdrum._internal.world.routes import Service
@@ -138,6 +139,33 @@
     assert engines.orders == []
 
 
+def test_orders_outlast_several_leaders():
+    # Guards against forgetting an order when two leaders are stopped one after another
+    # while an engine carries it out.
+    fleet = make_fleet_with_empty_engine()
+    engines = RecordingEngines(fleet)
+    second, third = make_controller(fleet, engines), make_controller(fleet, engines)
+    second.apply_announcement([["e2", 1, 20, 40, 30.0]], is_leading=True)
+    assert second.announced_orders() == []
+    run_placement(fleet, engines, second)
+    third.apply_announcement(second.announced_orders(), is_leading=True)
+    run_placement(fleet, engines, third)
+    assert engines.orders == []
+
+
+@pytest.mark.parametrize(
+    "order",
+    [["e2", 1, 20, 40, float("nan")], ["e2", 1, -3, 40, 1.0], ["e2", 1, 9, 9, 1.0]],
+)
+def test_an_announced_order_that_no_router_sends_is_refused(order):
+    # Guards against orders that never expire, and layers that no model has.
+    fleet = make_fleet()
+    controller = make_controller(fleet, RecordingEngines(fleet))
+    with pytest.raises(DECODING_ERRORS):
+        controller.apply_announcement([order], is_leading=True)
+    assert controller.dump()["pending"] == {}
+
+
 def test_orders_of_a_follower_end_with_the_load():
     # Guards against waiting for orders that are done, or whose engine has restarted.
     fleet = make_fleet()
