--- a/src/bulrushdrum/_internal/conditions/upstream_conditions.py
+++ b/src/bulrushdrum/_internal/conditions/upstream_conditions.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from bulrushdrum._internal.conditions.claim_set import ClaimSet
-from bulrushdrum._internal.conditions.claims import MAX_FAILURES
+from bulrushdrum._internal.conditions.claims import MAX_FAILURES, Matter
 from bulrushdrum._internal.observability.events import Event, log_event
 
 # How long an upstream is avoided after its first failure, and at most: about one
@@ -31,6 +31,8 @@
     UNRESPONSIVE = "unresponsive"
     # By several claims of this router and its peers in a row.
     CLAIMED = "claimed"
+    # By several such claims, of which the last one says that it refuses requests.
+    REFUSING = "refusing"
     # By several failed requests of this router in a row.
     REPEATED = "repeated failures"
 
@@ -166,7 +168,9 @@
         if self.is_unresponsive(upstream_id):
             return Failure.UNRESPONSIVE
         if self.claims.failures(upstream_id, born) >= _FAILING_THRESHOLD:
-            return Failure.CLAIMED
+            claim = self.claims.condition(upstream_id).claim
+            is_refusing = claim.matter is Matter.REFUSING
+            return Failure.REFUSING if is_refusing else Failure.CLAIMED
         backoff = self._backoffs.get(upstream_id)
         if backoff is None or backoff.failures < _FAILING_THRESHOLD:
             return None
--- a/src/bulrushdrum/_internal/coordination/placement_controller.py
+++ b/src/bulrushdrum/_internal/coordination/placement_controller.py
@@ -19,6 +19,7 @@
 import gevent
 from gevent.pool import Pool
 
+from bulrushdrum._internal.conditions.upstream_conditions import Failure
 from bulrushdrum._internal.observability.events import Event, log_event
 from bulrushdrum._internal.pipelines.data_centre_groups import (
     group_data_centres,
@@ -187,7 +188,12 @@
         tasks.join()
 
     def _find_lost(self, service, engines) -> set[str]:
-        """Return the engines that fail requests and do not answer this router."""
+        """Return the engines that fail requests and do not answer this router.
+
+        One that refuses requests in a row is lost too if it holds the layers that this
+        router expects: it leaves, and its registration cannot say so yet. If it holds
+        others, the requests were sent to it by mistake.
+        """
         failing = [e for e in engines if self._fleet.is_failing(e.id)]
         now = time.monotonic()
         oldest = now - _FAILING_QUERY_SECONDS
@@ -204,6 +210,8 @@
         )
         for engine, report in zip(due, reports, strict=True):
             answered = report is not None and report.born in (None, engine.born)
+            if answered and self._fleet.failure(engine.id) is Failure.REFUSING:
+                answered = report.layers != engine.layers
             answers[engine.id, engine.born] = _Answer(answered, now)
         self._answers[service] = answers
         return {e.id for e in failing if not answers[e.id, e.born].answered}
--- a/tests/regressions/test_orders_cut_running_streams.py
+++ b/tests/regressions/test_orders_cut_running_streams.py
@@ -15,6 +15,7 @@
 from bulrushdrum._internal.pipelines.fleet import Fleet
 from bulrushdrum._internal.platform.engine_calls import EngineReport, OrderOutcome
 from bulrushdrum._internal.world.routes import Service
+from bulrushdrum._internal.world.upstreams import LayerRange
 
 # Longer than registrations settle, with some checks after it.
 _PLACEMENT_SECONDS = 1.8
@@ -23,9 +24,10 @@
 class RecordingEngines:
     """Engines that accept all orders; those in `dark` do not answer reports."""
 
-    def __init__(self, fleet, dark=()):
+    def __init__(self, fleet, dark=(), reported=()):
         self._fleet = fleet
         self._dark = dark
+        self._reported = dict(reported)
         self.orders = []
 
     def order_layers(self, address, upstream_id, layers, expected_orders, urgent=False):
@@ -36,7 +38,7 @@
         upstream = self._fleet.find_by_address(address)
         if upstream.id in self._dark:
             return None
-        layers = upstream.layers
+        layers = self._reported.get(upstream.id, upstream.layers)
         return EngineReport(1, False, 0, 0, 0, 0, 1.0, layers, frozenset())
 
 
@@ -53,9 +55,9 @@
     fleet.mark_unresponsive("e2")
 
 
-def claim_repeatedly(fleet):
+def claim_repeatedly(fleet, matter=Matter.UNRESPONSIVE):
     for _ in range(3):
-        claim = fleet.claims.make("e2", 1, Matter.UNRESPONSIVE, "another")
+        claim = fleet.claims.make("e2", 1, matter, "another")
         gevent.sleep(0 if claim.failures == 3 else claim.until - claim.made_at + 0.01)
 
 
@@ -93,6 +95,18 @@
     assert engines.orders == []
 
 
+@pytest.mark.parametrize("held", [(20, 40), (0, 20)])
+def test_an_engine_that_refuses_requests_is_lost_unless_it_holds_other_layers(held):
+    # Guards against layers that stay missing when an engine leaves during an outage
+    # of the store: it refuses requests, and answers reports.
+    fleet = make_fleet()
+    engines = RecordingEngines(fleet, reported={"e2": LayerRange(*held)})
+    claim_repeatedly(fleet, Matter.REFUSING)
+    assert fleet.is_failing("e2")
+    run_placement(fleet, engines)
+    assert bool(engines.orders) == (held == (20, 40))
+
+
 def test_layers_of_an_engine_that_does_not_answer_are_ordered_elsewhere():
     # Guards against waiting for the registration of a lost engine to expire.
     fleet = make_fleet()
