--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -63,6 +63,7 @@
         self.response_started = False
         self.closing = False
         self.status = 0
+        self._requests = 0
         # The request in progress, for the log.
         self.trace = RequestTrace()
 
@@ -76,6 +77,11 @@
         """Whether a request is in progress, or has arrived in part."""
         return not self._is_waiting or self._receiver.has_partial_request
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether the connection had a request before the one in progress."""
+        return self._requests > 1
+
     def serve(self):
         while not self.closing:
             if not self._serve_next():
@@ -91,6 +97,7 @@
         if request is None:
             return False
         self._request, self.response_started = request, False
+        self._requests += 1
         self.trace = RequestTrace()
         if not request.keep_alive:
             self.closing = True
--- a/src/bulrushdrum/_internal/gateway/draining.py
+++ b/src/bulrushdrum/_internal/gateway/draining.py
@@ -102,6 +102,10 @@
     def is_draining(self) -> bool:
         return self._started_at is not None
 
+    def seconds_since_signal(self, at: float) -> float | None:
+        """Return how long after SIGTERM a time of the clock is; None without one."""
+        return None if self._started_at is None else at - self._started_at
+
     @property
     def _started_at(self):
         """When SIGTERM arrived, from which the time of the kill counts."""
--- a/src/bulrushdrum/_internal/gateway/request_handler.py
+++ b/src/bulrushdrum/_internal/gateway/request_handler.py
@@ -108,11 +108,14 @@
         """Log and count the requests that are interrupted because the router exits."""
         for connection, (request, metadata) in self._in_progress.items():
             self._metrics.increment("interrupted_by_stop")
+            read_after = self._drain.seconds_since_signal(request.read_at)
             log_event(
                 Event.INTERRUPTED_BY_STOP,
                 request=metadata.request_id.decode("latin-1"),
                 path=request.path,
                 seconds=round(time.monotonic() - request.read_at, 3),
+                read_after_signal=None if read_after is None else round(read_after, 3),
+                reused_connection=connection.is_reused,
                 response_started=connection.response_started,
                 **connection.trace.details(),
             )
@@ -321,6 +324,8 @@
         log_event(
             Event.ACCEPTED_WHILE_DRAINING,
             request=metadata.request_id.decode("latin-1"),
+            reused_connection=connection.is_reused,
+            others_take_work=self._others_accept_work(),
             **admission.log_fields(),
         )
         return True
@@ -338,6 +343,7 @@
             request=metadata.request_id.decode("latin-1"),
             status=response.status,
             reason="draining",
+            reused_connection=connection.is_reused,
             others_take_work=others_accept_work,
             **admission.log_fields(),
         )
