--- a/tests/integration/test_router_stops.py
+++ b/tests/integration/test_router_stops.py
@@ -36,17 +36,23 @@
 class Caller:
     """One kept connection of a caller, on which it sends one generation."""
 
-    def __init__(self, router, name, chunked=False):
-        self.id = name
-        self.status, self.body, self.is_complete = 0, b"", False
-        self._is_chunked = chunked
+    def __init__(self, router, name, chunked=False, max_tokens=20):
+        self._is_chunked, self._max_tokens = chunked, max_tokens
+        self.rename(name)
         self._socket = socket.create_connection(("127.0.0.1", router.port), 1.0)
         self._socket.settimeout(10.0)
-        framing = b"Transfer-Encoding: chunked" if chunked else b"Content-Length: 4"
+
+    def rename(self, name):
+        """Make the next request one with the id `name`."""
+        self.id = name
+        self.status, self.body, self.is_complete = 0, b"", False
+        framing = b"Content-Length: 4"
+        if self._is_chunked:
+            framing = b"Transfer-Encoding: chunked"
         self._head = (
             b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nBulrushdrum-Attempt-Id: %s\r\n"
-            b"Bulrushdrum-Token-Count: 100,20\r\nBulrushdrum-Length-Hint: 20\r\n"
-            b"%s%s\r\n\r\n" % (name, AUTHORIZATION, framing)
+            b"Bulrushdrum-Token-Count: 100,%d\r\nBulrushdrum-Length-Hint: 20\r\n"
+            b"%s%s\r\n\r\n" % (name, self._max_tokens, AUTHORIZATION, framing)
         )
 
     def begin(self):
@@ -162,6 +168,65 @@
     assert len(callers) == 5 and 8202 not in router.events()
 
 
+class LongerAnswers:
+    """An engine whose answers take 0.1 s at first, and 3 s once `are_long` is set.
+
+    Its callers expect 5 events and allow 150.
+    """
+
+    def __init__(self, router, store):
+        self.are_long = False
+        self.engine = FakeEngine("e1", store, self._answer)
+        store.put("op", "config", make_configuration())
+        router.wait_for(lambda: router.send_request().status == 200)
+        # Enough for the estimate of a duration, by which a draining router decides.
+        for number in range(40):
+            caller = self.make_caller(router, b"before-%d" % number)
+            caller.send()
+            assert caller.is_complete
+
+    def _answer(self, request):
+        if self.are_long:
+            return stream(request, last=60, gap=0.05)
+        return stream(request, gap=0.02)
+
+    def make_caller(self, router, name):
+        return Caller(router, name, max_tokens=600)
+
+
+@pytest.mark.parametrize("kept", [True, False], ids=["kept", "new"])
+def test_a_stream_that_a_router_out_of_rotation_accepts_is_not_cut_at_its_exit(
+    router, store, kept
+):
+    # Guards against streams that are accepted late in a stop because they are expected
+    # to be short, last longer, and are cut when the router exits.
+    answers = LongerAnswers(router, store)
+    callers = []
+    if kept:
+        callers = [answers.make_caller(router, b"kept-%d" % n) for n in range(3)]
+        for caller in callers:
+            caller.send()
+            assert caller.is_complete
+            caller.rename(b"next-" + caller.id)
+    router.process.send_signal(signal.SIGTERM)
+    gevent.sleep(QUIET_SECONDS - 0.3)
+    # A request that is still arriving, so that the router does not exit early.
+    arriving = answers.make_caller(router, b"arriving")
+    arriving.begin()
+    gevent.sleep(0.9)
+    answers.are_long = True
+    if not kept:
+        callers = [answers.make_caller(router, b"new-%d" % n) for n in range(3)]
+    gevent.joinall([gevent.spawn(caller.send) for caller in callers], timeout=10.0)
+    arriving.end()
+    assert router.process.wait(timeout=8.0) == 0
+    ran = passed_on(answers.engine)
+    assert [caller.id for caller in callers if caller.id in ran] == [
+        caller.id for caller in callers if caller.is_complete and caller.status == 200
+    ]
+    assert {caller.status for caller in callers} <= {0, 200, 503}
+
+
 class Throttle:
     """Gives a process a share of a core only, as a quota on a busy machine does."""
 
--- a/tests/stops/callers.py
+++ b/tests/stops/callers.py
@@ -24,6 +24,7 @@
 _PATIENCE_SECONDS = 2.0
 _DEADLINE_SECONDS = 20.0
 _MAX_EVENTS = 158
+_MISJUDGED_FACTOR = 8.0
 
 
 class Balancer:
@@ -105,6 +106,8 @@
         length = int(self._random.lognormvariate(math.log(40.0), 0.85))
         length = min(max(length, 1), _MAX_EVENTS)
         expected = max(length * math.exp(self._random.gauss(0.0, 0.5)) * 4.0, 1.0)
+        if self._random.random() < self._options["misjudged"]:
+            expected = max(expected / _MISJUDGED_FACTOR, 1.0)
         deadline = time.monotonic() + _DEADLINE_SECONDS
         for _ in range(3):
             retry_after = self._attempt(is_stream, length, expected, deadline)
--- a/tests/stops/run.py
+++ b/tests/stops/run.py
@@ -46,7 +46,8 @@
     """One run; times in seconds, `rate` in requests a second of all callers.
 
     Engines are up to `spread` times slower than `event_seconds`, and a part `unframed`
-    of their streams ends with the connection. All processes, or those of the routers,
+    of their streams ends with the connection. A part `misjudged` of the callers expects
+    an eighth of the answer that it gets. All processes, or those of the routers,
     share the first `cores` or `router_cores` of the machine; 0 means any. With a
     `reader` "pipe" the log is read after the end of each process. `changes` adds new
     configurations and draining engines.
@@ -62,6 +63,7 @@
     event_seconds: float = 0.03
     spread: float = 2.0
     unframed: float = 0.0
+    misjudged: float = 0.0
     idle_seconds: float = 12.0
     router_cores: int = 0
     cores: int = 0
@@ -264,6 +266,7 @@
             "rate": self._options.rate / len(DATA_CENTRES),
             "seconds": 10 * self._options.seconds,
             "idle_seconds": self._options.idle_seconds,
+            "misjudged": self._options.misjudged,
             "routers": {
                 router.name: {"port": router.port, "ready": router.ready_port}
                 for router in self.routers
