Close kept connections of callers when a router begins to drain

Cause: a response whose head was sent before the signal does not ask its caller to close the connection, and the router closed idle connections only when it exited. So callers went on using them for the whole grace, past the load balancer.

Now a router closes each connection after its request once it drains, and idle ones that had a request at once; what has been received meanwhile is still answered, and a connection without a request yet is left open for its first one. Callers come back through the load balancer, which knows who has time.

--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -86,6 +86,11 @@
         while not self.closing:
             if not self._serve_next():
                 return
+            if self._server.is_draining and not self._has_received_more():
+                return
+
+    def _has_received_more(self):
+        return self._receiver.has_partial_request or is_readable(self._socket)
 
     def _serve_next(self) -> bool:
         """Handle the next request; return whether another one may follow.
@@ -122,6 +127,11 @@
                 # Ends the wait for the next request with an error.
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    def close_if_kept(self):
+        """Close the connection if it has had a request and waits for another one."""
+        if self._requests:
+            self.close_if_idle()
+
     def close_idle(self) -> bool:
         """Close the connection to make room, unless a request has arrived."""
         self.close_if_idle()
@@ -297,6 +307,16 @@
     def start(self):
         self._server.start()
 
+    def begin_drain(self):
+        """Close each connection after its request, and idle ones that have had one.
+
+        Callers that would use them again come back through the load balancer, to a
+        router that has time for them. New connections still wait for their request.
+        """
+        self.is_draining = True
+        for connection in list(self._open):
+            connection.close_if_kept()
+
     def stop_accepting(self):
         self._server.close()
 
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -112,7 +112,7 @@
         _run_once(components.request_handler.log_in_progress)
         persist_unread_lines()
         _run_once(components.drain_controller.begin)
-        components.caller_server.is_draining = True
+        components.caller_server.begin_drain()
         components.announcements.set_serving(False)
         gevent.spawn(components.registry.unregister)
         while not components.drain_controller.is_complete(
--- a/tests/unit/test_caller_connections.py
+++ b/tests/unit/test_caller_connections.py
@@ -8,6 +8,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from tests.unit.gateway_fakes import read_response
 
 from bulrushdrum._internal.caller.http import is_connected
@@ -83,6 +84,48 @@
         assert answered == [b"body"]
 
 
+def test_a_server_that_drains_closes_connections_that_had_a_request():
+    # Guards against requests that reach a router out of rotation because it keeps the
+    # connections of earlier ones open until it exits.
+    answered, may_end = [], Event()
+
+    def answer(connection, request):
+        answered.append(request.path)
+        connection.start_stream(200, [])
+        if request.path == "/long":
+            may_end.wait()
+        connection.end_stream()
+
+    def send(sock, path):
+        sock.sendall(b"POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n" % path)
+
+    server = CallerServer("127.0.0.1:0", answer)
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    with (
+        socket.create_connection(address, timeout=2.0) as idle,
+        socket.create_connection(address, timeout=2.0) as busy,
+        socket.create_connection(address, timeout=2.0) as ahead,
+        socket.create_connection(address, timeout=2.0) as unused,
+    ):
+        send(idle, b"/short")
+        assert read_response(idle).is_complete
+        send(busy, b"/long")
+        send(ahead, b"/long")
+        send(ahead, b"/ahead")
+        gevent.sleep(0.05)
+        server.begin_drain()
+        assert idle.recv(1) == b""
+        may_end.set()
+        assert read_response(busy).is_complete
+        assert busy.recv(1) == b""
+        gevent.sleep(0.05)
+        send(unused, b"/new")
+        assert read_response(unused).is_complete
+        assert answered == ["/short", "/long", "/long", "/ahead", "/new"]
+    server.stop_accepting()
+
+
 def test_changed_limits_hold_for_connections_that_are_open():
     # Guards against refusing what the configuration allows, on connections that were
     # opened before it was changed.
--- a/tests/unit/test_router_drain.py
+++ b/tests/unit/test_router_drain.py
@@ -56,15 +56,15 @@
 def test_an_error_in_a_drain_does_not_cut_the_requests_in_progress(monkeypatch):
     # Guards against a router that ends with all its streams, and without a line that
     # names them, because an estimate raises.
-    finished = []
+    finished, drained = [], []
     caller_server = SimpleNamespace(
         requests_in_progress=1,
         open_requests=1,
-        is_draining=False,
+        begin_drain=lambda: drained.append(True),
         finish=finished.append,
     )
     polls = [True] * POLLS
     make_process(monkeypatch, caller_server, polls)._drain()
-    assert caller_server.is_draining
+    assert drained == [True]
     assert not polls
     assert finished == [EXIT_SECONDS]
