Accept late calls of plain services in a stop only if their timeout fits

The same cause as for late generations, found on a related path: out of rotation a router accepted a call that may be repeated if twice the longest of the last 300 would end in time. The rule that held for calls that nobody can repeat now holds for all.

test_a_call_is_accepted_late_in_a_stop_only_if_its_timeout_fits fails before. It replaces the test of calls that nobody can repeat and has its checks for all calls; test_a_call_may_take_longer_than_those_before checks the same bound while the router is in rotation, where it still decides.

--- a/src/bulrushdrum/_internal/gateway/draining.py
+++ b/src/bulrushdrum/_internal/gateway/draining.py
@@ -119,15 +119,14 @@
         signalled_at = self._signalled_at()
         return self._begun_at if signalled_at is None else signalled_at
 
-    def decide_call(self, timeout: float, is_retryable: bool = True) -> DrainAdmission:
+    def decide_call(self, timeout: float) -> DrainAdmission:
         """Decide whether a call started now should end before the router exits.
 
-        It takes at most `timeout` seconds. Nobody can repeat a call that is not
-        retryable and was cut, so that one is expected to take all of them, unless most
-        callers still come to this router.
+        It takes at most `timeout` seconds, and is expected to take all of them once
+        callers come to other routers.
         """
         expected_seconds = min(self._calls.seconds(), timeout)
-        if self.is_draining and not is_retryable and self._is_out_of_rotation():
+        if self.is_draining and self._is_out_of_rotation():
             expected_seconds = timeout
         return self._decide(expected_seconds, self._calls.samples)
 
--- a/src/bulrushdrum/_internal/gateway/request_handler.py
+++ b/src/bulrushdrum/_internal/gateway/request_handler.py
@@ -251,7 +251,7 @@
     def _run_plain_call(self, connection, proxied_request, route, service_name):
         started_at = time.monotonic()
         timeout = proxied_request.deadline - started_at
-        admission = self._drain.decide_call(timeout, route.is_retryable)
+        admission = self._drain.decide_call(timeout)
         if not self._admit(connection, proxied_request.metadata, admission):
             return
         response = self._plain_call_proxy.run(
--- a/tests/unit/test_draining.py
+++ b/tests/unit/test_draining.py
@@ -254,26 +254,25 @@
     scenario = DrainScenario()
     for _ in range(99):
         scenario.calls.record(0.05)
-    scenario.calls.record(0.4)
-    scenario.drain(after=SERVING_SECONDS - 0.5)
-    assert not scenario.controller.decide_call(timeout=1.5).accepted
-    assert scenario.controller.decide_call(timeout=0.5).accepted
-    scenario.clock.now -= 0.4
-    assert scenario.controller.decide_call(timeout=1.5).accepted
+    scenario.calls.record(3.0)
+    scenario.drain(after=OUT_OF_ROTATION_SECONDS - 0.1)
+    assert not scenario.controller.decide_call(timeout=10.0).accepted
+    assert scenario.controller.decide_call(timeout=5.0).accepted
+    scenario.clock.now -= 1.5
+    assert scenario.controller.decide_call(timeout=10.0).accepted
 
 
-def test_a_call_that_nobody_can_repeat_is_accepted_only_if_it_certainly_ends():
+def test_a_call_is_accepted_late_in_a_stop_only_if_its_timeout_fits():
     # Guards against a call that is cut at the end of a planned stop, because it takes
-    # longer than all before, and that its caller must not send again.
+    # longer than all before.
     scenario = DrainScenario()
     for _ in range(300):
         scenario.calls.record(0.05)
     scenario.drain(after=6.5)
-    assert scenario.controller.decide_call(timeout=1.5).accepted
-    assert not scenario.controller.decide_call(1.5, is_retryable=False).accepted
-    assert scenario.controller.decide_call(1.0, is_retryable=False).accepted
+    assert not scenario.controller.decide_call(timeout=1.5).accepted
+    assert scenario.controller.decide_call(timeout=1.0).accepted
     scenario.clock.now -= 4.4
-    assert scenario.controller.decide_call(timeout=1.5, is_retryable=False).accepted
+    assert scenario.controller.decide_call(timeout=9.0).accepted
 
 
 def test_retry_after_covers_the_restart_with_jitter():
@@ -402,7 +401,7 @@
     assert scenario.controller.is_draining
     assert scenario.accepts(expected_tokens=30.0, max_tokens=40.0)
     assert not scenario.accepts(expected_tokens=400.0, max_tokens=400.0)
-    assert not scenario.controller.decide_call(5.0, is_retryable=False).accepted
+    assert not scenario.controller.decide_call(5.0).accepted
 
 
 def test_statistics_expire_after_a_pause_while_they_are_computed():
