--- a/review/stand_ins_2/engine_process.py
+++ b/review/stand_ins_2/engine_process.py
@@ -16,6 +16,8 @@
 from stand_ins_2.http1 import encode, read_message, respond  # noqa: E402
 
 LAYERS = {"from": 0, "target": 10, "version": 1}
+# How long a request waits in the queue before the server begins to read it.
+QUEUE_SECONDS = 0.1
 
 
 class Engine:
@@ -51,6 +53,13 @@
 
     async def _stream(self, request, writer):
         attempt = request.headers["bulrushdrum-attempt-id"]
+        deadline_seconds = int(request.headers["bulrushdrum-deadline-ms"]) / 1000.0
+        await asyncio.sleep(min(QUEUE_SECONDS, deadline_seconds))
+        if deadline_seconds < QUEUE_SECONDS:
+            # The deadline has passed while the request was in the queue.
+            headers = {"Bulrushdrum-Attempt-Id": attempt, "Bulrushdrum-Not-Executed": 1}
+            writer.write(respond(503, headers))
+            return
         headers = {
             "Content-Type": "text/event-stream",
             "Bulrushdrum-Attempt-Id": attempt,
--- a/review/stand_ins_2/router.py
+++ b/review/stand_ins_2/router.py
@@ -107,6 +107,11 @@
     def is_running(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """The code of a process that has ended, or None."""
+        return None if self._process is None else self._process.poll()
+
     async def wait_ready(self, seconds: float = 20.0):
         """Return when the router says that it is ready."""
         for _ in range(int(seconds / 0.1)):
