--- a/review/stand_ins_2/store.py
+++ b/review/stand_ins_2/store.py
@@ -1,7 +1,8 @@
 """The platform's store of rows: tables, transactions, and a feed of the last changes.
 
 The feed has each change in order, as PROTOCOL.md says; a row that changed twice comes
-twice. Each router reaches the store through a `StoreLink`, which can be cut.
+twice. Each router reaches the store through a `StoreLink`, which can be cut. The store
+can be away, and come back from a copy.
 """
 
 import asyncio
@@ -17,7 +18,9 @@
 
     def __init__(self):
         self.version = 0
-        self.log: list[dict] = []
+        self.is_away = False
+        self._era = 1
+        self._log: list[dict] = []
         self._rows: dict[tuple[str, str], dict] = {}
         self._changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
@@ -37,12 +40,19 @@
         else:
             row["value"] = base64.b64encode(json.dumps(value).encode()).decode()
             self._rows[table, key] = row
-        self.log.append(row)
+        self._log.append(row)
         async with self._changed:
             self._changed.notify_all()
 
-    def keys(self, table: str) -> list[str]:
-        return [key for name, key in self._rows if name == table]
+    def copy(self):
+        """Return what `restore` goes back to."""
+        return self.version, dict(self._rows), list(self._log)
+
+    def restore(self, copy):
+        """Come back from a copy; what was written since is gone."""
+        self.version, rows, log = copy
+        self._rows, self._log = dict(rows), list(log)
+        self._era += 1
 
     async def _serve(self, reader, writer):
         try:
@@ -50,7 +60,7 @@
                 message = await read_message(reader)
                 status, body = await self._answer(message)
                 data = json.dumps(body).encode()
-                headers = {"Content-Type": "application/json", "Store-Era": 1}
+                headers = {"Content-Type": "application/json", "Store-Era": self._era}
                 writer.write(respond(status, headers, data))
                 await writer.drain()
         except (EOFError, OSError, asyncio.IncompleteReadError):
@@ -59,12 +69,16 @@
             writer.close()
 
     async def _answer(self, message):
+        if self.is_away:
+            return 503, {}
         url = urlsplit(message.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         match url.path:
             case "/rows-get":
                 return 200, self._state(self._live(query))
             case "/rows-feed":
+                if int(query["after"]) > self.version:
+                    return 410, {}
                 return 200, self._state(await self._feed(query))
             case "/rows-tx":
                 return 200, await self._transact(json.loads(message.body))
@@ -83,7 +97,7 @@
         def changes():
             return [
                 row
-                for row in self.log
+                for row in self._log
                 if row["table"] == table and row["schema-version"] > after
             ]
 
