--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,9 +11,9 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from stand_ins_2 import client  # noqa: E402
-from stand_ins_2.case import TROUBLE, configuration, main, route  # noqa: E402
-from stand_ins_2.plain_server import PlainServer, refusal, success  # noqa: E402
+import system_2_client as client  # noqa: E402
+from system_2_case import TROUBLE, configuration, main, route  # noqa: E402
+from system_2_plain_server import PlainServer, refusal, success  # noqa: E402
 
 # The servers stand still for a moment, and then want no requests for some seconds.
 STALL_BEGINS_AFTER, STALL_SECONDS, NEED_SECONDS = 2.0, 0.5, 5.15
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 python3 - <<'PYTHON'
 from pathlib import Path
 
-for path in sorted(Path("review/stand_ins_2").glob("*.py")):
+for path in sorted(Path("review").glob("system_2_*.py")):
     compile(path.read_text(encoding="utf-8"), str(path), "exec")
 PYTHON
--- a/review/stand_ins_2/case.py
+++ b/review/system_2_case.py
@@ -8,8 +8,8 @@
 import traceback
 from pathlib import Path
 
-from stand_ins_2.router import CannotRun, Router
-from stand_ins_2.store import Store, StoreLink
+from system_2_router import CannotRun, Router
+from system_2_store import Store, StoreLink
 
 HOLDS, BROKEN, CANNOT_RUN = 0, 1, 2
 # Whether the disruption of the case is played.
--- a/review/stand_ins_2/client.py
+++ b/review/system_2_client.py
@@ -5,7 +5,7 @@
 import os
 from typing import NamedTuple
 
-from stand_ins_2.http1 import encode, read_head
+from system_2_http1 import encode, read_head
 
 _numbers = itertools.count(1)
 _RUN = os.urandom(4).hex()
--- a/review/stand_ins_2/engine_process.py
+++ b/review/system_2_engine_process.py
@@ -11,9 +11,9 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+sys.path.insert(0, str(Path(__file__).resolve().parent))
 
-from stand_ins_2.http1 import encode, read_message, respond  # noqa: E402
+from system_2_http1 import encode, read_message, respond  # noqa: E402
 
 LAYERS = {"from": 0, "target": 10, "version": 1}
 # How long a request waits in the queue before the server begins to read it.
--- a/review/stand_ins_2/engines.py
+++ b/review/system_2_engines.py
@@ -4,9 +4,9 @@
 import sys
 from pathlib import Path
 
-from stand_ins_2.store import Store
+from system_2_store import Store
 
-_PROGRAM = Path(__file__).resolve().with_name("engine_process.py")
+_PROGRAM = Path(__file__).resolve().with_name("system_2_engine_process.py")
 MODEL = {
     "slots": 96,
     "kv-token-bytes": 100_000,
@@ -30,7 +30,7 @@
 
 
 class EngineProcess:
-    """One model server; see `engine_process.py` for its arguments."""
+    """One model server; see `system_2_engine_process.py` for its arguments."""
 
     def __init__(self, name: str, events: int, event_seconds: float, framing: str):
         self.name = name
--- a/review/stand_ins_2/plain_server.py
+++ b/review/system_2_plain_server.py
@@ -6,9 +6,9 @@
 
 import asyncio
 
-from stand_ins_2.case import Record
-from stand_ins_2.http1 import Message, read_message, respond
-from stand_ins_2.store import Store
+from system_2_case import Record
+from system_2_http1 import Message, read_message, respond
+from system_2_store import Store
 
 
 class PlainServer:
--- a/review/stand_ins_2/router.py
+++ b/review/system_2_router.py
@@ -14,7 +14,7 @@
 import sys
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 DEPENDENCIES = ROOT / "target" / "deps"
 # Below the ports that the system gives to outgoing connections.
 _PORTS = range(20_000, 32_000)
--- a/review/stand_ins_2/store.py
+++ b/review/system_2_store.py
@@ -10,7 +10,7 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
-from stand_ins_2.http1 import read_message, respond
+from system_2_http1 import read_message, respond
 
 
 class Store:
