--- a/src/bulrushdrum/_internal/conditions/exchange.py
+++ b/src/bulrushdrum/_internal/conditions/exchange.py
@@ -96,7 +96,7 @@
     def report_refusal(self, upstream: PoolUpstream):
         """Avoid an upstream that refused a request, at all routers if it will again."""
         if self._memory_utilization(upstream) >= _MAX_MEMORY_UTILIZATION:
-            self._fleet.record_failure(upstream.id)
+            self._fleet.record_failure(upstream.id, reason="refused a request")
             return
         self._make(upstream, Matter.REFUSING)
 
--- a/src/bulrushdrum/_internal/conditions/upstream_conditions.py
+++ b/src/bulrushdrum/_internal/conditions/upstream_conditions.py
@@ -40,6 +40,7 @@
 class _Backoff(NamedTuple):
     until: float
     failures: int
+    reason: str
 
 
 class _Pause(NamedTuple):
@@ -101,7 +102,7 @@
 
     def mark_terminated(self, upstream_id: str, born: int):
         self._terminated[upstream_id] = born
-        self.record_failure(upstream_id)
+        self.record_failure(upstream_id, reason="refuses connections")
 
     def has_terminated(self, upstream_id: str, born: int) -> bool:
         return self._terminated.get(upstream_id) == born
@@ -124,10 +125,13 @@
             return 0.0
         return max(pause.until - self._clock(), 0.0)
 
-    def record_failure(self, upstream_id: str, seconds: float | None = None):
+    def record_failure(
+        self, upstream_id: str, seconds: float | None = None, reason: str = ""
+    ):
         """Avoid an upstream for a backoff time that doubles with each failure.
 
-        `seconds` replaces the computed backoff time, up to the same maximum.
+        `seconds` replaces the computed backoff time, up to the same maximum. `reason`
+        is for the log.
         """
         now = self._clock()
         known = self._backoffs.get(upstream_id)
@@ -136,9 +140,17 @@
         failures = 1 if known is None else min(known.failures + 1, MAX_FAILURES)
         if seconds is None:
             seconds = _INITIAL_BACKOFF_SECONDS * 2 ** (failures - 1)
-        until = now + min(seconds, _MAX_BACKOFF_SECONDS)
-        self._backoffs[upstream_id] = _Backoff(until, failures)
+        seconds = min(seconds, _MAX_BACKOFF_SECONDS)
+        reason = reason or "failed a request"
+        self._backoffs[upstream_id] = _Backoff(now + seconds, failures, reason)
         self._version += 1
+        log_event(
+            Event.UPSTREAM_AVOIDED,
+            upstream=upstream_id,
+            reason=reason,
+            failures=failures,
+            seconds=round(seconds, 3),
+        )
 
     def record_success(self, upstream_id: str):
         """Record that an upstream served a request, and end its backoff.
@@ -154,7 +166,7 @@
 
     def mark_unresponsive(self, upstream_id: str):
         self._unresponsive[upstream_id] = self._clock() + _UNRESPONSIVE_SECONDS
-        self.record_failure(upstream_id)
+        self.record_failure(upstream_id, reason="stalls paths")
 
     def is_unresponsive(self, upstream_id: str) -> bool:
         return self._unresponsive.get(upstream_id, 0.0) > self._clock()
@@ -182,6 +194,16 @@
             return True
         return self.claims.is_avoided(upstream_id, born)
 
+    def describe_avoidance(self, upstream_id: str, born: int) -> str | None:
+        """Return why an upstream is avoided, for the log, or None if it is not."""
+        backoff = self._backoffs.get(upstream_id)
+        if backoff is not None and backoff.until > self._clock():
+            return backoff.reason
+        if not self.claims.is_avoided(upstream_id, born):
+            return None
+        claim = self.claims.condition(upstream_id).claim
+        return f"{claim.reporter} claims that it is {claim.matter.value}"
+
     def suspect(self, ids: Iterable[str], seconds: float):
         """Use upstreams that may be silent only if there are no others, for a while."""
         now = self._clock()
--- a/src/bulrushdrum/_internal/gateway/attempt_failures.py
+++ b/src/bulrushdrum/_internal/gateway/attempt_failures.py
@@ -67,6 +67,11 @@
         progress: GenerationProgress,
     ):
         """Record an attempt that failed, and what it says about the upstreams."""
+        progress.last_failure, progress.last_path = str(error), describe_path(path)
+        reasons = {
+            hop.upstream.id: self._fleet.describe_avoidance(hop.upstream.id)
+            for hop in path
+        }
         log_event(
             Event.UPSTREAM_ATTEMPT_FAILED,
             request=proxied_request.metadata.request_id.decode("latin-1"),
@@ -75,6 +80,8 @@
             may_have_run=error.may_have_run,
             events_delivered=progress.events,
             attempt_events=progress.attempt_events,
+            since_event=round(progress.seconds_since_event(), 3),
+            avoided={name: reason for name, reason in reasons.items() if reason},
             fingerprint=proxied_request.fingerprint,
             parts=proxied_request.metadata.shared_parts,
         )
@@ -116,6 +123,8 @@
         progress: GenerationProgress,
     ):
         """Record that a path refused a request."""
+        progress.last_failure = f"refused with {refusal.status}"
+        progress.last_path = describe_path(path)
         # Look up the address in the path: another upstream may use it by now.
         at_fault = refusal.at_fault or path[0].address
         hops = [hop for hop in path if hop.address == at_fault]
--- a/src/bulrushdrum/_internal/gateway/generation_progress.py
+++ b/src/bulrushdrum/_internal/gateway/generation_progress.py
@@ -37,6 +37,9 @@
         self.form: tuple[int, bytes] | None = None
         self.attempts = 0
         self.refusals = 0
+        # How the last attempt ended, and its path, for the log.
+        self.last_failure: str | None = None
+        self.last_path: list[str] = []
         self.retry_costs = RetryCosts()
         self.failed_upstreams: set[str] = set()
         # Upstreams of paths that stalled for an unknown reason.
@@ -74,6 +77,10 @@
         is_empty = not self.has_data and self.last_id is None
         return is_empty or self.has_begun_event
 
+    def seconds_since_event(self) -> float:
+        """Return how long ago the last event arrived, or the attempt was sent."""
+        return time.monotonic() - max(self.last_event_at, self.sent_at)
+
     def has_caller_left(self, timeout: float) -> bool:
         """Whether a stream has delivered nothing for longer than callers wait."""
         return self.started and time.monotonic() > self.last_event_at + timeout
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -8,6 +8,7 @@
 import random
 import time
 from collections.abc import Callable
+from enum import StrEnum
 
 from bulrushdrum._internal.conditions.exchange import ConditionExchange
 from bulrushdrum._internal.gateway.attempt_failures import (
@@ -68,8 +69,24 @@
 _QUARANTINE_REASON = "upstreams crash when they run this request"
 
 
+class RetryRefusal(StrEnum):
+    """Why a generation is not sent again; the values are those that the log records."""
+
+    DEADLINE = "the deadline passed"
+    NOT_RETRYABLE = "its route may not be retried"
+    NOT_RESUMABLE = "its last event has no id"
+    QUARANTINED = "it is quarantined"
+    MAX_ATTEMPTS = "its route allows no more attempts"
+    MAX_REFUSALS = "it was refused too often"
+    CALLER_LEFT = "its caller no longer waits"
+    RETRY_LIMIT = "the limit on retries is used up"
+
+
 class GenerationProxy:
-    """Runs generations; `detect_stall(hops)` marks the stalled upstreams of a path."""
+    """Runs generations; `detect_stall(hops)` marks the stalled upstreams of a path.
+
+    `seconds_since_signal()` returns the time since SIGTERM, or None without one.
+    """
 
     def __init__(
         self,
@@ -84,9 +101,11 @@
         statements: StatementRecorder,
         mover: StreamMover,
         conditions: ConditionExchange,
+        seconds_since_signal: Callable[[], float | None] = lambda: None,
         seed=None,
     ):
         self._mover = mover
+        self._seconds_since_signal = seconds_since_signal
         self._conditions = conditions
         self._fleet = fleet
         self._reservations = reservations
@@ -119,11 +138,16 @@
         demand = estimate_demand(proxied_request, model)
         while True:
             is_retry = progress.attempts + progress.refusals > 0
-            if is_retry and not self._may_retry(
+            refusal = is_retry and self._refuse_retry(
                 proxied_request, route, service, progress
-            ):
+            )
+            if refusal:
                 self._fail_generation(
-                    connection, proxied_request, progress, "no attempt is left"
+                    connection,
+                    proxied_request,
+                    progress,
+                    "no attempt is left",
+                    cause=refusal,
                 )
                 return
             try:
@@ -181,19 +205,24 @@
             progress.refusals += 1
             self._failures.record_refusal(proxied_request, path, outcome, progress)
 
-    def _may_retry(self, proxied_request, route, service, progress):
+    def _refuse_retry(
+        self, proxied_request, route, service, progress
+    ) -> RetryRefusal | None:
+        """Return why a generation may not be sent again, or None; count the retry."""
         if time.monotonic() >= proxied_request.deadline:
-            return False
-        if progress.attempts and not (route.is_retryable and progress.can_resume):
-            return False
+            return RetryRefusal.DEADLINE
+        if progress.attempts and not route.is_retryable:
+            return RetryRefusal.NOT_RETRYABLE
+        if progress.attempts and not progress.can_resume:
+            return RetryRefusal.NOT_RESUMABLE
         if self._crash_evidence.is_quarantined(proxied_request):
-            return False
+            return RetryRefusal.QUARANTINED
         if progress.attempts >= route.max_attempts:
-            return False
+            return RetryRefusal.MAX_ATTEMPTS
         if progress.refusals > _MAX_REFUSALS and not progress.started:
-            return False
+            return RetryRefusal.MAX_REFUSALS
         if progress.refusals and progress.has_caller_left(caller_timeout(route)):
-            return False
+            return RetryRefusal.CALLER_LEFT
         if self._budget.wait_to_count(
             progress.retry_costs,
             service,
@@ -201,13 +230,13 @@
             has_delivered=progress.started,
             arrived_at=proxied_request.request.read_at,
         ):
-            return True
+            return None
         log_event(
             Event.RETRY_NOT_ALLOWED,
             request=proxied_request.metadata.request_id.decode("latin-1"),
             service=service,
         )
-        return False
+        return RetryRefusal.RETRY_LIMIT
 
     def _attempt(self, connection, proxied_request, route, path, progress, watched):
         """Forward the stream of `path`; return None at its end, or a `PathRefusal`."""
@@ -415,15 +444,25 @@
                 )
 
     def _fail_generation(
-        self, connection, proxied_request, progress, reason, status=502
+        self, connection, proxied_request, progress, reason, status=502, cause=None
     ):
+        # The lines of the attempts may have been omitted, so this one repeats what
+        # tells apart why a stream was given up.
+        signalled = self._seconds_since_signal()
         log_event(
             Event.GENERATION_GIVEN_UP,
             request=proxied_request.metadata.request_id.decode("latin-1"),
             reason=reason,
+            cause=cause,
             attempts=progress.attempts,
             refusals=progress.refusals,
             events_delivered=progress.events,
+            last_failure=progress.last_failure,
+            since_event=(
+                round(progress.seconds_since_event(), 3) if progress.sent_at else None
+            ),
+            since_signal=None if signalled is None else round(signalled, 3),
+            path=progress.last_path,
         )
         if progress.started:
             connection.abort()
--- a/src/bulrushdrum/_internal/observability/events.py
+++ b/src/bulrushdrum/_internal/observability/events.py
@@ -115,6 +115,7 @@
     RETRIES_BORROWED = 8231
     CALLER_REQUEST_SHED = 8233
     CALLER_CONNECTION_CLOSED = 8234
+    UPSTREAM_AVOIDED = 8235
 
 
 # Lines of a stop, and those that name the requests which it may cut: at most a few for
--- a/src/bulrushdrum/_internal/pipelines/fleet.py
+++ b/src/bulrushdrum/_internal/pipelines/fleet.py
@@ -299,13 +299,16 @@
         ]
         return min(waits, default=0.0)
 
-    def record_failure(self, upstream_id: str, seconds: float | None = None):
+    def record_failure(
+        self, upstream_id: str, seconds: float | None = None, reason: str = ""
+    ):
         """Avoid an upstream for a backoff time that doubles with each failure.
 
-        `seconds` replaces the computed backoff time, up to the same maximum.
+        `seconds` replaces the computed backoff time, up to the same maximum. `reason`
+        is for the log.
         """
         if upstream_id in self._upstreams:
-            self.conditions.record_failure(upstream_id, seconds)
+            self.conditions.record_failure(upstream_id, seconds, reason)
 
     def record_success(self, upstream_id: str):
         """Record that an upstream served a request, and end its backoff."""
@@ -337,6 +340,13 @@
         known = self._upstreams.get(upstream_id)
         return known is not None and self.conditions.is_avoided(upstream_id, known.born)
 
+    def describe_avoidance(self, upstream_id: str) -> str | None:
+        """Return why an upstream is avoided, for the log, or None if it is not."""
+        known = self._upstreams.get(upstream_id)
+        if known is None:
+            return None
+        return self.conditions.describe_avoidance(upstream_id, known.born)
+
     def is_avoided_as_first(self, upstream: PoolUpstream) -> bool:
         """Whether no path should begin at an upstream, if another one can."""
         return self.first_hop_claims.is_avoided(upstream.id, upstream.born)
--- a/src/bulrushdrum/_internal/router_components.py
+++ b/src/bulrushdrum/_internal/router_components.py
@@ -5,6 +5,7 @@
 """
 
 import secrets
+import time
 
 from bulrushdrum._internal.conditions.exchange import ConditionExchange
 from bulrushdrum._internal.coordination.announcements import RouterAnnouncements
@@ -216,6 +217,7 @@
             self._statements,
             self.stream_mover,
             self.conditions,
+            lambda: self.drain_controller.seconds_since_signal(time.monotonic()),
         )
         self.configuration_follower = TableFollower(
             store,
