--- a/tests/integration/router_system.py
+++ b/tests/integration/router_system.py
@@ -36,7 +36,7 @@
 class FakeEngine:
     """An engine that accepts layer orders and serves streams."""
 
-    def __init__(self, upstream_id, store, script=resumed):
+    def __init__(self, upstream_id, store, script=resumed, slots=8):
         self.id = upstream_id
         self.orders = []
         self._script = script
@@ -45,7 +45,7 @@
             "service": "s1",
             "address": self.server.address,
             "zone": "a",
-            "slots": 8,
+            "slots": slots,
             "state": "ready",
             "born": 1,
             "route-kind": "k",
