--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -249,7 +249,6 @@
             proxied_request.priority,
         )
         progress.attempt_events, progress.sent_at = 0, time.monotonic()
-        can_retry = self._can_retry_elsewhere(route, progress)
         connection.trace.record_attempt(describe_path(path), path[0].upstream.id)
         pending = send_request(self._pool, path[0].address, proxied_request, forwarding)
         upstream_connection, reader = pending
@@ -259,7 +258,7 @@
                 received = self._receive(connection, pending, watch, watched)
                 if not reader.has_head:
                     if watch.is_check_due(received):
-                        self._check_path(path, watch, can_retry)
+                        self._check_path(pending, path, watch, watched)
                     watched.move_if_overdue(received)
             connection.trace.upstream_status = reader.status
             response_metadata = validate_response_head(
@@ -283,7 +282,6 @@
                     progress,
                     watch,
                     watched,
-                    can_retry,
                     proxied_request,
                 )
                 refusal = None
@@ -332,7 +330,6 @@
         progress,
         watch,
         watched,
-        can_retry,
         proxied_request,
     ):
         reader, received = pending.reader, True
@@ -353,7 +350,7 @@
                 # What was received comes first: it may have an event that ends the
                 # silence of the upstream.
                 if watch.is_check_due(received):
-                    self._check_path(path, watch, can_retry)
+                    self._check_path(pending, path, watch, watched)
                 watched.move_if_overdue(received)
                 received = self._receive(connection, pending, watch, watched)
         finally:
@@ -379,7 +376,9 @@
         """
         if progress.expects_event:
             raise UpstreamFailed("the stream ended before its next event", True)
-        self._check_restarts(path)
+        restart = self._find_restart(path)
+        if restart is not None:
+            raise restart
 
     def _end_stream(self, connection, reader, progress):
         self._start_stream(connection, reader, progress)
@@ -412,36 +411,50 @@
                 connection.send_chunk(b"".join(accepted))
         return has_data
 
-    def _check_path(self, path, watch, can_retry):
-        """Raise `UpstreamFailed` if the path failed or the stream stalled.
+    def _check_path(self, pending, path, watch, watched):
+        """Raise `UpstreamFailed` if the stream should leave its path, and can.
 
-        A silent stream is left alone if it cannot be retried: its events may still
+        A stream is left alone unless its next attempt is settled: its events may still
         arrive, and ending it would only discard them.
         """
         if watch.is_past_deadline():
             raise DeadlinePassed("the deadline passed", True)
-        self._check_restarts(path)
-        if not watch.needs_stall_check():
+        failure = self._find_failure(path, watch)
+        if failure is None or pending.connection.has_pending_input():
             return
-        self._detect_stall(path)
-        if not can_retry:
+        # What arrives while the retry waits for a loan shows that the path works.
+        if not watched.settle_retry(failure):
             return
+        if not pending.connection.has_pending_input():
+            raise failure
+        watched.stay()
+
+    def _find_failure(self, path, watch) -> UpstreamFailed | None:
+        """Return why a path seems to have failed, or None."""
+        restart = self._find_restart(path)
+        if restart is not None:
+            return restart
+        if not watch.needs_stall_check():
+            return None
+        self._detect_stall(path)
         if any(self._fleet.is_avoided(hop.upstream.id) for hop in path):
-            raise UpstreamFailed(
+            return UpstreamFailed(
                 "an upstream of the path is marked as failed", True, unresponsive=True
             )
         if watch.has_stalled():
-            raise UpstreamFailed("the stream stalled", True, unresponsive=True)
+            return UpstreamFailed("the stream stalled", True, unresponsive=True)
+        return None
 
-    def _check_restarts(self, path):
-        """Raise `UpstreamRestarted` if an upstream of the path has restarted."""
+    def _find_restart(self, path) -> UpstreamRestarted | None:
+        """Return the restart of an upstream of the path, or None."""
         for hop in path:
             known = self._fleet.get(hop.upstream.id)
             # An unregistered upstream may be shutting down and completes its streams.
             if known is not None and known.born != hop.upstream.born:
-                raise UpstreamRestarted(
+                return UpstreamRestarted(
                     f"{hop.upstream.id} restarted", True, unresponsive=True
                 )
+        return None
 
     def _fail_generation(
         self, connection, proxied_request, progress, reason, status=502, cause=None
--- a/src/bulrushdrum/_internal/gateway/path_waiting.py
+++ b/src/bulrushdrum/_internal/gateway/path_waiting.py
@@ -82,7 +82,15 @@
         )
 
         def find():
-            return self._choose_path(proxied_request, service, model, demand, progress)
+            try:
+                return self._choose_path(service, model, demand, progress)
+            except NoPath as error:
+                log_event(
+                    Event.NO_PATH,
+                    request=proxied_request.metadata.request_id.decode("latin-1"),
+                    reason=str(error),
+                )
+                raise
 
         try:
             return self._turns.wait(turn, find)
@@ -94,6 +102,17 @@
             self._log_insufficient_memory(proxied_request, service, model)
             raise
 
+    def find_next_path(
+        self, service, model, demand, progress
+    ) -> tuple[Hop, ...] | None:
+        """Return the path that `wait_for_path` would return now, or None."""
+        if progress.started:
+            demand = demand._replace(has_begun=True)
+        try:
+            return self._choose_path(service, model, demand, progress)
+        except PipelineError:
+            return None
+
     def find_other_path(
         self, proxied_request, service, model, demand, progress, excluded
     ) -> tuple[Hop, ...] | None:
@@ -109,7 +128,7 @@
         except PipelineError:
             return None
 
-    def _choose_path(self, proxied_request, service, model, demand, progress):
+    def _choose_path(self, service, model, demand, progress):
         """Choose a path, preferably without the upstreams that failed this request.
 
         Upstreams that recently refused it are excluded, as they would refuse it again.
@@ -134,12 +153,6 @@
             except NoPath as error:
                 # The excluded upstreams hold layers and may have free memory soon.
                 problem = InsufficientMemory(str(error)) if refusing else error
-        if isinstance(problem, NoPath):
-            log_event(
-                Event.NO_PATH,
-                request=proxied_request.metadata.request_id.decode("latin-1"),
-                reason=str(problem),
-            )
         raise problem
 
     def _log_insufficient_memory(self, proxied_request, service, model):
--- a/src/bulrushdrum/_internal/gateway/stream_moves.py
+++ b/src/bulrushdrum/_internal/gateway/stream_moves.py
@@ -10,7 +10,11 @@
 
 import gevent
 
-from bulrushdrum._internal.gateway.errors import UpstreamSilent
+from bulrushdrum._internal.gateway.errors import (
+    UpstreamFailed,
+    UpstreamRestarted,
+    UpstreamSilent,
+)
 from bulrushdrum._internal.gateway.exchange import ProxiedRequest
 from bulrushdrum._internal.gateway.generation_progress import GenerationProgress
 from bulrushdrum._internal.gateway.move_bound import MoveBound
@@ -90,12 +94,23 @@
                 proxied_request, service, model, demand, progress, excluded
             )
 
+        def find_next_path():
+            return self._path_waiter.find_next_path(service, model, demand, progress)
+
         waiting_since = progress.last_event_at or proxied_request.request.read_at
         pace = StreamPace(
             route, service, self.history, max(time.monotonic() - waiting_since, 0.0)
         )
         return WatchedAttempt(
-            self, pace, path, progress, service, proxied_request, find_path, can_move
+            self,
+            pace,
+            path,
+            progress,
+            service,
+            proxied_request,
+            find_path,
+            find_next_path,
+            can_move,
         )
 
     def avoided(self, ids: frozenset[str]) -> frozenset[str]:
@@ -121,6 +136,22 @@
             progress.retry_costs, service, self._count_routers()
         )
 
+    def wait_to_reserve_retry(
+        self, progress: GenerationProgress, service: str, arrived_at: float
+    ) -> bool:
+        """Count the retry of a stream whose path seems to have failed, ahead.
+
+        It may use all of the limit if its caller has received a part of the answer, and
+        waits shortly for a loan.
+        """
+        return self._budget.wait_to_count_ahead(
+            progress.retry_costs,
+            service,
+            self._count_routers(),
+            progress.started,
+            arrived_at,
+        )
+
     def record_move(self, path, silence):
         self._bound.record(silence.candidates)
         self.moves += 1
@@ -140,6 +171,7 @@
         service: str,
         proxied_request: ProxiedRequest,
         find_path: Callable[[frozenset[str]], tuple[Hop, ...] | None],
+        find_next_path: Callable[[], tuple[Hop, ...] | None],
         can_move: bool,
     ):
         self._mover = mover
@@ -149,6 +181,7 @@
         self._service = service
         self._proxied_request = proxied_request
         self._find_path = find_path
+        self._find_next_path = find_next_path
         self._can_move = can_move
         self._asked_at = 0.0
         self._wait_until = 0.0
@@ -215,6 +248,29 @@
         )
         raise UpstreamSilent("the stream is unusually silent", silence.candidates)
 
+    def settle_retry(self, failure: UpstreamFailed) -> bool:
+        """Find the path of the next attempt and count its retry, before this one ends.
+
+        Returns whether both succeeded, for a path that seems to have failed.
+        """
+        if not self._can_move or not self._progress.can_resume:
+            return False
+        avoided = self._mover.avoided(self._observed.ids)
+        self._progress.failed_upstreams |= avoided
+        if not avoided and not isinstance(failure, UpstreamRestarted):
+            self._progress.suspects |= self._observed.ids
+        path = self._find_next_path()
+        if path is None or not self._mover.wait_to_reserve_retry(
+            self._progress, self._service, self._proxied_request.request.read_at
+        ):
+            return False
+        self._progress.next_path = path
+        return True
+
+    def stay(self):
+        """Forget the path that `settle_retry` found; its retry stays counted."""
+        self._progress.next_path = None
+
     def _overdue_at(self):
         """Return when to move, a time of the clock, or None."""
         if not self._can_move or not self._progress.can_resume:
--- a/src/bulrushdrum/_internal/limits/retry_window.py
+++ b/src/bulrushdrum/_internal/limits/retry_window.py
@@ -144,6 +144,24 @@
         costs.counted += 1
         return True
 
+    def wait_to_count_ahead(
+        self,
+        costs: RetryCosts,
+        service: str,
+        routers: int,
+        has_delivered: bool,
+        arrived_at: float,
+    ) -> bool:
+        """Count the sending that follows the one in progress, as `wait_to_count`."""
+        if costs.sent < costs.counted:
+            return True
+        if not self.try_spend(
+            service, routers, has_delivered
+        ) and not self.wait_for_loan(service, has_delivered, arrived_at):
+            return False
+        costs.counted += 1
+        return True
+
     def join(self, waiting: WaitingRetry):
         """Let a refused retry wait; `leave` must follow."""
         queue = self._waiting.setdefault(waiting.service, [])
--- a/tests/regressions/test_streams_ended_on_suspicion.py
+++ b/tests/regressions/test_streams_ended_on_suspicion.py
@@ -23,6 +23,8 @@
 PAUSE_SECONDS = 0.7
 # Longer than the time after which the router takes a stream for stalled.
 LONG_PAUSE_SECONDS = 1.7
+# Too few to add a retry to the limit, which is a fifth of the requests.
+CALLERS = 4
 SUSPICIONS = ["a refusal", "a claim", "no report", "a long pause"]
 
 
@@ -83,11 +85,11 @@
 ):
     one, two = add_paused_engine(gateway, suspicion)
     use_up_retries(gateway)
-    callers = [gevent.spawn(gateway.call) for _ in range(6)]
+    callers = [gevent.spawn(gateway.call) for _ in range(CALLERS)]
     gevent.sleep(0.1)
     suspect(gateway, suspicion)
     responses = [caller.get(timeout=8.0) for caller in callers]
-    assert [(r.body, r.is_complete) for r in responses] == [(EVENTS, True)] * 6
+    assert [(r.body, r.is_complete) for r in responses] == [(EVENTS, True)] * CALLERS
     assert one.closed_early == 0 or suspicion == "no report"
     assert generation_requests(two) == []
 
