--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -376,9 +376,10 @@
         """
         if progress.expects_event:
             raise UpstreamFailed("the stream ended before its next event", True)
-        restart = self._find_restart(path)
-        if restart is not None:
-            raise restart
+        if any(self._has_other_start(hop.upstream) for hop in path):
+            raise UpstreamRestarted(
+                "an upstream of the path restarted", True, unresponsive=True
+            )
 
     def _end_stream(self, connection, reader, progress):
         self._start_stream(connection, reader, progress)
@@ -431,9 +432,13 @@
 
     def _find_failure(self, path, watch) -> UpstreamFailed | None:
         """Return why a path seems to have failed, or None."""
-        restart = self._find_restart(path)
-        if restart is not None:
-            return restart
+        for hop in path:
+            # A registration with an earlier start was written by an earlier process.
+            known = self._fleet.get(hop.upstream.id)
+            if known is not None and known.born > hop.upstream.born:
+                return UpstreamRestarted(
+                    f"{hop.upstream.id} restarted", True, unresponsive=True
+                )
         if not watch.needs_stall_check():
             return None
         self._detect_stall(path)
@@ -445,16 +450,11 @@
             return UpstreamFailed("the stream stalled", True, unresponsive=True)
         return None
 
-    def _find_restart(self, path) -> UpstreamRestarted | None:
-        """Return the restart of an upstream of the path, or None."""
-        for hop in path:
-            known = self._fleet.get(hop.upstream.id)
-            # An unregistered upstream may be shutting down and completes its streams.
-            if known is not None and known.born != hop.upstream.born:
-                return UpstreamRestarted(
-                    f"{hop.upstream.id} restarted", True, unresponsive=True
-                )
-        return None
+    def _has_other_start(self, upstream) -> bool:
+        """Whether an upstream is registered with another start time."""
+        known = self._fleet.get(upstream.id)
+        # An unregistered upstream may be shutting down and completes its streams.
+        return known is not None and known.born != upstream.born
 
     def _fail_generation(
         self, connection, proxied_request, progress, reason, status=502, cause=None
