--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from enum import StrEnum
 
+import gevent
+
 from bulrushdrum._internal.conditions.exchange import ConditionExchange
 from bulrushdrum._internal.gateway.attempt_failures import (
     AttemptFailures,
@@ -258,7 +260,7 @@
                 received = self._receive(connection, pending, watch, watched)
                 if not reader.has_head:
                     if watch.is_check_due(received):
-                        self._check_path(pending, path, watch, watched)
+                        self._check_path(pending, path, watch, watched, received)
                     watched.move_if_overdue(received)
             connection.trace.upstream_status = reader.status
             response_metadata = validate_response_head(
@@ -350,7 +352,7 @@
                 # What was received comes first: it may have an event that ends the
                 # silence of the upstream.
                 if watch.is_check_due(received):
-                    self._check_path(pending, path, watch, watched)
+                    self._check_path(pending, path, watch, watched, received)
                 watched.move_if_overdue(received)
                 received = self._receive(connection, pending, watch, watched)
         finally:
@@ -412,23 +414,24 @@
                 connection.send_chunk(b"".join(accepted))
         return has_data
 
-    def _check_path(self, pending, path, watch, watched):
+    def _check_path(self, pending, path, watch, watched, received):
         """Raise `UpstreamFailed` if the stream should leave its path, and can.
 
         A stream is left alone unless its next attempt is settled: its events may still
-        arrive, and ending it would only discard them.
+        arrive, and ending it would only discard them. `received` tells whether data
+        without an event has just arrived; otherwise what arrives during the check may
+        be an event.
         """
         if watch.is_past_deadline():
             raise DeadlinePassed("the deadline passed", True)
         failure = self._find_failure(path, watch)
-        if failure is None or pending.connection.has_pending_input():
+        may_have_event = not received and pending.connection.has_pending_input()
+        if failure is None or may_have_event or not watched.settle_retry(failure):
             return
-        # What arrives while the retry waits for a loan shows that the path works.
-        if not watched.settle_retry(failure):
+        if not received and pending.connection.has_pending_input():
+            watched.stay()
             return
-        if not pending.connection.has_pending_input():
-            raise failure
-        watched.stay()
+        raise failure
 
     def _find_failure(self, path, watch) -> UpstreamFailed | None:
         """Return why a path seems to have failed, or None."""
@@ -441,7 +444,8 @@
                 )
         if not watch.needs_stall_check():
             return None
-        self._detect_stall(path)
+        # The report of an engine may take longer than is left for the caller.
+        gevent.spawn(self._detect_stall, path).join(watch.wait_seconds())
         if any(self._fleet.is_avoided(hop.upstream.id) for hop in path):
             return UpstreamFailed(
                 "an upstream of the path is marked as failed", True, unresponsive=True
