--- a/src/bulrushdrum/_internal/gateway/errors.py
+++ b/src/bulrushdrum/_internal/gateway/errors.py
@@ -44,6 +44,13 @@
         super().__init__(f"the {part} exceeds {limit} bytes", True)
 
 
+class ResponseLate(UpstreamFailed):
+    """A buffered response was not complete in time; it may still arrive."""
+
+    def __init__(self):
+        super().__init__("no answer in time", True, unresponsive=True)
+
+
 class DeadlinePassed(UpstreamFailed):
     """The deadline of the request passed while its upstream was at work."""
 
--- a/src/bulrushdrum/_internal/gateway/exchange.py
+++ b/src/bulrushdrum/_internal/gateway/exchange.py
@@ -5,7 +5,11 @@
 
 from bulrushdrum._internal.event_stream_bodies import is_cut_event_stream
 from bulrushdrum._internal.gateway.embedded_responses import find_status_line
-from bulrushdrum._internal.gateway.errors import ResponseTooLarge, UpstreamFailed
+from bulrushdrum._internal.gateway.errors import (
+    ResponseLate,
+    ResponseTooLarge,
+    UpstreamFailed,
+)
 from bulrushdrum._internal.gateway.messages import (
     ForwardingMetadata,
     Request,
@@ -88,25 +92,26 @@
 
 
 def receive_head(pending: PendingResponse, deadline: float):
-    """Receive the head of a response; raises `UpstreamFailed` as `receive_body`."""
+    """Receive the head of a response; raises as `receive_body`."""
     connection, reader = pending
     while not reader.has_head:
         remaining = deadline - time.monotonic()
         if remaining <= 0 or not connection.receive(remaining):
-            raise UpstreamFailed("no answer in time", True, unresponsive=True)
+            raise ResponseLate
 
 
 def receive_body(pending: PendingResponse, deadline: float):
     """Receive the rest of a response that is buffered whole.
 
-    Raises `UpstreamFailed` if it is not complete at `deadline`, a time of
-    `time.monotonic`, or if its body exceeds the limit.
+    Raises `ResponseLate` if it is not complete at `deadline`, a time of
+    `time.monotonic`, and may then be called again; or `UpstreamFailed`, also if its
+    body exceeds the limit.
     """
     connection, reader = pending
     while not reader.is_complete:
         remaining = deadline - time.monotonic()
         if remaining <= 0 or not connection.receive(remaining):
-            raise UpstreamFailed("no answer in time", True, unresponsive=True)
+            raise ResponseLate
         if reader.body_bytes > connection.limits.body_bytes:
             raise ResponseTooLarge("body", connection.limits.body_bytes)
 
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -15,6 +15,7 @@
 )
 from bulrushdrum._internal.gateway.errors import (
     ConnectionRefused,
+    ResponseLate,
     ResponseTooLarge,
     UpstreamFailed,
 )
@@ -52,8 +53,10 @@
 # Limit on refusals by upstreams, in addition to the attempts that may have run.
 _MAX_REFUSALS = 3
 # Fraction of the time to the deadline after which an idempotent request is sent to
-# another upstream, if another attempt is left.
+# another upstream, if another attempt is left and settled.
 _ATTEMPT_TIME_FRACTION = 0.45
+# A late request that could not be sent to another upstream asks again after this time.
+_SETTLE_INTERVAL_SECONDS = 0.05
 _RETRY_AFTER_SECONDS = 0.3
 # A request whose upstreams have reached their limits waits for this fraction of its
 # goal and is then refused.
@@ -70,6 +73,8 @@
 
     ids: set[str] = field(default_factory=set)
     retry_costs: RetryCosts = field(default_factory=RetryCosts)
+    # The upstream of the next attempt, if it is already chosen.
+    next_upstream: PoolUpstream | None = None
 
 
 class PlainCallProxy:
@@ -140,7 +145,7 @@
             trace.record_attempt([], upstream.id)
             try:
                 outcome = self._attempt(
-                    proxied_request, route, upstream, is_last_attempt, trace
+                    proxied_request, service, upstream, is_last_attempt, trace, tried
                 )
             except UpstreamFailed as error:
                 self._record_attempt_failure(proxied_request, upstream, error)
@@ -196,6 +201,9 @@
 
         Raises `NoPath` if there is none, or `LimitsReached`.
         """
+        if tried.next_upstream is not None:
+            upstream, tried.next_upstream = tried.next_upstream, None
+            return upstream
         turn = Turn(
             service,
             proxied_request.request.read_at,
@@ -256,24 +264,59 @@
 
         return min(candidates, key=load)
 
-    def _attempt(self, proxied_request, route, upstream, is_last_attempt, trace):
+    def _settle_retry(self, proxied_request, service, tried) -> bool:
+        """Choose the next upstream and count the retry, before an attempt ends."""
+        try:
+            upstream = self._choose_within_limits(service, tried)
+        except PipelineError:
+            return False
+        if not self._budget.wait_to_count_ahead(
+            tried.retry_costs,
+            service,
+            self._count_routers(),
+            has_delivered=False,
+            arrived_at=proxied_request.request.read_at,
+        ):
+            return False
+        tried.next_upstream = upstream
+        return True
+
+    def _attempt(
+        self, proxied_request, service, upstream, is_last_attempt, trace, tried
+    ):
         self._in_progress[upstream.id] = self._in_progress.get(upstream.id, 0) + 1
         try:
             return self._send_and_receive(
-                proxied_request, route, upstream, is_last_attempt, trace
+                proxied_request, service, upstream, is_last_attempt, trace, tried
             )
         finally:
             self._in_progress[upstream.id] -= 1
 
+    def _receive(self, receive, pending, proxied_request, late_at, service, tried):
+        """Receive a part of a response with `receive`.
+
+        From `late_at` on, a time of the clock, the attempt ends as soon as the next one
+        is settled. Its response may arrive until then.
+        """
+        until = max(late_at, time.monotonic())
+        while True:
+            try:
+                receive(pending, min(until, proxied_request.deadline))
+                return
+            except ResponseLate:
+                if until >= proxied_request.deadline:
+                    raise
+                if self._settle_retry(proxied_request, service, tried):
+                    raise
+            until = time.monotonic() + _SETTLE_INTERVAL_SECONDS
+
     def _send_and_receive(
-        self, proxied_request, route, upstream, is_last_attempt, trace
+        self, proxied_request, service, upstream, is_last_attempt, trace, tried
     ):
         now = time.monotonic()
-        attempt_deadline = proxied_request.deadline
+        late_at = proxied_request.deadline
         if not is_last_attempt:
-            attempt_deadline = (
-                now + (proxied_request.deadline - now) * _ATTEMPT_TIME_FRACTION
-            )
+            late_at = now + (proxied_request.deadline - now) * _ATTEMPT_TIME_FRACTION
         forwarding = ForwardingMetadata(
             upstream.id, proxied_request.deadline - now, proxied_request.team
         )
@@ -283,14 +326,18 @@
         connection, reader = pending
         request_id = proxied_request.metadata.request_id
         try:
-            receive_head(pending, attempt_deadline)
+            self._receive(
+                receive_head, pending, proxied_request, late_at, service, tried
+            )
             response_metadata = validate_response_head(pending, request_id)
             self._statements.record(
                 upstream,
                 response_metadata.statements,
                 has_run=not response_metadata.has_not_run and reader.status < 300,
             )
-            receive_body(pending, attempt_deadline)
+            self._receive(
+                receive_body, pending, proxied_request, late_at, service, tried
+            )
             validate_body(pending, request_id)
         except BaseException:
             connection.close()
--- a/tests/unit/test_plain_calls.py
+++ b/tests/unit/test_plain_calls.py
@@ -109,6 +109,27 @@
     assert idempotent_gateway.seconds < 3.0
 
 
+# Guards against a failure for a request whose upstream is late and answers in time,
+# because the request was ended to be sent elsewhere, where it could not be sent.
+@pytest.mark.parametrize("reason", ["no retry", "no other upstream"])
+def test_a_late_answer_is_awaited_if_the_request_cannot_be_sent_elsewhere(
+    idempotent_gateway, reason
+):
+    def respond_late(request):
+        # After 0.45 of the time to the deadline.
+        return [2.0, *complete_response(request)]
+
+    one, two = add_pair(idempotent_gateway, respond_late, complete_response)
+    match reason:
+        case "no retry":
+            idempotent_gateway.budget._extra = 0
+        case _:
+            idempotent_gateway.fleet.remove("two")
+    response = idempotent_gateway.call()
+    assert (response.status, response.body) == (200, b"done")
+    assert (len(one.requests), len(two.requests)) == (1, 0)
+
+
 def test_a_closed_idle_connection_is_not_reused(non_idempotent_gateway):
     # Guards against losing a request on a connection that the upstream has closed.
     one = non_idempotent_gateway.add_server(
