--- a/src/bulrushdrum/_internal/bounded_http.py
+++ b/src/bulrushdrum/_internal/bounded_http.py
@@ -5,7 +5,8 @@
 never waits, so no other task of the process runs and no timeout expires.
 
 `http.client` takes the end of the connection for the end of a line and of the headers,
-so half a head would be a whole response without a body.
+so half a head would be a whole response without a body. It also takes any status from
+101 to 999 for that of a final response.
 """
 
 import http.client
@@ -15,6 +16,8 @@
 from urllib3.connectionpool import HTTPConnectionPool
 from urllib3.exceptions import HTTPError
 
+from bulrushdrum._internal.response_statuses import is_final, is_interim
+
 # None of the requests asks for one; a proxy may send a few nevertheless.
 _MAX_INTERIM_RESPONSES = 8
 
@@ -64,7 +67,10 @@
 
 
 class BoundedResponse(http.client.HTTPResponse):
-    """A response that fails if its head is cut, or after too many interim ones."""
+    """A response that fails if its head is cut or has a status that HTTP does not have.
+
+    Interim responses are skipped, and too many of them fail as well.
+    """
 
     _heads = 0
 
@@ -73,14 +79,21 @@
         self.fp = _LineReader(self.fp.detach())
 
     def _read_status(self):
-        # Called for each head until one is final.
-        self._heads += 1
-        if self._heads > _MAX_INTERIM_RESPONSES + 1:
-            self._close_conn()
-            raise http.client.HTTPException(
-                f"more than {_MAX_INTERIM_RESPONSES} interim responses"
-            )
-        return super()._read_status()
+        while True:
+            self._heads += 1
+            if self._heads > _MAX_INTERIM_RESPONSES + 1:
+                self._close_conn()
+                raise http.client.HTTPException(
+                    f"more than {_MAX_INTERIM_RESPONSES} interim responses"
+                )
+            version, status, reason = super()._read_status()
+            if is_final(status):
+                return version, status, reason
+            headers = http.client.parse_headers(self.fp)
+            is_framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+            if is_framed or not is_interim(status):
+                self._close_conn()
+                raise http.client.BadStatusLine(f"{status} is no final status")
 
 
 class BoundedConnection(HTTPConnection):
--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -14,10 +14,12 @@
     UpstreamFailed,
 )
 from bulrushdrum._internal.gateway.messages import Headers, Request
+from bulrushdrum._internal.response_statuses import is_final, is_interim
 from bulrushdrum._internal.settings.router import ResponseLimits
 from bulrushdrum._internal.world.routes import CallerLimits
 
 _DEFAULT_RESPONSE_LIMITS = ResponseLimits()
+_HTTP_VERSIONS = ("1.0", "1.1")
 # The first line of a request and the blanks around values, which do not count as bytes
 # of headers, may take this much.
 _HEAD_ALLOWANCE_BYTES = 1024
@@ -233,6 +235,9 @@
                 # Data after a complete response belongs to no request.
                 self.has_excess_data = True
                 return
+            cause = error.__context__
+            if isinstance(cause, UpstreamFailed):
+                raise cause from None
             raise UpstreamFailed(f"malformed answer: {error}", True) from error
         if self._bytes_without_progress > self._max_head_bytes and not self.is_complete:
             part = "framing of the body" if self.has_head else "head"
@@ -252,13 +257,23 @@
         self.status = self._parser.get_status_code()
         names = {name for name, _ in self.headers}
         framed = b"content-length" in names or b"transfer-encoding" in names
+        self._check_head(framed)
         self.ends_with_connection = not framed and self.status not in (204, 304)
-        self.has_head = self.status >= 200
+        self.has_head = is_final(self.status)
         self.keep_alive = self._parser.should_keep_alive()
         if self.has_head:
             self._bytes_without_progress = 0
             self.is_complete = self._is_head_request
 
+    def _check_head(self, framed):
+        """Raise `UpstreamFailed` if the head is that of no response."""
+        if self._parser.get_http_version() not in _HTTP_VERSIONS:
+            raise UpstreamFailed("malformed answer: another version of HTTP", True)
+        if not (is_final(self.status) or is_interim(self.status)):
+            raise UpstreamFailed(f"malformed answer: status {self.status:03}", True)
+        if framed and is_interim(self.status):
+            raise UpstreamFailed("malformed answer: interim and with a body", True)
+
     def on_body(self, body):
         if self.is_complete:
             self.has_excess_data = True
@@ -268,8 +283,7 @@
         self._bytes_without_progress = 0
 
     def on_message_complete(self):
-        if self.status < 200:
-            # An interim response; the final one follows.
+        if is_interim(self.status):
             self.headers = []
             return
         self.is_complete = True
--- a/src/bulrushdrum/_internal/operator/client.py
+++ b/src/bulrushdrum/_internal/operator/client.py
@@ -9,6 +9,7 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from bulrushdrum._internal.bounded_http import BoundedConnectionPool
 from bulrushdrum._internal.decoding import DECODING_ERRORS
 from bulrushdrum._internal.operator.errors import CommandFailed
 from bulrushdrum._internal.world.addresses import parse_address
@@ -43,7 +44,7 @@
             "Authorization": f"Bearer {key}",
             "Content-Type": "application/json",
         }
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = BoundedConnectionPool(
             host,
             port,
             retries=False,
