--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -295,8 +295,11 @@
                 successor.close()
                 raise
             if refusal is None:
+                progress.has_begun_event |= attempt.has_begun_event
                 attempt.close()
-                self._record_failure(run, attempt, failure, is_checked=True)
+                self._record_failure(
+                    run, attempt, attempt.failure or failure, is_checked=True
+                )
                 progress.attempt = successor.counts
                 return successor
             successor.release(self._pool)
@@ -320,12 +323,9 @@
             received = successor.receive_beside(attempt, run)
             if successor.reader.has_head:
                 break
-            try:
-                if attempt.read_ahead():
-                    raise _EventArrived
-            except UpstreamFailed:
-                return None
-            if attempt.is_refused:
+            if attempt.read_ahead():
+                raise _EventArrived
+            if attempt.failure is not None or attempt.is_refused:
                 return None
             self._forwarder.check(run, successor, received)
         return self._forwarder.accept(run, successor)
--- a/src/bulrushdrum/_internal/gateway/stream_attempts.py
+++ b/src/bulrushdrum/_internal/gateway/stream_attempts.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from bulrushdrum._internal.gateway.callers import CallerConnection
-from bulrushdrum._internal.gateway.errors import ResponseTooLarge
+from bulrushdrum._internal.gateway.errors import ResponseTooLarge, UpstreamFailed
 from bulrushdrum._internal.gateway.events_stream import EventSplitter, StreamEvent
 from bulrushdrum._internal.gateway.exchange import (
     PendingResponse,
@@ -67,6 +67,8 @@
         self.pending: PendingResponse | None = None
         # Of the head of the response, once it is validated.
         self.response_metadata: ResponseMetadata | None = None
+        # How it has failed while another attempt was sent.
+        self.failure: UpstreamFailed | None = None
         # Whether its sending is among those that the limit on retries counts.
         self.is_counted = False
         self._resources = resources
@@ -131,20 +133,28 @@
     def read_ahead(self) -> bool:
         """Read what has arrived; tell whether the stream can go on.
 
-        Raises `UpstreamFailed` if the connection was closed before its end.
+        If it has failed, that is kept as its `failure`.
         """
+        reader = self.reader
+        try:
+            self._read_events_ahead()
+        except UpstreamFailed as error:
+            self.failure = error
+            return False
+        if not reader.has_head or self.is_refused:
+            return False
+        return reader.is_complete or any(event.has_data for event in self._read_ahead)
+
+    def _read_events_ahead(self):
         connection, reader = self.pending
         if connection.has_pending_input():
             connection.receive(_READ_SECONDS)
-        if not reader.has_head or self.is_refused:
-            return False
-        while reader.body:
+        while reader.body and not self.is_refused:
             for event in self._splitter.feed(reader.body.popleft()):
                 self._read_ahead.append(event)
                 self._read_ahead_bytes += len(event.data)
         if self._read_ahead_bytes > connection.limits.event_bytes:
             raise ResponseTooLarge("event", connection.limits.event_bytes)
-        return reader.is_complete or any(event.has_data for event in self._read_ahead)
 
     def take_events(self) -> list[StreamEvent]:
         """Return the next events that have arrived, which may be none."""
--- a/tests/stops/run.py
+++ b/tests/stops/run.py
@@ -50,7 +50,9 @@
     an eighth of the answer that it gets. All processes, or those of the routers,
     share the first `cores` or `router_cores` of the machine; 0 means any. With a
     `reader` "pipe" the log is read after the end of each process. `changes` adds new
-    configurations and draining engines.
+    configurations and draining engines. Each engine pauses all its streams every
+    `pauses` seconds on average, and refuses requests meanwhile; 0 means never.
+    `retry_extra` is the fixed part of the limit on retries.
     """
 
     seed: int = 1
@@ -69,6 +71,8 @@
     cores: int = 0
     reader: str = "file"
     changes: bool = False
+    pauses: float = 0.0
+    retry_extra: int = 200
 
 
 class RouterHost:
@@ -87,7 +91,10 @@
                 "ready-addr": f"127.0.0.1:{self.ready_port}",
             },
             "internal-ports": [free_port(SOCK_DGRAM), metrics],
-            "bounds": {"grace-s": options.grace, "retry-budget-extra": 200},
+            "bounds": {
+                "grace-s": options.grace,
+                "retry-budget-extra": options.retry_extra,
+            },
             "platform": {"address": store.address},
         }
         self._settings = folder / f"{name}.json"
@@ -247,6 +254,7 @@
             "event_seconds": self._options.event_seconds,
             "spread": self._options.spread,
             "unframed": self._options.unframed,
+            "pauses": self._options.pauses,
             "kind": "k",
             "records": str(self._folder / f"servers-{centre}.jsonl"),
         }
--- a/tests/stops/servers.py
+++ b/tests/stops/servers.py
@@ -21,6 +21,9 @@
 from tests.stops.records import RecordWriter, ServerRecord  # noqa: E402
 
 LOAD_SECONDS = 0.3
+# An engine without memory sends no events for this long, and refuses requests. Callers
+# wait for 2 s.
+PAUSE_SECONDS = (0.2, 1.6)
 
 
 def parse_length(request_id: str) -> int:
@@ -50,6 +53,16 @@
         if service == "llm":
             self.row |= {"route-kind": options["kind"], "layers": None}
         self.pace = options["event_seconds"] * draw.uniform(1.0, options["spread"])
+        self._paused_until = 0.0
+        if service == "llm" and options["pauses"]:
+            gevent.spawn(self._pause)
+
+    def _pause(self):
+        while True:
+            gevent.sleep(self._random.expovariate(1.0 / self._options["pauses"]))
+            seconds = self._random.uniform(*PAUSE_SECONDS)
+            self._paused_until = time.monotonic() + seconds
+            gevent.sleep(seconds)
 
     def _serve(self, sock, _address):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -101,6 +114,9 @@
     def _run(self, sock, request):
         """Answer a request; return whether the connection can be used again."""
         request_id = request["headers"]["bulrushdrum-attempt-id"]
+        if time.monotonic() < self._paused_until:
+            self._refuse(sock, request_id)
+            return True
         began, sent, end = time.monotonic(), 0, "closed"
         try:
             if self.row["service"] == "llm":
@@ -120,6 +136,16 @@
             )
         return framed
 
+    def _refuse(self, sock, request_id):
+        lines = [
+            b"HTTP/1.1 503 X",
+            b"Bulrushdrum-Attempt-Id: " + request_id.encode(),
+            b"Bulrushdrum-Not-Executed: 1",
+            b"At-Server: " + self.row["address"].encode(),
+            b"Content-Length: 0",
+        ]
+        sock.sendall(b"\r\n".join(lines) + b"\r\n\r\n")
+
     def _head(self, request_id, *lines):
         leaving = [b"Server-Leaving: 1"] if self.is_leaving else []
         lines = [
@@ -145,6 +171,8 @@
             sock.sendall(event)
             yield number
             self._wait(sock, self.pace * self._random.uniform(0.7, 1.3))
+            while (seconds := self._paused_until - time.monotonic()) > 0.0:
+                self._wait(sock, seconds)
         if framed:
             sock.sendall(b"0\r\n\r\n")
 
