--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -298,7 +298,7 @@
         From `late_at` on, a time of the clock, the attempt ends as soon as the next one
         is settled. Its response may arrive until then.
         """
-        until = max(late_at, time.monotonic())
+        until = max(late_at, time.monotonic() + _SETTLE_INTERVAL_SECONDS)
         while True:
             try:
                 receive(pending, min(until, proxied_request.deadline))
