--- a/src/bulrushdrum/_internal/gateway/stream_watch.py
+++ b/src/bulrushdrum/_internal/gateway/stream_watch.py
@@ -75,7 +75,8 @@
         step = now - self._observed_at
         self._silent_seconds += min(step, _MAX_STEP_SECONDS)
         self._observed_at = now
-        if received and now - self._checked_at < POLL_INTERVAL_SECONDS:
+        is_recent = now - self._checked_at < POLL_INTERVAL_SECONDS
+        if received and is_recent and not self.is_past_deadline():
             return False
         self._checked_at = now
         return True
--- a/tests/unit/test_stream_watch.py
+++ b/tests/unit/test_stream_watch.py
@@ -81,3 +81,12 @@
     watch.is_check_due(received=False)
     assert watch.is_past_deadline()
     assert watch.wait_seconds() > 0
+
+
+def test_a_stream_with_data_is_checked_at_its_deadline(clock):
+    # Guards against a server that sends data without events, beside which a request
+    # outlasts its deadline by the time until the next check.
+    watch = StreamWatch(ROUTE, clock.now + 0.3, clock=clock)
+    assert wait(watch, clock, 0.25, received=True, step=0.25)
+    assert not wait(watch, clock, 0.1, received=True)
+    assert wait(watch, clock, 0.06, received=True) and watch.is_past_deadline()
