--- a/tests/integration/router_system.py
+++ b/tests/integration/router_system.py
@@ -1,10 +1,12 @@
 """Router processes, and engines that they place layers on, for integration tests."""
 
+import fcntl
 import json
 import os
 import random
 import subprocess
 import sys
+import tempfile
 import time
 from pathlib import Path
 
@@ -21,13 +23,35 @@
 # Below the ports that the system gives to outgoing connections: one of these could take
 # the port of a router while the router restarts.
 _PORTS = range(20_000, 32_000)
+_PORTS_PER_PROCESS = 1_000
+
+
+def _claim_ports():
+    """Return ports that no other test process uses, and the lock that holds them.
+
+    A port is drawn long before a router listens on it, so another run of the tests on
+    this machine could take it meanwhile.
+    """
+    for first in _PORTS[::_PORTS_PER_PROCESS]:
+        path = Path(tempfile.gettempdir()) / f"bulrushdrum-test-ports-{first}"
+        lock = path.open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        return range(first, first + _PORTS_PER_PROCESS), lock
+    return _PORTS, None
+
+
+_claimed_ports, _ports_lock = _claim_ports()
 
 
 def free_port(kind=socket.SOCK_STREAM):
     while True:
         with socket.socket(socket.AF_INET, kind) as sock:
             try:
-                sock.bind(("127.0.0.1", random.choice(_PORTS)))
+                sock.bind(("127.0.0.1", random.choice(_claimed_ports)))
             except OSError:
                 continue
             return sock.getsockname()[1]
