--- a/tests/stops/test_stops.py
+++ b/tests/stops/test_stops.py
@@ -23,14 +23,15 @@
     [
         SHORT_RUN._replace(seed=1, changes=True),
         SHORT_RUN._replace(seed=2, reader="pipe"),
+        SHORT_RUN._replace(seed=3, pauses=3.0, retry_extra=0),
     ],
-    ids=["changes", "slow-log-reader"],
+    ids=["changes", "slow-log-reader", "pausing-engines"],
 )
 def test_stops_in_series_lose_no_request_and_name_those_that_they_cut(
     options, tmp_path
 ):
-    # Guards against requests that are cut around SIGTERM without a reason, and against
-    # cut ones that no log line names.
+    # Guards against requests that are cut around SIGTERM without a reason, as those of
+    # engines that pause, and against cut ones that no log line names.
     outcome = play(options, tmp_path)
     assert outcome.stop_seconds
     assert outcome.ends["complete", 200] > 100
