--- a/src/bulrushdrum/_internal/gateway/callers.py
+++ b/src/bulrushdrum/_internal/gateway/callers.py
@@ -124,8 +124,12 @@
         if self._is_refused or not is_readable(self._socket):
             if not self.is_shut_down:
                 self.closing = self.is_shut_down = True
-                # Ends the wait for the next request with an error.
-                self._socket.shutdown(socket.SHUT_RDWR)
+                try:
+                    # Ends the wait for the next request with an error.
+                    self._socket.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    # The caller has reset the connection, which ends the wait as well.
+                    pass
 
     def close_if_kept(self):
         """Close the connection if it has had a request and waits for another one."""
--- a/src/bulrushdrum/_internal/router_process.py
+++ b/src/bulrushdrum/_internal/router_process.py
@@ -112,8 +112,8 @@
         _run_once(components.request_handler.log_in_progress)
         persist_unread_lines()
         _run_once(components.drain_controller.begin)
-        components.caller_server.begin_drain()
-        components.announcements.set_serving(False)
+        _run_once(components.caller_server.begin_drain)
+        _run_once(lambda: components.announcements.set_serving(False))
         gevent.spawn(components.registry.unregister)
         while not components.drain_controller.is_complete(
             components.caller_server.open_requests
@@ -121,10 +121,9 @@
             _run_once(self._announce_drain)
             gevent.sleep(_DRAIN_POLL_SECONDS)
         # Requests that arrive meanwhile are accepted if they can end before the exit.
-        components.caller_server.finish(
-            components.drain_controller.seconds_until_exit()
-        )
-        components.request_handler.log_interrupted()
+        seconds = components.drain_controller.seconds_until_exit()
+        _run_once(lambda: components.caller_server.finish(seconds))
+        _run_once(components.request_handler.log_interrupted)
 
     def _announce_drain(self):
         components = self._components
--- a/tests/unit/test_caller_connections.py
+++ b/tests/unit/test_caller_connections.py
@@ -3,10 +3,12 @@
 import errno
 import json
 import os
+import struct
 import sys
 import time
 
 import gevent
+import pytest
 from gevent import socket
 from gevent.event import Event
 from tests.unit.gateway_fakes import read_response
@@ -126,6 +128,50 @@
     server.stop_accepting()
 
 
+def reset_connection(sock):
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    sock.close()
+
+
+@pytest.mark.parametrize("close", ["begin_drain", "finish"])
+def test_a_caller_that_resets_its_connection_does_not_end_a_drain(close):
+    # Guards against a router that ends with all its requests in a planned stop, because
+    # a connection that it wants to close has been reset by its caller.
+    answered = []
+
+    def answer(connection, request):
+        if request.path == "/long":
+            gevent.sleep(0.3)
+        answered.append(request.path)
+        connection.send(Response(200, [], b""))
+
+    server = CallerServer("127.0.0.1:0", answer)
+    server.start()
+    address = ("127.0.0.1", server._server.server_port)
+    request = b"POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+    with socket.create_connection(address, timeout=2.0) as sound:
+        sound.sendall(request % b"/long")
+        callers = [socket.create_connection(address, timeout=2.0) for _ in range(5)]
+        for caller in callers:
+            caller.sendall(request % b"/short")
+            read_response(caller)
+        gevent.sleep(0.05)
+        for caller in callers:
+            # The body is over the limit, so that the rest of it is discarded.
+            caller.sendall(b"POST /a HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n")
+            caller.recv(1)
+            reset_connection(caller)
+        match close:
+            case "begin_drain":
+                server.begin_drain()
+            case _:
+                server.finish(1.0)
+        assert read_response(sound).is_complete
+    assert answered == ["/short"] * 5 + ["/long"]
+    server.stop_accepting()
+
+
 def test_changed_limits_hold_for_connections_that_are_open():
     # Guards against refusing what the configuration allows, on connections that were
     # opened before it was changed.
--- a/tests/unit/test_router_drain.py
+++ b/tests/unit/test_router_drain.py
@@ -1,5 +1,6 @@
 """The drain of a router whose parts fail."""
 
+import errno
 import time
 from types import SimpleNamespace
 
@@ -68,3 +69,28 @@
     assert drained == [True]
     assert not polls
     assert finished == [EXIT_SECONDS]
+
+
+def test_an_error_of_one_part_does_not_keep_a_drain_from_the_next(monkeypatch):
+    # Guards against a router that ends with all its requests because a connection that
+    # it wants to close raises.
+    called = []
+
+    def fail_in(name):
+        def call(*_):
+            called.append(name)
+            raise OSError(errno.ENOTCONN, "not connected")
+
+        return call
+
+    caller_server = SimpleNamespace(
+        requests_in_progress=1,
+        open_requests=1,
+        begin_drain=fail_in("begin_drain"),
+        finish=fail_in("finish"),
+    )
+    process = make_process(monkeypatch, caller_server, [True] * POLLS)
+    process._components.announcements.set_serving = fail_in("set_serving")
+    process._components.request_handler.log_interrupted = fail_in("log_interrupted")
+    process._drain()
+    assert called == ["begin_drain", "set_serving", "finish", "log_interrupted"]
