--- a/src/bulrushdrum/_internal/gateway/generation_progress.py
+++ b/src/bulrushdrum/_internal/gateway/generation_progress.py
@@ -45,6 +45,8 @@
         self.form: tuple[int, bytes] | None = None
         self.attempts = 0
         self.refusals = 0
+        # Whether an attempt that does not count may have run nevertheless.
+        self.may_have_run = False
         # How the last attempt ended, and its path, for the log.
         self.last_failure: str | None = None
         self.last_path: list[str] = []
--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -271,42 +271,57 @@
         suspicion. If the next one is refused or fails, or an event of `attempt` arrives
         before, `attempt` goes on.
         """
-        progress = run.progress
+        progress, may_move = run.progress, True
         self._count_sending(run, attempt)
         while progress.next_path is not None:
             path, progress.next_path = progress.next_path, None
             if self._crash_evidence.is_quarantined(run.proxied_request):
                 break
+            if time.monotonic() >= run.proxied_request.deadline:
+                raise DeadlinePassed("the deadline passed", True)
             successor = self._begin(run, path)
             try:
                 refusal = self._try_successor(run, attempt, successor)
+                if refusal is None:
+                    self._leave(run, attempt, failure)
+                    progress.attempt = successor.counts
+                    return successor
             except _EventArrived:
+                # It has delivered nothing, so it is no attempt that may have run long.
+                # Nothing else says that the stream should move again.
                 successor.close()
                 self._count_sending(run, successor)
-                progress.attempts += 1
+                progress.may_have_run, may_move = True, False
                 break
             except UpstreamFailed as error:
                 successor.close()
                 if isinstance(error, DeadlinePassed):
-                    break
+                    raise
                 self._record_failure(run, successor, error)
                 continue
             except BaseException:
                 successor.close()
                 raise
-            if refusal is None:
-                progress.has_begun_event |= attempt.has_begun_event
-                attempt.close()
-                self._record_failure(
-                    run, attempt, attempt.failure or failure, is_checked=True
-                )
-                progress.attempt = successor.counts
-                return successor
             successor.release(self._pool)
             self._record_refusal(run, successor, refusal)
-        self._keep(run, attempt)
+        self._keep(run, attempt, may_move)
         return attempt
 
+    def _leave(self, run, attempt, failure):
+        """Close an attempt whose successor goes on, and record how it ended."""
+        run.progress.has_begun_event |= attempt.has_begun_event
+        refusal, failure = None, attempt.failure or failure
+        if attempt.is_refused:
+            try:
+                refusal = self._forwarder.accept(run, attempt)
+            except UpstreamFailed as error:
+                failure = error
+        attempt.close()
+        if refusal is None:
+            self._record_failure(run, attempt, failure, is_checked=True)
+        else:
+            self._record_refusal(run, attempt, refusal)
+
     def _try_successor(self, run, attempt, successor):
         """Send `successor`; return None if it is accepted, or its refusal.
 
@@ -330,12 +345,17 @@
             self._forwarder.check(run, successor, received)
         return self._forwarder.accept(run, successor)
 
-    def _keep(self, run, attempt):
+    def _keep(self, run, attempt, may_move):
         """Let an attempt go on that was about to be replaced."""
         progress = run.progress
         progress.attempt = attempt.counts
+        # It is in progress again, so that its sending counts when it has ended.
+        attempt.is_counted = False
+        progress.retry_costs.sent -= 1
         attempt.watched.can_move = (
-            run.route.is_retryable and progress.attempts + 1 < run.route.max_attempts
+            may_move
+            and run.route.is_retryable
+            and progress.attempts + 1 < run.route.max_attempts
         )
         run.connection.trace.resume_attempt(
             describe_path(attempt.path), attempt.path[0].upstream.id
@@ -403,7 +423,7 @@
         )
         if progress.started:
             connection.abort()
-        elif progress.attempts:
+        elif progress.attempts or progress.may_have_run:
             connection.send(failure_response(status, reason))
         elif reason == _QUARANTINE_REASON:
             connection.send(not_run_response(reason, QUARANTINE_SECONDS))
--- a/src/bulrushdrum/_internal/gateway/plain_calls.py
+++ b/src/bulrushdrum/_internal/gateway/plain_calls.py
@@ -57,6 +57,8 @@
 _ATTEMPT_TIME_FRACTION = 0.45
 # A late request that could not be sent to another upstream asks again after this time.
 _SETTLE_INTERVAL_SECONDS = 0.05
+# In the last part of the time after that no other attempt would end in time.
+_SETTLE_TIME_FRACTION = 0.5
 _RETRY_AFTER_SECONDS = 0.3
 # A request whose upstreams have reached their limits waits for this fraction of its
 # goal and is then refused.
@@ -266,17 +268,27 @@
 
     def _settle_retry(self, proxied_request, service, tried) -> bool:
         """Choose the next upstream and count the retry, before an attempt ends."""
+        costs, routers = tried.retry_costs, self._count_routers()
+
+        def count():
+            return self._budget.wait_to_count_ahead(
+                costs,
+                service,
+                routers,
+                has_delivered=False,
+                arrived_at=proxied_request.request.read_at,
+            )
+
+        # An upstream that is chosen has used its limit.
+        if not (
+            self._budget.can_count_ahead(costs, service, routers, False) or count()
+        ):
+            return False
         try:
             upstream = self._choose_within_limits(service, tried)
         except PipelineError:
             return False
-        if not self._budget.wait_to_count_ahead(
-            tried.retry_costs,
-            service,
-            self._count_routers(),
-            has_delivered=False,
-            arrived_at=proxied_request.request.read_at,
-        ):
+        if not count():
             return False
         tried.next_upstream = upstream
         return True
@@ -296,19 +308,25 @@
         """Receive a part of a response with `receive`.
 
         From `late_at` on, a time of the clock, the attempt ends as soon as the next one
-        is settled. Its response may arrive until then.
+        is settled, while that one has time left. Its response may arrive until then.
         """
+        deadline, was_settled = proxied_request.deadline, False
+        settle_until = late_at + (deadline - late_at) * _SETTLE_TIME_FRACTION
         until = max(late_at, time.monotonic() + _SETTLE_INTERVAL_SECONDS)
         while True:
             try:
-                receive(pending, min(until, proxied_request.deadline))
+                receive(pending, min(until, deadline))
                 return
             except ResponseLate:
-                if until >= proxied_request.deadline:
-                    raise
-                if self._settle_retry(proxied_request, service, tried):
+                if until >= deadline or was_settled:
                     raise
             until = time.monotonic() + _SETTLE_INTERVAL_SECONDS
+            if until > settle_until:
+                until = deadline
+            elif self._settle_retry(proxied_request, service, tried):
+                if not pending.connection.has_pending_input():
+                    raise ResponseLate
+                was_settled = True
 
     def _send_and_receive(
         self, proxied_request, service, upstream, is_last_attempt, trace, tried
--- a/src/bulrushdrum/_internal/gateway/stream_moves.py
+++ b/src/bulrushdrum/_internal/gateway/stream_moves.py
@@ -126,6 +126,14 @@
         if is_slow:
             self._check_pace(path)
 
+    def can_reserve_retry(
+        self, progress: GenerationProgress, service: str, has_delivered: bool
+    ) -> bool:
+        """Whether the retry of a stream could be counted ahead now."""
+        return self._budget.can_count_ahead(
+            progress.retry_costs, service, self._count_routers(), has_delivered
+        )
+
     def reserve_retry(self, progress: GenerationProgress, service: str) -> bool:
         """Count the retry of a move ahead, if the limit allows it.
 
@@ -229,6 +237,12 @@
         silence = self._mover.silent_upstreams.explain(self._observed, usual_pause)
         if silence is None or not self._mover.may_move(silence.candidates):
             return
+        # A path that is found has used the limits of its upstreams.
+        if not (
+            self._mover.can_reserve_retry(self._progress, self._service, False)
+            or self._mover.reserve_retry(self._progress, self._service)
+        ):
+            return
         # What others have found out by now leaves more paths to choose from.
         avoided = self._mover.avoided(self._observed.ids)
         path = self._find_path(avoided or silence.candidates or self._observed.ids)
@@ -259,14 +273,25 @@
         self._progress.failed_upstreams |= avoided
         if not avoided and not isinstance(failure, UpstreamRestarted):
             self._progress.suspects |= self._observed.ids
-        path = self._find_next_path()
-        if path is None or not self._mover.wait_to_reserve_retry(
-            self._progress, self._service, self._proxied_request.request.read_at
+        # A path that is found has used the limits of its upstreams.
+        if not (
+            self._mover.can_reserve_retry(
+                self._progress, self._service, self._progress.started
+            )
+            or self._wait_to_reserve_retry()
         ):
             return False
+        path = self._find_next_path()
+        if path is None or not self._wait_to_reserve_retry():
+            return False
         self._progress.next_path = path
         return True
 
+    def _wait_to_reserve_retry(self):
+        return self._mover.wait_to_reserve_retry(
+            self._progress, self._service, self._proxied_request.request.read_at
+        )
+
     def stay(self):
         """Forget the path that `settle_retry` found; its retry stays counted."""
         self._progress.next_path = None
--- a/src/bulrushdrum/_internal/limits/retry_window.py
+++ b/src/bulrushdrum/_internal/limits/retry_window.py
@@ -144,6 +144,18 @@
         costs.counted += 1
         return True
 
+    def can_count_ahead(
+        self, costs: RetryCosts, service: str, routers: int, has_delivered: bool
+    ) -> bool:
+        """Whether the sending that follows the one in progress could be counted now.
+
+        Asked before what else the sending needs is taken.
+        """
+        if costs.sent < costs.counted or self.borrowed.usable(service):
+            return True
+        limit = self._limit(service, routers, has_delivered)
+        return self._spent(service) + 1 <= limit
+
     def wait_to_count_ahead(
         self,
         costs: RetryCosts,
