--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -20,6 +20,7 @@
 
 _DEFAULT_RESPONSE_LIMITS = ResponseLimits()
 _HTTP_VERSIONS = ("1.0", "1.1")
+_CODINGS_HEADER, _CHUNKED = b"transfer-encoding", b"chunked"
 # The first line of a request and the blanks around values, which do not count as bytes
 # of headers, may take this much.
 _HEAD_ALLOWANCE_BYTES = 1024
@@ -256,7 +257,7 @@
             return
         self.status = self._parser.get_status_code()
         names = {name for name, _ in self.headers}
-        framed = b"content-length" in names or b"transfer-encoding" in names
+        framed = b"content-length" in names or _CODINGS_HEADER in names
         self._check_head(framed)
         self.ends_with_connection = not framed and self.status not in (204, 304)
         self.has_head = is_final(self.status)
@@ -273,6 +274,11 @@
             raise UpstreamFailed(f"malformed answer: status {self.status:03}", True)
         if framed and is_interim(self.status):
             raise UpstreamFailed("malformed answer: interim and with a body", True)
+        # Callers would get a body in another coding without its name. The parser takes
+        # `chunked` with a tab behind it for another coding too.
+        codings = [value for name, value in self.headers if name == _CODINGS_HEADER]
+        if codings and [coding.strip(b" ").lower() for coding in codings] != [_CHUNKED]:
+            raise UpstreamFailed("malformed answer: codings other than chunked", True)
 
     def on_body(self, body):
         if self.is_complete:
