--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -19,6 +19,7 @@
 from bulrushdrum._internal.world.routes import CallerLimits
 
 _DEFAULT_RESPONSE_LIMITS = ResponseLimits()
+_PROTOCOL = b"HTTP/"
 _HTTP_VERSIONS = ("1.0", "1.1")
 _CODINGS_HEADER, _CHUNKED = b"transfer-encoding", b"chunked"
 # The first line of a request and the blanks around values, which do not count as bytes
@@ -224,11 +225,14 @@
         self._is_head_request = is_head_request
         # Bytes received since the last part of the body, or in total before the head.
         self._bytes_without_progress = 0
+        self._first_bytes = b""
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes):
         """Parse `data`; raises `UpstreamFailed` if it is not a valid HTTP response."""
         self._bytes_without_progress += len(data)
+        if len(self._first_bytes) < len(_PROTOCOL):
+            self._check_protocol(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -244,6 +248,13 @@
             part = "framing of the body" if self.has_head else "head"
             raise ResponseTooLarge(part, self._max_head_bytes)
 
+    def _check_protocol(self, data):
+        """Raise `UpstreamFailed` for RTSP and ICE, which the parser accepts too."""
+        first_bytes = (self._first_bytes + data).lstrip(b"\r\n")
+        self._first_bytes = first_bytes[: len(_PROTOCOL)]
+        if not _PROTOCOL.startswith(self._first_bytes):
+            raise UpstreamFailed("malformed answer: another protocol", True)
+
     def on_message_begin(self):
         if self.is_complete:
             self.has_excess_data = True
--- a/tests/unit/test_malformed_responses.py
+++ b/tests/unit/test_malformed_responses.py
@@ -36,3 +36,20 @@
 def test_a_router_reads_chunks(coding):
     reader = read(b"HTTP/1.1 200 OK\r\nTransfer-Encoding:" + coding + CHUNKED, 1000)
     assert (reader.is_complete, b"".join(reader.body)) == (True, b"ok")
+
+
+# Guards against a response of another protocol that callers get as one of HTTP.
+@pytest.mark.parametrize("protocol", [b"RTSP", b"ICE"])
+@pytest.mark.parametrize("begin", [b"", b"\r\n" * 600])
+@pytest.mark.parametrize("size", [1, 1000])
+def test_a_router_reads_no_other_protocol(protocol, begin, size):
+    with pytest.raises(UpstreamFailed):
+        read(begin + protocol + b"/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", size)
+
+
+@pytest.mark.parametrize("size", [1, 1000])
+def test_a_router_reads_http(size):
+    reader = read(
+        b"\r\n" * 600 + b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", size
+    )
+    assert (reader.is_complete, b"".join(reader.body)) == (True, b"ok")
