--- a/src/bulrushdrum/_internal/bounded_http.py
+++ b/src/bulrushdrum/_internal/bounded_http.py
@@ -6,11 +6,12 @@
 
 `http.client` takes the end of the connection for the end of a line and of the headers,
 so half a head would be a whole response without a body. It also takes any status from
-101 to 999 for that of a final response.
+101 to 999 for that of a final response, and reads first lines that are none.
 """
 
 import http.client
 import io
+import re
 
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
@@ -20,6 +21,11 @@
 
 # None of the requests asks for one; a proxy may send a few nevertheless.
 _MAX_INTERIM_RESPONSES = 8
+_MAX_LINE_BYTES = 65_536
+# A line may end with LF alone (RFC 9112, section 2.2).
+_FIRST_LINE_RE = re.compile(
+    rb"(HTTP/1\.[01]) ([0-9]{3})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r?\n"
+)
 
 
 class BodyTooLarge(HTTPError):
@@ -86,7 +92,7 @@
                 raise http.client.HTTPException(
                     f"more than {_MAX_INTERIM_RESPONSES} interim responses"
                 )
-            version, status, reason = super()._read_status()
+            version, status, reason = self._read_first_line()
             if is_final(status):
                 return version, status, reason
             headers = http.client.parse_headers(self.fp)
@@ -95,6 +101,16 @@
                 self._close_conn()
                 raise http.client.BadStatusLine(f"{status} is no final status")
 
+    def _read_first_line(self):
+        """Return version, status and reason; `http.client` would read them laxly."""
+        line = self.fp.readline(_MAX_LINE_BYTES + 1)
+        match = _FIRST_LINE_RE.fullmatch(line)
+        if match is None:
+            self._close_conn()
+            raise http.client.BadStatusLine(repr(line[:100]))
+        version, status, reason = match.groups(default=b"")
+        return version.decode(), int(status), reason.decode("latin-1")
+
 
 class BoundedConnection(HTTPConnection):
     """A connection whose responses are `BoundedResponse`."""
--- /dev/null
+++ b/tests/unit/test_malformed_bounded_responses.py
@@ -0,0 +1,89 @@
+"""Bytes that the clients of servers, sidecars and the store must not take for answers.
+
+The same as `test_malformed_responses`, for `http.client`, which reads less strictly.
+"""
+
+import pytest
+from gevent.server import StreamServer
+from tests.unit.stage_fakes import make_settings
+
+from bulrushdrum._internal.peering.request_messages import Call
+from bulrushdrum._internal.platform.errors import StoreUnavailable
+from bulrushdrum._internal.platform.rows import RowStore
+from bulrushdrum._internal.sidecar.engine_client import EngineClient
+from bulrushdrum._internal.sidecar.errors import EngineLost
+from bulrushdrum._internal.sidecar.service_client import ServiceClient
+from bulrushdrum._internal.world.requests import Outcome
+
+FIRST_LINE = b"HTTP/1.1 200 OK\r\n"
+BODY = b"Content-Length: 2\r\n\r\n{}"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNKS = b"2\r\n{}\r\n0\r\n\r\n"
+
+
+@pytest.fixture
+def serve():
+    """Start a server that sends bytes and closes; return its address."""
+    servers = []
+
+    def start(data):
+        def answer(sock, _address):
+            sock.recv(65_536)
+            sock.sendall(data)
+            sock.close()
+
+        servers.append(StreamServer(("127.0.0.1", 0), answer))
+        servers[-1].start()
+        return f"127.0.0.1:{servers[-1].server_port}"
+
+    yield start
+    for server in servers:
+        server.stop(timeout=0.1)
+
+
+def call_service(address, method="POST"):
+    client = ServiceClient(make_settings(upstream_url=f"http://{address}"))
+    return client.run(Call(method=method, path="/pay", body=b"7"), 2.0)
+
+
+def check_is_none(address):
+    """Check that a service, an engine and the store have given no answer."""
+    assert call_service(address).outcome == Outcome.UNKNOWN.value
+    with pytest.raises(EngineLost):
+        EngineClient(make_settings(upstream_url=f"http://{address}")).run_steps([])
+    with pytest.raises(StoreUnavailable):
+        RowStore(address, 2.0).read_table("op")
+
+
+def check_is_answer(address, headers=()):
+    result = call_service(address)
+    assert (result.outcome, result.status) == (Outcome.ANSWERED.value, 200)
+    assert result.body == b"{}"
+    found = [(header.name, header.value) for header in result.headers]
+    assert set(headers) <= set(found)
+
+
+# Guards against first lines that are none and are read as those of a success.
+@pytest.mark.parametrize(
+    "line",
+    [
+        *(b"HTTP/1.1 0200 OK", b"HTTP/1.1 +200 OK", b"HTTP/1.1 2_00 OK"),
+        *(b"HTTP/1.1  200 OK", b"HTTP/1.1\t200 OK", b"HTTP/1.1 200\tOK"),
+        *(b" HTTP/1.1 200 OK", b"HTTP/0.9 200 OK", b"HTTP/1.2 200 OK"),
+        *(b"HTTP/1. 200 OK", b"HTTP/1.10 200 OK", b"HTTP/1.1x 200 OK"),
+        *(b"HTTP/1.1 200 O\0K", b"HTTP/1.1 200 OK\rA: b"),
+    ],
+)
+def test_a_first_line_is_read_strictly(serve, line):
+    check_is_none(serve(line + b"\r\n" + BODY))
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        *(b"HTTP/1.1 200 OK\r\n", b"HTTP/1.0 200 OK\r\n", b"HTTP/1.1 200 \r\n"),
+        *(b"HTTP/1.1 200\r\n", b"HTTP/1.1 200 \xfc\tb\r\n", b"HTTP/1.1 200 OK\n"),
+    ],
+)
+def test_a_first_line_of_http_is_read(serve, line):
+    check_is_answer(serve(line + BODY))
