--- a/src/bulrushdrum/_internal/bounded_http.py
+++ b/src/bulrushdrum/_internal/bounded_http.py
@@ -26,6 +26,11 @@
 _FIRST_LINE_RE = re.compile(
     rb"(HTTP/1\.[01]) ([0-9]{3})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r?\n"
 )
+# As the router's parser reads them; folded lines (RFC 9112, section 5.2) are refused.
+_HEADER_LINE_RE = re.compile(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*)\r?\n"
+)
+_EMPTY_LINES = (b"\r\n", b"\n")
 
 
 class BodyTooLarge(HTTPError):
@@ -61,7 +66,13 @@
 
 
 class _LineReader(io.BufferedReader):
-    """A reader of the lines of the head and of chunks; each must end as a line."""
+    """A reader of the lines of the head and of chunks; each must end as a line.
+
+    `http.client` takes a CR alone for the end of a header, and skips lines that are
+    none. While `reads_headers`, each line must be a header or empty.
+    """
+
+    reads_headers = False
 
     def readline(self, size=-1):
         line = super().readline(size)
@@ -69,7 +80,12 @@
             raise http.client.RemoteDisconnected(
                 "the connection ended inside the response"
             )
-        return line
+        if not self.reads_headers or line in _EMPTY_LINES:
+            return line
+        match = _HEADER_LINE_RE.fullmatch(line)
+        if match is None:
+            raise http.client.HTTPException(f"malformed header: {line[:100]!r}")
+        return match[1].rstrip(b" \t") + b"\r\n"
 
 
 class BoundedResponse(http.client.HTTPResponse):
@@ -84,6 +100,10 @@
         super().__init__(*args, **kwargs)
         self.fp = _LineReader(self.fp.detach())
 
+    def begin(self):
+        super().begin()
+        self.fp.reads_headers = False
+
     def _read_status(self):
         while True:
             self._heads += 1
@@ -103,7 +123,9 @@
 
     def _read_first_line(self):
         """Return version, status and reason; `http.client` would read them laxly."""
+        self.fp.reads_headers = False
         line = self.fp.readline(_MAX_LINE_BYTES + 1)
+        self.fp.reads_headers = True
         match = _FIRST_LINE_RE.fullmatch(line)
         if match is None:
             self._close_conn()
--- a/tests/unit/test_malformed_bounded_responses.py
+++ b/tests/unit/test_malformed_bounded_responses.py
@@ -87,3 +87,32 @@
 )
 def test_a_first_line_of_http_is_read(serve, line):
     check_is_answer(serve(line + BODY))
+
+
+# Guards against header lines that split one header in two, hide one, or end the head.
+@pytest.mark.parametrize(
+    "line",
+    [
+        *(b"A: b\rContent-Length: 1", b"A: b\rc", b"A: b\0c", b"A: b\x01c", b"A: \x7f"),
+        *(b"junk", b": b", b"A b: c", b"A : b", b"A\0: b", b"\xff: b", b"A(: b"),
+        *(b"A: b\r\n Content-Length: 1", b" A: b"),
+    ],
+)
+def test_header_lines_are_read_strictly(serve, line):
+    check_is_none(serve(FIRST_LINE + line + b"\r\n" + BODY))
+    check_is_none(serve(b"HTTP/1.1 103 X\r\n" + line + b"\r\n\r\n" + FIRST_LINE + BODY))
+
+
+@pytest.mark.parametrize(
+    "line, header",
+    [
+        (b"A:b", ("A", "b")),
+        (b"A: \t b \t ", ("A", "b")),
+        (b"A: b: c", ("A", "b: c")),
+        (b"A:", ("A", "")),
+        (b"!#$%&'*+-.^_`|~9z: \xfc\tb", ("!#$%&'*+-.^_`|~9z", "\xfc\tb")),
+    ],
+)
+@pytest.mark.parametrize("end", [b"\r\n", b"\n"])
+def test_headers_are_read(serve, line, header, end):
+    check_is_answer(serve(FIRST_LINE + line + end + BODY), [header])
