--- a/src/bulrushdrum/_internal/bounded_http.py
+++ b/src/bulrushdrum/_internal/bounded_http.py
@@ -30,6 +30,7 @@
 _HEADER_LINE_RE = re.compile(
     rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*)\r?\n"
 )
+_LENGTH_RE = re.compile("[0-9]{1,18}")
 _EMPTY_LINES = (b"\r\n", b"\n")
 
 
@@ -103,6 +104,19 @@
     def begin(self):
         super().begin()
         self.fp.reads_headers = False
+        self._check_framing()
+
+    def _check_framing(self):
+        """Raise an error unless the end of the body is known in one way or none."""
+        lengths = self.headers.get_all("Content-Length", [])
+        codings = self.headers.get_all("Transfer-Encoding", [])
+        framings = [*map(_LENGTH_RE.fullmatch, lengths)]
+        framings += [coding.lower() == "chunked" for coding in codings]
+        if len(framings) > 1 or not all(framings):
+            self._close_conn()
+            raise http.client.HTTPException(
+                f"malformed framing: lengths {lengths}, codings {codings}"
+            )
 
     def _read_status(self):
         while True:
--- a/tests/unit/test_malformed_bounded_responses.py
+++ b/tests/unit/test_malformed_bounded_responses.py
@@ -116,3 +116,55 @@
 @pytest.mark.parametrize("end", [b"\r\n", b"\n"])
 def test_headers_are_read(serve, line, header, end):
     check_is_answer(serve(FIRST_LINE + line + end + BODY), [header])
+
+
+# Guards against bodies whose end is not known, or known in two ways, and that look
+# complete: one that is cut, or one with bytes of its framing.
+@pytest.mark.parametrize(
+    "headers",
+    [
+        *(
+            b"Content-Length: " + length + b"\r\n\r\n"
+            for length in (
+                *(b"", b"-2", b"+2", b"0x2", b"0_2", b"2x", b"2 2", b"2, 2", b"2, 4"),
+                *(b"2;a", b"\xb2", b"0" * 5000 + b"2", b"18446744073709551618"),
+            )
+        ),
+        b"Content-Length: 2\r\nContent-Length: 4\r\n\r\n",
+        b"Content-Length: 2\r\nContent-Length: 2\r\n\r\n",
+    ],
+)
+def test_a_length_is_one_number(serve, headers):
+    check_is_none(serve(FIRST_LINE + headers + b"{}"))
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        *(
+            b"Transfer-Encoding: " + codings + b"\r\n\r\n"
+            for codings in (
+                *(b"", b"gzip, chunked", b"gzip", b"identity", b"xchunked"),
+                *(b"chunked, gzip", b"chunked, chunked"),
+            )
+        ),
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n" * 2 + b"\r\n",
+        b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n",
+        b"Content-Length: 2\r\nTransfer-Encoding: gzip\r\n\r\n",
+    ],
+)
+def test_the_only_coding_is_chunked(serve, headers):
+    check_is_none(serve(FIRST_LINE + headers + CHUNKS))
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        *(b"Content-Length: 002 \r\n\r\n{}", b"\r\n{}", CHUNKED + CHUNKS),
+        b"transfer-encoding: Chunked \t\r\n\r\n" + CHUNKS,
+    ],
+)
+def test_a_framed_body_is_read(serve, rest):
+    check_is_answer(serve(FIRST_LINE + rest))
