--- a/src/bulrushdrum/_internal/bounded_http.py
+++ b/src/bulrushdrum/_internal/bounded_http.py
@@ -21,6 +21,8 @@
 
 # None of the requests asks for one; a proxy may send a few nevertheless.
 _MAX_INTERIM_RESPONSES = 8
+# As many as headers of `http.client`.
+_MAX_TRAILERS = 100
 _MAX_LINE_BYTES = 65_536
 # A line may end with LF alone (RFC 9112, section 2.2).
 _FIRST_LINE_RE = re.compile(
@@ -31,6 +33,9 @@
     rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*)\r?\n"
 )
 _LENGTH_RE = re.compile("[0-9]{1,18}")
+_CHUNK_SIZE_RE = re.compile(
+    rb"([0-9A-Fa-f]{1,15})(?:[ \t]*;[^\x00-\x08\x0a-\x1f\x7f]*)?\r\n"
+)
 _EMPTY_LINES = (b"\r\n", b"\n")
 
 
@@ -135,6 +140,32 @@
                 self._close_conn()
                 raise http.client.BadStatusLine(f"{status} is no final status")
 
+    # `http.client` skips the two bytes behind a chunk, whatever they are, reads sizes
+    # with `int`, and skips trailers until an empty line, however many there are.
+    def _get_chunk_left(self):
+        if self.chunk_left == 0:
+            if self._safe_read(2) != b"\r\n":
+                self._close_conn()
+                raise http.client.HTTPException("malformed end of a chunk")
+            self.chunk_left = None
+        return super()._get_chunk_left()
+
+    def _read_next_chunk_size(self):
+        line = self.fp.readline(_MAX_LINE_BYTES + 1)
+        match = _CHUNK_SIZE_RE.fullmatch(line)
+        if match is None:
+            self._close_conn()
+            raise http.client.HTTPException(f"malformed chunk size: {line[:100]!r}")
+        return int(match[1], 16)
+
+    def _read_and_discard_trailer(self):
+        self.fp.reads_headers = True
+        for _ in range(_MAX_TRAILERS + 1):
+            if self.fp.readline(_MAX_LINE_BYTES + 1) in _EMPTY_LINES:
+                return
+        self._close_conn()
+        raise http.client.HTTPException(f"more than {_MAX_TRAILERS} trailers")
+
     def _read_first_line(self):
         """Return version, status and reason; `http.client` would read them laxly."""
         self.fp.reads_headers = False
--- a/tests/unit/test_malformed_bounded_responses.py
+++ b/tests/unit/test_malformed_bounded_responses.py
@@ -168,3 +168,36 @@
 )
 def test_a_framed_body_is_read(serve, rest):
     check_is_answer(serve(FIRST_LINE + rest))
+
+
+# Guards against chunks with other bytes between them, and against the head of another
+# response that is read as a trailer.
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        *(
+            size + b"\r\n{}\r\n0\r\n\r\n"
+            for size in (
+                *(b"-2", b"+2", b"0x2", b"0_2", b" 2", b"", b"xyz", b"2 2", b"2\0"),
+                *(b"10000000000000002", b"2;a\rb"),
+            )
+        ),
+        *(b"2\r\n{}XX0\r\n\r\n", b"2\r\n{}\n\n0\r\n\r\n", b"2\r\n{}0\r\n\r\n"),
+        *(b"2\r\n{}\r\n0\r\njunk\r\n\r\n", b"2\r\n{}\r\n0\r\n", b"2\r\n{}\r\n0"),
+        b"2\r\n{}\r\n0\r\n" + FIRST_LINE + BODY,
+        b"2\r\n{}\r\n0\r\n" + b"A: b\r\n" * 200 + b"\r\n",
+    ],
+)
+def test_chunks_are_read_strictly(serve, chunks):
+    check_is_none(serve(FIRST_LINE + CHUNKED + chunks))
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        *(b"02\r\n{}\r\n0\r\n\r\n", b"1\r\n{\r\n1;a=b\r\n}\r\n00\r\n\r\n"),
+        *(b"2 ;a\r\n{}\r\n0\r\n\r\n", b"2\r\n{}\r\n0\r\nA: b\r\nC: d\r\n\r\n"),
+    ],
+)
+def test_chunks_are_joined(serve, chunks):
+    check_is_answer(serve(FIRST_LINE + CHUNKED + chunks))
