--- a/src/bulrushdrum/_internal/bounded_http.py
+++ b/src/bulrushdrum/_internal/bounded_http.py
@@ -23,6 +23,7 @@
 _MAX_INTERIM_RESPONSES = 8
 # As many as headers of `http.client`.
 _MAX_TRAILERS = 100
+_STATUSES_WITHOUT_BODY = (204, 304)
 _MAX_LINE_BYTES = 65_536
 # A line may end with LF alone (RFC 9112, section 2.2).
 _FIRST_LINE_RE = re.compile(
@@ -110,6 +111,10 @@
         super().begin()
         self.fp.reads_headers = False
         self._check_framing()
+        if self.status in _STATUSES_WITHOUT_BODY and self.chunked:
+            self.chunked, self.length = False, 0
+            # The server may send chunks nevertheless.
+            self.will_close = True
 
     def _check_framing(self):
         """Raise an error unless the end of the body is known in one way or none."""
--- a/tests/unit/test_malformed_bounded_responses.py
+++ b/tests/unit/test_malformed_bounded_responses.py
@@ -201,3 +201,20 @@
 )
 def test_chunks_are_joined(serve, chunks):
     check_is_answer(serve(FIRST_LINE + CHUNKED + chunks))
+
+
+# Guards against a response that cannot have a body and is reported with one, and
+# against connections that are used again with such bytes on them.
+@pytest.mark.parametrize("status", [204, 304])
+@pytest.mark.parametrize("rest", [BODY, CHUNKED + CHUNKS, b"\r\n{}"])
+def test_a_status_without_a_body_has_none(serve, status, rest):
+    address = serve(b"HTTP/1.1 %d X\r\n" % status + rest)
+    result = call_service(address)
+    assert (result.outcome, result.status) == (Outcome.ANSWERED.value, status)
+    assert result.body == b""
+
+
+@pytest.mark.parametrize("rest", [BODY, CHUNKED + CHUNKS, b"\r\n{}"])
+def test_the_answer_to_a_head_request_has_no_body(serve, rest):
+    result = call_service(serve(FIRST_LINE + rest), "HEAD")
+    assert (result.outcome, result.body) == (Outcome.ANSWERED.value, b"")
