--- a/src/bulrushdrum/_internal/gateway/messages.py
+++ b/src/bulrushdrum/_internal/gateway/messages.py
@@ -112,6 +112,7 @@
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
+    501: b"Not Implemented",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -157,6 +157,10 @@
             if name == b"content-length" and value.isdigit():
                 self._check_body_bytes(int(value))
                 self._check_large_body(int(value), int(value))
+            # Servers would get a body in another coding without its name.
+            if name == _CODINGS_HEADER and value.strip(b" ").lower() != _CHUNKED:
+                coding = value.decode("latin-1")
+                raise BadRequest(501, f"transfer coding {coding!r} is not supported")
 
     def on_body(self, body):
         self._has_progressed = True
