--- a/src/bulrushdrum/_internal/bounded_http.py
+++ b/src/bulrushdrum/_internal/bounded_http.py
@@ -6,11 +6,12 @@
 
 `http.client` takes the end of the connection for the end of a line and of the headers,
 so half a head would be a whole response without a body. It also takes any status from
-101 to 999 for that of a final response.
+101 to 999 for that of a final response, and reads first lines that are none.
 """
 
 import http.client
 import io
+import re
 
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
@@ -20,6 +21,23 @@
 
 # None of the requests asks for one; a proxy may send a few nevertheless.
 _MAX_INTERIM_RESPONSES = 8
+# As many as headers of `http.client`.
+_MAX_TRAILERS = 100
+_STATUSES_WITHOUT_BODY = (204, 304)
+_MAX_LINE_BYTES = 65_536
+# A line may end with LF alone (RFC 9112, section 2.2).
+_FIRST_LINE_RE = re.compile(
+    rb"(HTTP/1\.[01]) ([0-9]{3})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r?\n"
+)
+# As the router's parser reads them; folded lines (RFC 9112, section 5.2) are refused.
+_HEADER_LINE_RE = re.compile(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*)\r?\n"
+)
+_LENGTH_RE = re.compile("[0-9]{1,18}")
+_CHUNK_SIZE_RE = re.compile(
+    rb"([0-9A-Fa-f]{1,15})(?:[ \t]*;[^\x00-\x08\x0a-\x1f\x7f]*)?\r\n"
+)
+_EMPTY_LINES = (b"\r\n", b"\n")
 
 
 class BodyTooLarge(HTTPError):
@@ -55,7 +73,13 @@
 
 
 class _LineReader(io.BufferedReader):
-    """A reader of the lines of the head and of chunks; each must end as a line."""
+    """A reader of the lines of the head and of chunks; each must end as a line.
+
+    `http.client` takes a CR alone for the end of a header, and skips lines that are
+    none. While `reads_headers`, each line must be a header or empty.
+    """
+
+    reads_headers = False
 
     def readline(self, size=-1):
         line = super().readline(size)
@@ -63,7 +87,12 @@
             raise http.client.RemoteDisconnected(
                 "the connection ended inside the response"
             )
-        return line
+        if not self.reads_headers or line in _EMPTY_LINES:
+            return line
+        match = _HEADER_LINE_RE.fullmatch(line)
+        if match is None:
+            raise http.client.HTTPException(f"malformed header: {line[:100]!r}")
+        return match[1].rstrip(b" \t") + b"\r\n"
 
 
 class BoundedResponse(http.client.HTTPResponse):
@@ -78,6 +107,27 @@
         super().__init__(*args, **kwargs)
         self.fp = _LineReader(self.fp.detach())
 
+    def begin(self):
+        super().begin()
+        self.fp.reads_headers = False
+        self._check_framing()
+        if self.status in _STATUSES_WITHOUT_BODY and self.chunked:
+            self.chunked, self.length = False, 0
+            # The server may send chunks nevertheless.
+            self.will_close = True
+
+    def _check_framing(self):
+        """Raise an error unless the end of the body is known in one way or none."""
+        lengths = self.headers.get_all("Content-Length", [])
+        codings = self.headers.get_all("Transfer-Encoding", [])
+        framings = [*map(_LENGTH_RE.fullmatch, lengths)]
+        framings += [coding.lower() == "chunked" for coding in codings]
+        if len(framings) > 1 or not all(framings):
+            self._close_conn()
+            raise http.client.HTTPException(
+                f"malformed framing: lengths {lengths}, codings {codings}"
+            )
+
     def _read_status(self):
         while True:
             self._heads += 1
@@ -86,7 +136,7 @@
                 raise http.client.HTTPException(
                     f"more than {_MAX_INTERIM_RESPONSES} interim responses"
                 )
-            version, status, reason = super()._read_status()
+            version, status, reason = self._read_first_line()
             if is_final(status):
                 return version, status, reason
             headers = http.client.parse_headers(self.fp)
@@ -95,6 +145,44 @@
                 self._close_conn()
                 raise http.client.BadStatusLine(f"{status} is no final status")
 
+    # `http.client` skips the two bytes behind a chunk, whatever they are, reads sizes
+    # with `int`, and skips trailers until an empty line, however many there are.
+    def _get_chunk_left(self):
+        if self.chunk_left == 0:
+            if self._safe_read(2) != b"\r\n":
+                self._close_conn()
+                raise http.client.HTTPException("malformed end of a chunk")
+            self.chunk_left = None
+        return super()._get_chunk_left()
+
+    def _read_next_chunk_size(self):
+        line = self.fp.readline(_MAX_LINE_BYTES + 1)
+        match = _CHUNK_SIZE_RE.fullmatch(line)
+        if match is None:
+            self._close_conn()
+            raise http.client.HTTPException(f"malformed chunk size: {line[:100]!r}")
+        return int(match[1], 16)
+
+    def _read_and_discard_trailer(self):
+        self.fp.reads_headers = True
+        for _ in range(_MAX_TRAILERS + 1):
+            if self.fp.readline(_MAX_LINE_BYTES + 1) in _EMPTY_LINES:
+                return
+        self._close_conn()
+        raise http.client.HTTPException(f"more than {_MAX_TRAILERS} trailers")
+
+    def _read_first_line(self):
+        """Return version, status and reason; `http.client` would read them laxly."""
+        self.fp.reads_headers = False
+        line = self.fp.readline(_MAX_LINE_BYTES + 1)
+        self.fp.reads_headers = True
+        match = _FIRST_LINE_RE.fullmatch(line)
+        if match is None:
+            self._close_conn()
+            raise http.client.BadStatusLine(repr(line[:100]))
+        version, status, reason = match.groups(default=b"")
+        return version.decode(), int(status), reason.decode("latin-1")
+
 
 class BoundedConnection(HTTPConnection):
     """A connection whose responses are `BoundedResponse`."""
--- a/src/bulrushdrum/_internal/gateway/parsing.py
+++ b/src/bulrushdrum/_internal/gateway/parsing.py
@@ -19,7 +19,9 @@
 from bulrushdrum._internal.world.routes import CallerLimits
 
 _DEFAULT_RESPONSE_LIMITS = ResponseLimits()
+_PROTOCOL = b"HTTP/"
 _HTTP_VERSIONS = ("1.0", "1.1")
+_CODINGS_HEADER, _CHUNKED = b"transfer-encoding", b"chunked"
 # The first line of a request and the blanks around values, which do not count as bytes
 # of headers, may take this much.
 _HEAD_ALLOWANCE_BYTES = 1024
@@ -155,6 +157,10 @@
             if name == b"content-length" and value.isdigit():
                 self._check_body_bytes(int(value))
                 self._check_large_body(int(value), int(value))
+            # Servers would get a body in another coding without its name.
+            if name == _CODINGS_HEADER and value.strip(b" ").lower() != _CHUNKED:
+                coding = value.decode("latin-1")
+                raise BadRequest(501, f"transfer coding {coding!r} is not supported")
 
     def on_body(self, body):
         self._has_progressed = True
@@ -223,11 +229,14 @@
         self._is_head_request = is_head_request
         # Bytes received since the last part of the body, or in total before the head.
         self._bytes_without_progress = 0
+        self._first_bytes = b""
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes):
         """Parse `data`; raises `UpstreamFailed` if it is not a valid HTTP response."""
         self._bytes_without_progress += len(data)
+        if len(self._first_bytes) < len(_PROTOCOL):
+            self._check_protocol(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -243,6 +252,13 @@
             part = "framing of the body" if self.has_head else "head"
             raise ResponseTooLarge(part, self._max_head_bytes)
 
+    def _check_protocol(self, data):
+        """Raise `UpstreamFailed` for RTSP and ICE, which the parser accepts too."""
+        first_bytes = (self._first_bytes + data).lstrip(b"\r\n")
+        self._first_bytes = first_bytes[: len(_PROTOCOL)]
+        if not _PROTOCOL.startswith(self._first_bytes):
+            raise UpstreamFailed("malformed answer: another protocol", True)
+
     def on_message_begin(self):
         if self.is_complete:
             self.has_excess_data = True
@@ -256,7 +272,7 @@
             return
         self.status = self._parser.get_status_code()
         names = {name for name, _ in self.headers}
-        framed = b"content-length" in names or b"transfer-encoding" in names
+        framed = b"content-length" in names or _CODINGS_HEADER in names
         self._check_head(framed)
         self.ends_with_connection = not framed and self.status not in (204, 304)
         self.has_head = is_final(self.status)
@@ -273,6 +289,11 @@
             raise UpstreamFailed(f"malformed answer: status {self.status:03}", True)
         if framed and is_interim(self.status):
             raise UpstreamFailed("malformed answer: interim and with a body", True)
+        # Callers would get a body in another coding without its name. The parser takes
+        # `chunked` with a tab behind it for another coding too.
+        codings = [value for name, value in self.headers if name == _CODINGS_HEADER]
+        if codings and [coding.strip(b" ").lower() for coding in codings] != [_CHUNKED]:
+            raise UpstreamFailed("malformed answer: codings other than chunked", True)
 
     def on_body(self, body):
         if self.is_complete:
