--- a/tests/integration/router_system.py
+++ b/tests/integration/router_system.py
@@ -1,6 +1,7 @@
 """Router processes, and engines that they place layers on, for integration tests."""
 
 import fcntl
+import itertools
 import json
 import os
 import random
@@ -45,13 +46,16 @@
 
 
 _claimed_ports, _ports_lock = _claim_ports()
+# Each port is drawn once before any is drawn again: a router draws several, and listens
+# on them later.
+_ports = itertools.cycle(random.sample(_claimed_ports, len(_claimed_ports)))
 
 
 def free_port(kind=socket.SOCK_STREAM):
     while True:
         with socket.socket(socket.AF_INET, kind) as sock:
             try:
-                sock.bind(("127.0.0.1", random.choice(_claimed_ports)))
+                sock.bind(("127.0.0.1", next(_ports)))
             except OSError:
                 continue
             return sock.getsockname()[1]
