--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -323,11 +323,11 @@
             self._record_refusal(run, attempt, refusal)
 
     def _try_successor(self, run, attempt, successor):
-        """Send `successor`; return None if it is accepted, or its refusal.
+        """Send `successor`; return its refusal, or None if it takes over.
 
-        Raises `_EventArrived` if `attempt` can go on, and `UpstreamFailed` if
-        `successor` failed. If the connection of `attempt` has ended meanwhile, nothing
-        else goes on.
+        It does when it is accepted, and also when `attempt` has ended meanwhile, so
+        that nothing else goes on. Raises `_EventArrived` if `attempt` can go on, and
+        `UpstreamFailed` if `successor` failed.
         """
         successor.watched.can_move = (
             run.route.is_retryable
--- a/src/bulrushdrum/_internal/gateway/upstream_connections.py
+++ b/src/bulrushdrum/_internal/gateway/upstream_connections.py
@@ -108,7 +108,10 @@
         return self._socket.fileno()
 
     def has_pending_input(self) -> bool:
-        """Whether the upstream has closed the idle connection or sent excess data."""
+        """Whether data, or the end of the connection, waits to be read.
+
+        On an idle connection that is excess data, or its end.
+        """
         return is_readable(self._socket)
 
     def close(self):
