--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -287,8 +287,9 @@
                     progress.attempt = successor.counts
                     return successor
             except _EventArrived:
-                # It has delivered nothing, so it is no attempt that may have run long.
-                # Nothing else says that the stream should move again.
+                # An engine begins to run a request with its first token, which has not
+                # arrived, so an attempt is left for a path that breaks off. After a
+                # false alarm the stream does not move on a suspicion again.
                 successor.close()
                 self._count_sending(run, successor)
                 progress.may_have_run, may_move = True, False
