--- a/tests/unit/test_response_statuses.py
+++ b/tests/unit/test_response_statuses.py
@@ -20,6 +20,8 @@
 
 from bulrushdrum._internal.gateway.errors import UpstreamFailed
 from bulrushdrum._internal.gateway.parsing import ResponseReader
+from bulrushdrum._internal.operator.client import OperatorClient
+from bulrushdrum._internal.operator.errors import CommandFailed
 from bulrushdrum._internal.peering.request_messages import Call
 from bulrushdrum._internal.platform.engine_calls import EngineCalls, OrderOutcome
 from bulrushdrum._internal.platform.errors import (
@@ -195,3 +197,11 @@
     client = EngineClient(make_settings(upstream_url=f"http://{address}"))
     with pytest.raises(EngineLost):
         client.run_steps([])
+
+
+def test_an_entry_has_not_answered_its_operator(address):
+    client = OperatorClient(address, "key")
+    with pytest.raises(CommandFailed) as caught:
+        client.get("entries")
+    assert caught.value.body["code"] == "unreachable"
+    assert "did not answer" in str(caught.value)
