--- a/src/bulrushdrum/_internal/gateway/generations.py
+++ b/src/bulrushdrum/_internal/gateway/generations.py
@@ -212,8 +212,7 @@
             run.demand,
             path,
             run.progress,
-            run.route.is_retryable
-            and run.progress.attempts + 1 < run.route.max_attempts,
+            _may_send_again(run, open_attempts=1),
         )
         reservation = self._reservations.reserve(path, run.demand.tokens)
         resources = ExitStack()
@@ -330,10 +329,7 @@
         that nothing else goes on. Raises `_EventArrived` if `attempt` can go on, and
         `UpstreamFailed` if `successor` failed.
         """
-        successor.watched.can_move = (
-            run.route.is_retryable
-            and run.progress.attempts + 2 < run.route.max_attempts
-        )
+        successor.watched.can_move = _may_send_again(run, open_attempts=2)
         self._send(run, successor)
         while not successor.reader.has_head:
             received = successor.receive_beside(attempt, run)
@@ -353,11 +349,7 @@
         # It is in progress again, so that its sending counts when it has ended.
         attempt.is_counted = False
         progress.retry_costs.sent -= 1
-        attempt.watched.can_move = (
-            may_move
-            and run.route.is_retryable
-            and progress.attempts + 1 < run.route.max_attempts
-        )
+        attempt.watched.can_move = may_move and _may_send_again(run, open_attempts=1)
         run.connection.trace.resume_attempt(
             describe_path(attempt.path), attempt.path[0].upstream.id
         )
@@ -438,5 +430,11 @@
         return random_retry_after(remaining, self._random)
 
 
+def _may_send_again(run, open_attempts):
+    """Whether another attempt may follow those that have ended and the open ones."""
+    attempts = run.progress.attempts + open_attempts
+    return run.route.is_retryable and attempts < run.route.max_attempts
+
+
 class _EventArrived(Exception):
     """The path that a stream was about to leave delivers again."""
