--- a/review/server_3.py
+++ b/review/server_3.py
@@ -1,12 +1,13 @@
 """A server as a process of its own, for the scripts of this review.
 
-`python3 server_3.py STORE ID SERVICE FRAMING PARTS GAP_MS` serves on a free loopback
-port and registers itself in the store, with a heartbeat each 1.2 s. With the service
-`llm` it is a model server that takes layers and answers with streams of events; with
-`ledger` it is a plain service. An answer has `PARTS` parts, each written at once and
-`GAP_MS` after the one before. With the framing `none` an answer has neither a length
-nor chunks and ends with its connection; with `chunked` it has chunks. For each run it
-prints a line with the request's id, and another one when it has written all parts.
+`python3 server_3.py STORE ID SERVICE FRAMING PARTS GAP_MS [CRASH]` serves on a free
+loopback port and registers itself in the store, with a heartbeat each 1.2 s. With the
+service `llm` it is a model server that takes layers and answers with streams of events;
+with `ledger` it is a plain service. An answer has `PARTS` parts, each written at once
+and `GAP_MS` after the one before. With the framing `none` an answer has no length and
+no chunks and ends with its connection; with `chunked` it has chunks. For each run it
+prints a line with the request's id, and another one when it has written all parts. It
+crashes when it begins to write an answer to a prompt with the part `CRASH`, if given.
 """
 
 from gevent import monkey
@@ -16,6 +17,7 @@
 import base64  # noqa: E402
 import http.client  # noqa: E402
 import json  # noqa: E402
+import os  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
 
@@ -27,7 +29,10 @@
 
 
 class Server:
-    def __init__(self, store, server_id, service, framing, parts, gap_ms):
+    def __init__(
+        self, store, server_id, service, framing, parts, gap_ms, crash_part=""
+    ):
+        self._crash_part = crash_part
         self._store, self._id = store, server_id
         self._is_engine, self._is_chunked = service == "llm", framing == "chunked"
         self._parts, self._gap = int(parts), int(gap_ms) / 1000.0
@@ -100,6 +105,11 @@
             return True
         return self._run(sock, headers)
 
+    def _crashes_on(self, headers):
+        parts = headers.get("bulrushdrum-prefix-hash", "").split(",")[:-1]
+        names = [part.partition(":")[0] for part in parts]
+        return bool(self._crash_part) and self._crash_part in names
+
     def _report(self):
         return {
             "stage": "colocated",
@@ -129,6 +139,9 @@
         sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(first, self._parts + 1):
             gevent.sleep(self._gap)
+            if self._crashes_on(headers):
+                print(f"crash {request_id}", flush=True)
+                os._exit(70)
             part = LEDGER_PART
             if self._is_engine:
                 part = b"id: %d\ndata: piece %d\n\n" % (number, number)
--- a/review/system_3.py
+++ b/review/system_3.py
@@ -19,6 +19,7 @@
 
 import gevent  # noqa: E402
 from gevent import socket  # noqa: E402
+from gevent.server import StreamServer  # noqa: E402, F401
 
 ROOT = Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT))
@@ -238,6 +239,25 @@
     answer.complete = len(answer.body) == length
 
 
+def read_request_head(sock):
+    """Return the headers of the next request and how much of its body was received.
+
+    None means the end of the connection.
+    """
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = sock.recv(16_384)
+        if not received:
+            return None
+        data += received
+    head, _, body = data.partition(b"\r\n\r\n")
+    headers = {}
+    for line in head.decode("latin-1").split("\r\n")[1:]:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    return headers, len(body)
+
+
 def route(name, prefix, kind, service, **fields):
     return {
         "name": name,
@@ -404,13 +424,20 @@
 class ServerProcess:
     """A server of `server_3.py` as a process of its own."""
 
-    def __init__(self, folder, store, server_id, service, framing, parts, gap_ms):
+    def __init__(
+        self, folder, store, server_id, service, framing, parts, gap_ms, crash_part=""
+    ):
         self.id, self.output = server_id, Path(folder) / f"{server_id}.out"
-        arguments = [store.address, server_id, service, framing, parts, gap_ms]
-        with self.output.open("w") as output:
+        self._arguments = [store.address, server_id, service, framing, parts, gap_ms]
+        if crash_part:
+            self._arguments.append(crash_part)
+        self.start()
+
+    def start(self):
+        program = str(ROOT / "review" / "server_3.py")
+        with self.output.open("a") as output:
             self.process = subprocess.Popen(
-                ["python3", str(ROOT / "review" / "server_3.py"), *map(str, arguments)],
-                stdout=output,
+                ["python3", program, *map(str, self._arguments)], stdout=output
             )
 
     def runs(self):
@@ -422,7 +449,7 @@
         ids = []
         for line in self.runs():
             word, request_id, *_ = line.split()
-            if word == "run":
+            if word == "run" and request_id not in ids:
                 ids.append(request_id)
             elif request_id in ids:
                 ids.remove(request_id)
