--- a/review/system_3.py
+++ b/review/system_3.py
@@ -76,7 +76,7 @@
     def result(self, code, reason):
         words = {HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}
         self(f"RESULT: {words[code]}: {reason}")
-        print(f"{words[code]}: {reason}")
+        print(f"{words[code]}: {reason}", flush=True)
         return code
 
 
