Review: case 14, a crashing request is forgotten after 60 s (BUDGET)

A request that crashes each server that runs it comes every 2 s. The routers refuse it after five crashes, and let it through again 60 s after the last one; it crashes five servers more, three retries are allowed.

--- a/review/server_3.py
+++ b/review/server_3.py
@@ -7,7 +7,8 @@
 and `GAP_MS` after the one before. With the framing `none` an answer has no length and
 no chunks and ends with its connection; with `chunked` it has chunks. For each run it
 prints a line with the request's id, and another one when it has written all parts. It
-crashes when it begins to write an answer to a prompt with the part `CRASH`, if given.
+crashes when it begins to write an answer to a prompt with the part `CRASH`, if given,
+or, as a plain service, when it has begun to run a request with `CRASH` in its path.
 """
 
 from gevent import monkey
@@ -103,9 +104,11 @@
             head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data)
             sock.sendall(head + data)
             return True
-        return self._run(sock, headers)
+        return self._run(sock, target, headers)
 
-    def _crashes_on(self, headers):
+    def _crashes_on(self, target, headers):
+        if not self._is_engine:
+            return bool(self._crash_part) and self._crash_part in target
         parts = headers.get("bulrushdrum-prefix-hash", "").split(",")[:-1]
         names = [part.partition(":")[0] for part in parts]
         return bool(self._crash_part) and self._crash_part in names
@@ -124,10 +127,15 @@
             "stalled": [],
         }
 
-    def _run(self, sock, headers):
+    def _run(self, sock, target, headers):
         first = int(headers.get("last-event-id", 0)) + 1
         request_id = headers["bulrushdrum-attempt-id"]
-        print(f"run {request_id} from part {first}", flush=True)
+        now = time.monotonic()
+        print(f"run {request_id} from part {first} at {now:.3f}", flush=True)
+        if not self._is_engine and self._crashes_on(target, headers):
+            gevent.sleep(self._gap)
+            print(f"crash {request_id}", flush=True)
+            os._exit(70)
         content_type = "text/event-stream" if self._is_engine else "application/json"
         lines = [
             "HTTP/1.1 200 OK",
@@ -139,7 +147,7 @@
         sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(first, self._parts + 1):
             gevent.sleep(self._gap)
-            if self._crashes_on(headers):
+            if self._crashes_on(target, headers):
                 print(f"crash {request_id}", flush=True)
                 os._exit(70)
             part = LEDGER_PART
